--- a/src/main/java/olivewell/Balance.java
+++ b/src/main/java/dapplequay/Balance.java
@@ -1,5 +1,5 @@
 // Interface: BalancerApi.java (the events that come in, the actions that go out, the values of both).
-package olivewell;
+package dapplequay;
 
 import java.util.ArrayList;
 import java.util.Arrays;
--- a/src/main/java/olivewell/BalancerApi.java
+++ b/src/main/java/dapplequay/BalancerApi.java
@@ -1,4 +1,4 @@
-package olivewell;
+package dapplequay;
 
 import java.util.List;
 
--- a/src/main/java/olivewell/benchlink/Event.java
+++ b/src/main/java/dapplequay/benchlink/Event.java
@@ -1,4 +1,4 @@
-package olivewell.benchlink;
+package dapplequay.benchlink;
 
 import java.util.List;
 import java.util.Map;
--- a/src/main/java/olivewell/benchlink/Instances.java
+++ b/src/main/java/dapplequay/benchlink/Instances.java
@@ -1,4 +1,4 @@
-package olivewell.benchlink;
+package dapplequay.benchlink;
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
@@ -6,14 +6,14 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import olivewell.Balance;
-import olivewell.BalancerApi;
-import olivewell.BalancerApi.FleetEntry;
-import olivewell.BalancerApi.HostState;
-import olivewell.BalancerApi.ListKind;
-import olivewell.BalancerApi.LoadReport;
-import olivewell.BalancerApi.Outcome;
-import olivewell.BalancerApi.Request;
+import dapplequay.Balance;
+import dapplequay.BalancerApi;
+import dapplequay.BalancerApi.FleetEntry;
+import dapplequay.BalancerApi.HostState;
+import dapplequay.BalancerApi.ListKind;
+import dapplequay.BalancerApi.LoadReport;
+import dapplequay.BalancerApi.Outcome;
+import dapplequay.BalancerApi.Request;
 
 /** The table of instances: hands each event to its module and writes down what the module does. */
 final class Instances {
--- a/src/main/java/olivewell/benchlink/Main.java
+++ b/src/main/java/dapplequay/benchlink/Main.java
@@ -1,4 +1,4 @@
-package olivewell.benchlink;
+package dapplequay.benchlink;
 
 import java.io.FileDescriptor;
 import java.io.FileOutputStream;
@@ -24,8 +24,8 @@
     }
 
     static int run(String[] args, InputStream in, OutputStream out, PrintStream err) {
-        if (args.length != 1 || !args[0].equals("benchlink")) {
-            err.println("usage: java -jar olivewell.jar benchlink"
+        if (args.length != 1 || !args[0].equals("simhost")) {
+            err.println("usage: java -jar dapplequay.jar simhost"
                     + "   (events on standard input, actions on standard output)");
             return USAGE;
         }
@@ -39,12 +39,12 @@
             }
             return 0;
         } catch (WireException e) {
-            err.println("benchlink: " + e.getMessage());
+            err.println("simhost: " + e.getMessage());
         } catch (IOException e) {
             // Jackson's messages span lines and carry the source; the first line says what is wrong.
             String what = String.valueOf(e.getMessage()).lines().findFirst().orElse("");
             String place = reader == null ? "" : reader.place() + ": ";
-            err.println("benchlink: " + place + "unreadable: " + what);
+            err.println("simhost: " + place + "unreadable: " + what);
         }
         return BAD_INPUT;
     }
--- a/src/main/java/olivewell/benchlink/SettingsReader.java
+++ b/src/main/java/dapplequay/benchlink/SettingsReader.java
@@ -1,4 +1,4 @@
-package olivewell.benchlink;
+package dapplequay.benchlink;
 
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
@@ -8,15 +8,15 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import olivewell.BalancerApi.ColdStart;
-import olivewell.BalancerApi.Discovery;
-import olivewell.BalancerApi.Group;
-import olivewell.BalancerApi.Limits;
-import olivewell.BalancerApi.Prices;
-import olivewell.BalancerApi.Semantics;
-import olivewell.BalancerApi.ServiceClass;
-import olivewell.BalancerApi.Settings;
-import olivewell.BalancerApi.Tenant;
+import dapplequay.BalancerApi.ColdStart;
+import dapplequay.BalancerApi.Discovery;
+import dapplequay.BalancerApi.Group;
+import dapplequay.BalancerApi.Limits;
+import dapplequay.BalancerApi.Prices;
+import dapplequay.BalancerApi.Semantics;
+import dapplequay.BalancerApi.ServiceClass;
+import dapplequay.BalancerApi.Settings;
+import dapplequay.BalancerApi.Tenant;
 
 /** Turns a {@code setup} object into settings. Fields it does not know are passed over. */
 final class SettingsReader {
--- a/src/main/java/olivewell/benchlink/WireActions.java
+++ b/src/main/java/dapplequay/benchlink/WireActions.java
@@ -1,7 +1,7 @@
-package olivewell.benchlink;
+package dapplequay.benchlink;
 
 import java.util.Base64;
-import olivewell.BalancerApi;
+import dapplequay.BalancerApi;
 
 /** Writes one instance's actions as the wire's. */
 final class WireActions implements BalancerApi.Actions {
--- a/src/main/java/olivewell/benchlink/WireException.java
+++ b/src/main/java/dapplequay/benchlink/WireException.java
@@ -1,4 +1,4 @@
-package olivewell.benchlink;
+package dapplequay.benchlink;
 
 /** Input that does not follow the wire; its message is the one plain line the operator gets to read. */
 final class WireException extends RuntimeException {
--- a/src/main/java/olivewell/benchlink/WireWriter.java
+++ b/src/main/java/dapplequay/benchlink/WireWriter.java
@@ -1,4 +1,4 @@
-package olivewell.benchlink;
+package dapplequay.benchlink;
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
--- a/src/test/java/olivewell/Bench.java
+++ b/src/test/java/dapplequay/Bench.java
@@ -1,22 +1,22 @@
-package olivewell;
+package dapplequay;
 
 import java.util.ArrayList;
 import java.util.List;
-import olivewell.BalancerApi.ColdStart;
-import olivewell.BalancerApi.Discovery;
-import olivewell.BalancerApi.FleetEntry;
-import olivewell.BalancerApi.Group;
-import olivewell.BalancerApi.HostState;
-import olivewell.BalancerApi.Limits;
-import olivewell.BalancerApi.ListKind;
-import olivewell.BalancerApi.LoadReport;
-import olivewell.BalancerApi.Outcome;
-import olivewell.BalancerApi.Prices;
-import olivewell.BalancerApi.Request;
-import olivewell.BalancerApi.Semantics;
-import olivewell.BalancerApi.ServiceClass;
-import olivewell.BalancerApi.Settings;
-import olivewell.BalancerApi.Tenant;
+import dapplequay.BalancerApi.ColdStart;
+import dapplequay.BalancerApi.Discovery;
+import dapplequay.BalancerApi.FleetEntry;
+import dapplequay.BalancerApi.Group;
+import dapplequay.BalancerApi.HostState;
+import dapplequay.BalancerApi.Limits;
+import dapplequay.BalancerApi.ListKind;
+import dapplequay.BalancerApi.LoadReport;
+import dapplequay.BalancerApi.Outcome;
+import dapplequay.BalancerApi.Prices;
+import dapplequay.BalancerApi.Request;
+import dapplequay.BalancerApi.Semantics;
+import dapplequay.BalancerApi.ServiceClass;
+import dapplequay.BalancerApi.Settings;
+import dapplequay.BalancerApi.Tenant;
 
 /** One module on a fake clock, with its actions written down. */
 final class Bench implements BalancerApi.Actions {
--- a/src/test/java/olivewell/MechanismTest.java
+++ b/src/test/java/dapplequay/MechanismTest.java
@@ -1,4 +1,4 @@
-package olivewell;
+package dapplequay;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
@@ -8,12 +8,12 @@
 import java.util.List;
 import java.util.Set;
 import java.util.TreeSet;
-import olivewell.Bench.Done;
-import olivewell.BalancerApi.FleetEntry;
-import olivewell.BalancerApi.HostState;
-import olivewell.BalancerApi.ListKind;
-import olivewell.BalancerApi.LoadReport;
-import olivewell.BalancerApi.Outcome;
+import dapplequay.Bench.Done;
+import dapplequay.BalancerApi.FleetEntry;
+import dapplequay.BalancerApi.HostState;
+import dapplequay.BalancerApi.ListKind;
+import dapplequay.BalancerApi.LoadReport;
+import dapplequay.BalancerApi.Outcome;
 import org.junit.jupiter.api.Test;
 
 /** The mechanism, and the failures that its extensions answer. */
--- a/src/test/java/olivewell/RulesTest.java
+++ b/src/test/java/dapplequay/RulesTest.java
@@ -1,4 +1,4 @@
-package olivewell;
+package dapplequay;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
@@ -9,12 +9,12 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import olivewell.Bench.Done;
-import olivewell.BalancerApi.FleetEntry;
-import olivewell.BalancerApi.HostState;
-import olivewell.BalancerApi.ListKind;
-import olivewell.BalancerApi.LoadReport;
-import olivewell.BalancerApi.Outcome;
+import dapplequay.Bench.Done;
+import dapplequay.BalancerApi.FleetEntry;
+import dapplequay.BalancerApi.HostState;
+import dapplequay.BalancerApi.ListKind;
+import dapplequay.BalancerApi.LoadReport;
+import dapplequay.BalancerApi.Outcome;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
--- a/src/test/java/olivewell/SourceLimitsTest.java
+++ b/src/test/java/dapplequay/SourceLimitsTest.java
@@ -1,4 +1,4 @@
-package olivewell;
+package dapplequay;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -12,7 +12,7 @@
 
 /** The module has to stay readable in one sitting at night. */
 class SourceLimitsTest {
-    private static final Path SOURCES = Path.of("src/main/java/olivewell");
+    private static final Path SOURCES = Path.of("src/main/java/dapplequay");
     private static final int MODULE_LINES = 850;
     private static final int LINE_LENGTH = 110;
 
--- a/src/test/java/olivewell/benchlink/TranscriptTest.java
+++ b/src/test/java/dapplequay/benchlink/TranscriptTest.java
@@ -1,4 +1,4 @@
-package olivewell.benchlink;
+package dapplequay.benchlink;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -39,7 +39,7 @@
         ByteArrayOutputStream out = new ByteArrayOutputStream();
         ByteArrayOutputStream err = new ByteArrayOutputStream();
         byte[] in = String.join("\n", lines).getBytes(StandardCharsets.UTF_8);
-        int status = Main.run(new String[] {"benchlink"}, new ByteArrayInputStream(in), out, new PrintStream(err));
+        int status = Main.run(new String[] {"simhost"}, new ByteArrayInputStream(in), out, new PrintStream(err));
         return new Run(status, out.toString(StandardCharsets.UTF_8).lines().toList(),
                 err.toString(StandardCharsets.UTF_8));
     }
@@ -211,7 +211,7 @@
     void wrongSubcommandPrintsUsage() {
         ByteArrayOutputStream err = new ByteArrayOutputStream();
         ByteArrayOutputStream out = new ByteArrayOutputStream();
-        for (String[] args : new String[][] {{}, {"serve"}, {"benchlink", "x"}}) {
+        for (String[] args : new String[][] {{}, {"serve"}, {"simhost", "x"}}) {
             assertEquals(Main.USAGE, Main.run(args, new ByteArrayInputStream(new byte[0]), out, new PrintStream(err)));
         }
         assertEquals(0, out.size());
--- a/src/test/java/olivewell/benchlink/WireActionsTest.java
+++ b/src/test/java/dapplequay/benchlink/WireActionsTest.java
@@ -1,4 +1,4 @@
-package olivewell.benchlink;
+package dapplequay.benchlink;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
