--- a/src/main/java/dapplequay/benchlink/Event.java
+++ b/src/main/java/dapplequay/benchlink/Event.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Map;
+import dapplequay.settings.SettingsReader;
 
 /**
  * One message as it was read, before its instance's settings give its names a meaning. Mutable and short-
--- a/src/main/java/dapplequay/benchlink/Instances.java
+++ b/src/main/java/dapplequay/benchlink/Instances.java
@@ -14,6 +14,7 @@
 import dapplequay.BalancerApi.LoadReport;
 import dapplequay.BalancerApi.Outcome;
 import dapplequay.BalancerApi.Request;
+import dapplequay.settings.SettingsReader;
 
 /** The table of instances: hands each event to its module and writes down what the module does. */
 final class Instances {
--- a/src/main/java/dapplequay/benchlink/WireReader.java
+++ b/src/main/java/dapplequay/benchlink/WireReader.java
@@ -9,6 +9,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import dapplequay.settings.SettingsReader;
 
 /** Reads batches. It knows the wire's field names and types, and nothing of what they mean. */
 final class WireReader {
--- /dev/null
+++ b/src/main/java/dapplequay/cli/Config.java
@@ -0,0 +1,75 @@
+package dapplequay.cli;
+
+import dapplequay.net.Sidecar;
+import dapplequay.settings.Json;
+import dapplequay.settings.SettingsException;
+import dapplequay.settings.SettingsReader;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Map;
+
+/** Reads a sidecar's configuration: the file, with the addresses of the environment before its own. */
+final class Config {
+    private static final int SOCKETS = 1024;
+
+    private Config() { }
+
+    /** SettingsException, with one plain line, where the configuration is no good. */
+    static Sidecar.Plan read(Path file, Map<String, String> environment) {
+        Object tree;
+        try {
+            tree = Json.parse(Files.readAllBytes(file));
+        } catch (IOException e) {
+            String why = e instanceof java.nio.file.NoSuchFileException ? "no such file"
+                    : String.valueOf(e.getMessage()).lines().findFirst().orElse("");
+            throw new SettingsException(file + ": unreadable: " + why);
+        }
+        if (!(tree instanceof Map<?, ?> fields)) {
+            throw new SettingsException(file + ": must hold an object");
+        }
+        String place = file.toString();
+        return new Sidecar.Plan(address(place, fields, "listen", environment.get("EDGE_LISTEN")),
+                address(place, fields, "discovery", environment.get("EDGE_DISCOVERY")), seed(place, fields),
+                sockets(place, fields), fields.get("known"),
+                SettingsReader.of(fields.get("settings"), place));
+    }
+
+    private static InetSocketAddress address(String place, Map<?, ?> fields, String name, String before) {
+        Object value = before != null && !before.isEmpty() ? before : fields.get(name);
+        String text = value instanceof String s ? s : "";
+        int colon = text.lastIndexOf(':');
+        try {
+            if (text.substring(0, Math.max(0, colon)).matches("[0-9.]+|\\[[0-9a-fA-F:.]+\\]")) {
+                return new InetSocketAddress(InetAddress.getByName(text.substring(0, colon)),
+                        Integer.parseInt(text.substring(colon + 1)));
+            }
+        } catch (IOException | IllegalArgumentException e) {
+            // Told below, as for any other text that is no address.
+        }
+        throw new SettingsException(place + ": " + name + " is not an address with a port: " + value);
+    }
+
+    private static long seed(String place, Map<?, ?> fields) {
+        Object value = fields.get("seed");
+        if (value instanceof Number number) {
+            return number.longValue();
+        }
+        try {
+            return Long.parseUnsignedLong((String) value, 16);
+        } catch (ClassCastException | NumberFormatException e) {
+            throw new SettingsException(place + ": seed is not a hexadecimal number: " + value);
+        }
+    }
+
+    private static int sockets(String place, Map<?, ?> fields) {
+        Object limits = fields.get("limits");
+        Object value = limits instanceof Map<?, ?> map ? map.get("sockets") : null;
+        if (value != null && !(value instanceof Number)) {
+            throw new SettingsException(place + ": limits.sockets is not a number: " + value);
+        }
+        return value == null ? SOCKETS : ((Number) value).intValue();
+    }
+}
--- /dev/null
+++ b/src/main/java/dapplequay/cli/Main.java
@@ -0,0 +1,123 @@
+package dapplequay.cli;
+
+import dapplequay.benchlink.SimHost;
+import dapplequay.net.Sidecar;
+import dapplequay.settings.SettingsException;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.Map;
+import java.util.logging.Level;
+import java.util.logging.Logger;
+import org.kohsuke.args4j.Argument;
+import org.kohsuke.args4j.CmdLineException;
+import org.kohsuke.args4j.CmdLineParser;
+import org.kohsuke.args4j.Option;
+import org.kohsuke.args4j.spi.SubCommand;
+import org.kohsuke.args4j.spi.SubCommandHandler;
+import org.kohsuke.args4j.spi.SubCommands;
+
+/** The command line of the jar. */
+public final class Main {
+    static final int BAD_USAGE = 2;
+    static final int BAD_CONFIG = 3;
+
+    @Argument(required = true, metaVar = "COMMAND", handler = SubCommandHandler.class)
+    @SubCommands({@SubCommand(name = "serve", impl = Serve.class),
+            @SubCommand(name = "simhost", impl = Simulate.class),
+            @SubCommand(name = "check-config", impl = CheckConfig.class),
+            @SubCommand(name = "version", impl = Version.class)})
+    private Command command;
+
+    /** One sub-command; what it returns is the exit status. */
+    interface Command {
+        int run(Map<String, String> environment) throws IOException;
+    }
+
+    public static void main(String[] args) {
+        int status = run(args, System.getenv());
+        if (status != 0) {
+            System.exit(status);
+        }
+    }
+
+    static int run(String[] args, Map<String, String> environment) {
+        Main main = new Main();
+        try {
+            new CmdLineParser(main).parseArgument(args);
+            return main.command.run(environment);
+        } catch (CmdLineException e) {
+            System.err.println("dapplequay: " + e.getMessage());
+            System.err.println("usage: java -jar dapplequay.jar serve [--config FILE] [--log LEVEL]"
+                    + " | simhost | check-config [--config FILE] | version");
+            return BAD_USAGE;
+        } catch (SettingsException | IllegalArgumentException | IOException e) {
+            System.err.println("dapplequay: " + e.getMessage());
+            return BAD_CONFIG;
+        }
+    }
+
+    /** What the commands that read a configuration share. */
+    abstract static class Configured implements Command {
+        @Option(name = "--config", metaVar = "FILE", usage = "the configuration; else EDGE_CONFIG names it")
+        private String config;
+
+        Sidecar.Plan plan(Map<String, String> environment) {
+            String file = config == null ? environment.get("EDGE_CONFIG") : config;
+            if (file == null || file.isEmpty()) {
+                throw new SettingsException("no configuration: give --config or set EDGE_CONFIG");
+            }
+            return Config.read(Path.of(file), environment);
+        }
+    }
+
+    /** Runs the sidecar until it is told to end. */
+    public static final class Serve extends Configured {
+        @Option(name = "--log", metaVar = "LEVEL", usage = "SEVERE, WARNING, INFO or FINE")
+        private String level = "INFO";
+
+        @Override
+        public int run(Map<String, String> environment) throws IOException {
+            Logs.start(Level.parse(level));
+            Thread.setDefaultUncaughtExceptionHandler((thread, e) -> Logger.getLogger(Main.class.getName())
+                    .log(Level.SEVERE, "thread " + thread.getName() + " ended", e));
+            Sidecar sidecar = new Sidecar(plan(environment));
+            Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+                try {
+                    sidecar.end();
+                } catch (InterruptedException e) {
+                    Thread.currentThread().interrupt();
+                }
+            }, "ending"));
+            sidecar.start();
+            return 0;
+        }
+    }
+
+    /** Hosts instances of the decision module for the simulator, on standard input and output. */
+    public static final class Simulate implements Command {
+        @Override
+        public int run(Map<String, String> environment) {
+            return SimHost.run();
+        }
+    }
+
+    /** Reads a configuration as serve would, and says whether it is good. */
+    public static final class CheckConfig extends Configured {
+        @Override
+        public int run(Map<String, String> environment) throws IOException {
+            Sidecar.check(plan(environment));
+            System.out.println("good");
+            return 0;
+        }
+    }
+
+    /** Prints the version. */
+    public static final class Version implements Command {
+        @Override
+        public int run(Map<String, String> environment) {
+            String version = Main.class.getPackage().getImplementationVersion();
+            System.out.println("dapplequay " + (version == null ? "(not packaged)" : version));
+            return 0;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/dapplequay/facade/Facade.java
@@ -0,0 +1,201 @@
+package dapplequay.facade;
+
+import dapplequay.Balance;
+import dapplequay.BalancerApi;
+import dapplequay.BalancerApi.FleetEntry;
+import dapplequay.BalancerApi.HostState;
+import dapplequay.BalancerApi.ListKind;
+import dapplequay.BalancerApi.LoadReport;
+import dapplequay.BalancerApi.Request;
+import dapplequay.BalancerApi.Settings;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.PriorityQueue;
+import java.util.function.LongSupplier;
+import java.util.logging.Logger;
+
+/**
+ * The decision module in blocking style: each call takes the one lock, tells the module, and returns what is
+ * to be done. No call waits for anything but the lock, save {@link #awaitWatch}. It knows no protocol.
+ */
+public final class Facade {
+    private static final Logger LOG = Logger.getLogger(Facade.class.getName());
+
+    private final Settings settings;
+    private final LongSupplier clock;
+    private final BalancerApi module;
+    private final PriorityQueue<Timer> timers = new PriorityQueue<>();
+    private long timersSet;
+    private long lastId;
+    private long inHand;
+    private int sends;
+    private Decision decided;
+    private boolean watchWanted;
+
+    private record Timer(long atUs, long number, long token) implements Comparable<Timer> {
+        @Override
+        public int compareTo(Timer other) {
+            int byTime = Long.compare(atUs, other.atUs);
+            return byTime != 0 ? byTime : Long.compare(number, other.number);
+        }
+    }
+
+    public Facade(Settings settings, long seed, LongSupplier clock) {
+        this.settings = settings;
+        this.clock = clock;
+        module = new Balance(settings, seed, new Taken());
+    }
+
+    /**
+     * A number for a new request: the module's ids stay below 2^52, while those that clients give use all 64
+     * bits and could meet.
+     */
+    public synchronized long nextId() {
+        return ++lastId;
+    }
+
+    /** The first decision for a new request. */
+    public synchronized Decision pick(long id, Call call) {
+        begin(id, 0);
+        module.request(clock.getAsLong(), new Request(id, call.serviceClass(), call.tenant(), call.key(),
+                call.leftUs(), call.costHintUs(), call.clientRetry()));
+        return decided;
+    }
+
+    /**
+     * How a leg ended, and what is to be done now. {@code over}: the client has its answer, or has left.
+     * {@code load} may be null.
+     */
+    public synchronized Decision report(long id, int leg, String host, LegEnd end, long tookUs, boolean over,
+                                        HostLoad load) {
+        begin(id, leg + 1);
+        module.outcome(clock.getAsLong(), id, leg, host, end.outcome, tookUs, over || end == LegEnd.SERVED,
+                load == null ? null : new LoadReport(load.queue(), load.inFlight()));
+        return decided;
+    }
+
+    /** The client has left; a leg that is still out is reported when it has ended. */
+    public synchronized void clientGone(long id) {
+        begin(0, 0);
+        module.gone(clock.getAsLong(), id);
+    }
+
+    /** IllegalArgumentException, and no change, where a line names a zone that the settings do not. */
+    public synchronized void news(ListNews news) {
+        List<FleetEntry> entries = new ArrayList<>(news.lines().size());
+        for (ListNews.Line line : news.lines()) {
+            HostState state = switch (line.state()) {
+                case SERVING -> HostState.READY;
+                case DRAINING -> HostState.DRAINING;
+                case DELETED -> HostState.REMOVED;
+            };
+            int zone = settings.zones().indexOf(line.zone());
+            if (zone < 0 && state != HostState.REMOVED) {
+                throw new IllegalArgumentException("unknown zone " + line.zone());
+            }
+            entries.add(new FleetEntry(line.uid(), zone, line.cell(), state, line.weight(),
+                    line.bootMs() * 1000));
+        }
+        ListKind kind = switch (news.kind()) {
+            case CHANGES -> ListKind.DELTA;
+            case WHOLE -> ListKind.FULL;
+            case RESTORED -> ListKind.RESTORED;
+            case FAILED -> ListKind.FAILED;
+        };
+        if (kind == ListKind.FAILED) {
+            watchWanted = false;
+        }
+        begin(0, 0);
+        module.fleet(clock.getAsLong(), kind, entries);
+    }
+
+    /** Gives the module its timers that are due. */
+    public synchronized void tick() {
+        long now = clock.getAsLong();
+        while (!timers.isEmpty() && timers.peek().atUs() <= now) {
+            begin(0, 0);
+            module.timer(now, timers.poll().token());
+        }
+    }
+
+    /** Waits until the module wants the list watched; it goes on wanting that until a watch has failed. */
+    public synchronized void awaitWatch() throws InterruptedException {
+        while (!watchWanted) {
+            wait();
+        }
+    }
+
+    private void begin(long id, int legs) {
+        inHand = id;
+        sends = legs;
+        decided = new Decision.Rest();
+    }
+
+    /** The module's actions, kept until the call in hand returns them. */
+    private final class Taken implements BalancerApi.Actions {
+        private void decide(long id, Decision decision) {
+            if (id != inHand || !(decided instanceof Decision.Rest)) {
+                throw new IllegalStateException("the module decided out of turn: " + decision);
+            }
+            decided = decision;
+        }
+
+        @Override
+        public void send(long id, String host, long timeoutUs) {
+            decide(id, new Decision.Send(sends, host, timeoutUs));
+        }
+
+        @Override
+        public void refuse(long id, long pauseUs) {
+            decide(id, new Decision.Refuse(pauseUs));
+        }
+
+        @Override
+        public void fail(long id) {
+            decide(id, new Decision.Fail());
+        }
+
+        @Override
+        public void timer(long afterUs, long token) {
+            timers.add(new Timer(clock.getAsLong() + afterUs, timersSet++, token));
+        }
+
+        @Override
+        public void watchFleet(boolean on) {
+            watchWanted = on;
+            Facade.this.notifyAll();
+        }
+
+        @Override
+        public void log(String line) {
+            LOG.info(line);
+        }
+
+        // The module asks for none of these. Should it begin to, the network has to learn them first.
+
+        @Override
+        public void cancel(long id, int attempt) {
+            throw new UnsupportedOperationException("cancel");
+        }
+
+        @Override
+        public void fetchFleet() {
+            throw new UnsupportedOperationException("fetchFleet");
+        }
+
+        @Override
+        public void probe(String host) {
+            throw new UnsupportedOperationException("probe");
+        }
+
+        @Override
+        public void closeIdle(String host) {
+            throw new UnsupportedOperationException("closeIdle");
+        }
+
+        @Override
+        public void tell(int position, byte[] note) {
+            throw new UnsupportedOperationException("tell");
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/dapplequay/facade/LegEnd.java
@@ -0,0 +1,27 @@
+package dapplequay.facade;
+
+import dapplequay.BalancerApi.Outcome;
+
+/** How one leg ended. The rules on repeats hang on which of these say that the request never ran. */
+public enum LegEnd {
+    SERVED(Outcome.OK),
+    /** The host answered that it failed. */
+    ERROR(Outcome.ERROR),
+    /** The host sent it back unseen. */
+    TURNED_AWAY(Outcome.REFUSED),
+    TIMED_OUT(Outcome.TIMEOUT),
+    /** No connection, or it broke before the request's last byte was written. */
+    NOT_CONNECTED(Outcome.CONNECT_FAILED),
+    /** The connection broke after that. */
+    RESET(Outcome.RESET),
+    /** Given up on this side, as the client left. */
+    GIVEN_UP(Outcome.CANCELLED),
+    /** Never written, for a reason that tells nothing of the host. */
+    NOT_SENT(Outcome.NOT_SENT);
+
+    final Outcome outcome;
+
+    LegEnd(Outcome outcome) {
+        this.outcome = outcome;
+    }
+}
--- /dev/null
+++ b/src/main/java/dapplequay/net/AcquirerRequest.java
@@ -0,0 +1,91 @@
+package dapplequay.net;
+
+import dapplequay.BalancerApi.Semantics;
+import dapplequay.facade.Call;
+import dapplequay.settings.SettingsReader.Setup;
+import java.io.ByteArrayOutputStream;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+
+/** A request of the acquirer's, checked against the settings: what is wrong with it, no issuer host sees. */
+record AcquirerRequest(Head head, byte[] body, int serviceClass, int tenant, long budgetUs) {
+    private static final List<String> REPLACED = List.of("host", "x-budget-ms");
+    /** Longer than any client waits; keeps the sum with the clock far from overflow. */
+    private static final long MAX_BUDGET_MS = 24L * 3600 * 1000;
+
+    static AcquirerRequest check(Head head, byte[] body, Setup setup) throws BadMessage {
+        String path = head.start[1].split("\\?", 2)[0];
+        Integer serviceClass = setup.classes().get(path.substring(1).split("/", 2)[0]);
+        if (serviceClass == null) {
+            throw new BadMessage(404, "unknown class");
+        }
+        Semantics semantics = setup.settings().classes().get(serviceClass).semantics();
+        if (!head.start[0].equals(semantics == Semantics.RETRYABLE ? "GET" : "POST")) {
+            throw new BadMessage(405, "wrong method for this class");
+        }
+        String key = head.get("Idempotency-Key");
+        if (semantics == Semantics.DEDUP && (key == null || key.isEmpty())) {
+            throw new BadMessage(400, "missing Idempotency-Key");
+        }
+        String id = head.get("X-Call-Id");
+        if (id == null || !id.matches("[0-9a-fA-F]{1,16}")) {
+            throw new BadMessage(400, "missing or bad X-Call-Id");
+        }
+        String budget = head.get("X-Budget-Ms");
+        if (budget == null || !budget.matches("[0-9]{1,9}") || Long.parseLong(budget) < 1
+                || Long.parseLong(budget) > MAX_BUDGET_MS) {
+            throw new BadMessage(400, "missing or bad X-Budget-Ms");
+        }
+        return new AcquirerRequest(head, body, serviceClass, tenant(head, setup),
+                Long.parseLong(budget) * 1000);
+    }
+
+    private static int tenant(Head head, Setup setup) throws BadMessage {
+        if (setup.tenants().isEmpty()) {
+            return -1;
+        }
+        String name = head.get("X-Caller");
+        Integer tenant = name == null ? null : setup.tenants().get(name);
+        if (tenant == null) {
+            throw new BadMessage(name == null ? 400 : 403, "missing or unknown tenant");
+        }
+        return tenant;
+    }
+
+    Call call(long leftUs) throws BadMessage {
+        long hint = 0;
+        String info = head.get("X-Call-Info");
+        if (info != null) {
+            for (String pair : info.split(",")) {
+                if (pair.strip().matches("estimate_us=[0-9]{1,15}")) {
+                    hint = Long.parseLong(pair.strip().substring("estimate_us=".length()));
+                }
+            }
+        }
+        return new Call(serviceClass, tenant, head.get("Idempotency-Key"), leftUs, hint,
+                "1".equals(head.get("X-Again")));
+    }
+
+    /** The bytes for the issuer host: as the client sent it, but for what concerns one connection alone. */
+    byte[] bytesFor(InetSocketAddress endpoint, long leftUs) {
+        StringBuilder out = new StringBuilder(512);
+        out.append(head.start[0]).append(' ').append(head.start[1]).append(" HTTP/1.1\r\nHost: ")
+                .append(Sockets.text(endpoint)).append("\r\n");
+        head.passOn(out, REPLACED);
+        out.append("X-Budget-Ms: ").append(Math.max(1, leftUs / 1000)).append("\r\n");
+        if (body.length > 0 || !head.start[0].equals("GET")) {
+            out.append("Content-Length: ").append(body.length).append("\r\n");
+        }
+        return message(out, body);
+    }
+
+    /** A whole message in one piece, so that it leaves in one write. */
+    static byte[] message(StringBuilder head, byte[] body) {
+        byte[] text = head.append("\r\n").toString().getBytes(StandardCharsets.ISO_8859_1);
+        ByteArrayOutputStream out = new ByteArrayOutputStream(text.length + body.length);
+        out.writeBytes(text);
+        out.writeBytes(body);
+        return out.toByteArray();
+    }
+}
--- /dev/null
+++ b/src/main/java/dapplequay/net/AcquirerSide.java
@@ -0,0 +1,148 @@
+package dapplequay.net;
+
+import dapplequay.facade.Facade;
+import dapplequay.settings.SettingsReader.Setup;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.logging.Level;
+import java.util.logging.Logger;
+
+/** The listener, and the acquirer's connections. */
+final class AcquirerSide implements Runnable {
+    private static final Logger LOG = Logger.getLogger(AcquirerSide.class.getName());
+    private static final int BACKLOG = 1024;
+    private static final long PAUSE_MS = 20;
+
+    private final Setup setup;
+    private final Facade facade;
+    private final Conductor conductor;
+    private final Deadlines deadlines;
+    private final int most;
+    private final ServerSocket listener = new ServerSocket();
+    private final Set<AcquirerConnection> connections = new LinkedHashSet<>();
+    private volatile boolean ending;
+
+    AcquirerSide(InetSocketAddress listen, Setup setup, Facade facade, Conductor conductor,
+                 Deadlines deadlines, int most) throws IOException {
+        this.setup = setup;
+        this.facade = facade;
+        this.conductor = conductor;
+        this.deadlines = deadlines;
+        this.most = most;
+        listener.bind(listen, BACKLOG);
+    }
+
+    InetSocketAddress address() {
+        return (InetSocketAddress) listener.getLocalSocketAddress();
+    }
+
+    Setup setup() {
+        return setup;
+    }
+
+    long nextId() {
+        return facade.nextId();
+    }
+
+    Conductor conductor() {
+        return conductor;
+    }
+
+    Deadlines deadlines() {
+        return deadlines;
+    }
+
+    boolean isEnding() {
+        return ending;
+    }
+
+    Answers.Answer health() {
+        return ending ? Answers.plain(503, "ending") : Answers.plain(200, "ok");
+    }
+
+    /** Accepts until the listener is closed; whatever else goes wrong, the next connection is tried. */
+    @Override
+    public void run() {
+        while (!listener.isClosed()) {
+            Socket socket = null;
+            try {
+                awaitRoom();
+                socket = listener.accept();
+                AcquirerConnection connection = new AcquirerConnection(this, socket);
+                synchronized (this) {
+                    connections.add(connection);
+                }
+                start(connection);
+            } catch (IOException | RuntimeException | OutOfMemoryError e) {
+                // Out of descriptors, threads or memory: others are about to end and give theirs back.
+                if (!listener.isClosed()) {
+                    Sockets.close(socket);
+                    LOG.log(Level.SEVERE, "connection could not be accepted: {0}", e.toString());
+                    pause();
+                }
+            } catch (InterruptedException e) {
+                return;
+            }
+        }
+    }
+
+    private void start(AcquirerConnection connection) {
+        try {
+            new Thread(connection, "acquirer").start();
+        } catch (OutOfMemoryError e) {
+            ended(connection);
+            throw e;
+        }
+    }
+
+    private static void pause() {
+        try {
+            Thread.sleep(PAUSE_MS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** At the bound an idle connection makes room, and while there is none the next has to wait. */
+    private synchronized void awaitRoom() throws InterruptedException {
+        while (connections.size() >= most) {
+            for (AcquirerConnection connection : connections) {
+                connection.closeIfIdle();
+            }
+            wait(PAUSE_MS);
+        }
+    }
+
+    synchronized void ended(AcquirerConnection connection) {
+        connections.remove(connection);
+        notifyAll();
+    }
+
+    /**
+     * Ends in order: idle connections are closed, what is held is answered and its connection closed after.
+     * The listener stays open meanwhile, as what the system has accepted counts as taken.
+     */
+    void end(long untilUs) throws InterruptedException {
+        ending = true;
+        while (deadlines.now() < untilUs) {
+            List<AcquirerConnection> left;
+            synchronized (this) {
+                left = new ArrayList<>(connections);
+            }
+            if (left.isEmpty()) {
+                break;
+            }
+            left.forEach(AcquirerConnection::closeIfIdle);
+            synchronized (this) {
+                wait(PAUSE_MS);
+            }
+        }
+        Sockets.close(listener);
+    }
+}
--- /dev/null
+++ b/src/main/java/dapplequay/net/Conductor.java
@@ -0,0 +1,75 @@
+package dapplequay.net;
+
+import dapplequay.facade.Call;
+import dapplequay.facade.Decision;
+import dapplequay.facade.Facade;
+import dapplequay.facade.HostLoad;
+import dapplequay.facade.LegEnd;
+import java.util.logging.Level;
+import java.util.logging.Logger;
+
+/** Carries out what the facade decides: legs to the issuer side, answers to the acquirer side. */
+final class Conductor {
+    private static final Logger LOG = Logger.getLogger(Conductor.class.getName());
+
+    private final Facade facade;
+    private final IssuerSide issuers;
+
+    Conductor(Facade facade, IssuerSide issuers) {
+        this.facade = facade;
+        this.issuers = issuers;
+    }
+
+    void begin(Authorisation authorisation, Call call) {
+        guarded(authorisation, () -> carryOut(authorisation, facade.pick(authorisation.id, call)));
+    }
+
+    private void carryOut(Authorisation authorisation, Decision decision) {
+        if (decision instanceof Decision.Send send) {
+            issuers.send(new Leg(authorisation, send, issuers.now()));
+        } else if (decision instanceof Decision.Refuse refuse && authorisation.claim()) {
+            authorisation.from.answer(Answers.refusal(refuse.pauseUs()));
+        } else if (decision instanceof Decision.Fail && authorisation.claim()) {
+            authorisation.from.answer(Answers.failure(authorisation.failureStatus()));
+        }
+    }
+
+    /** A leg has ended; {@code load}, {@code head} and {@code body} are there only if it was answered. */
+    void legEnded(Leg leg, LegEnd end, HostLoad load, Head head, byte[] body) {
+        Authorisation authorisation = leg.authorisation;
+        guarded(authorisation, () -> {
+            boolean serves = end == LegEnd.SERVED && authorisation.claim();
+            authorisation.lastLegTimedOut(end == LegEnd.TIMED_OUT);
+            Decision next = facade.report(authorisation.id, leg.order.leg(), leg.order.host(), end,
+                    issuers.now() - leg.startUs, authorisation.isOver(), load);
+            if (serves) {
+                authorisation.from.answer(Answers.served(head, body));
+            } else {
+                carryOut(authorisation, next);
+            }
+        });
+    }
+
+    /** The client is gone: nothing is owed, and the leg that is out is given up. */
+    void clientLeft(Authorisation authorisation) {
+        if (authorisation.claim()) {
+            facade.clientGone(authorisation.id);
+            Leg leg = authorisation.leg();
+            if (leg != null) {
+                leg.cut(LegEnd.GIVEN_UP);
+            }
+        }
+    }
+
+    /** A fault in here must not leave the client without its answer, nor end the thread that met it. */
+    private void guarded(Authorisation authorisation, Runnable step) {
+        try {
+            step.run();
+        } catch (RuntimeException e) {
+            LOG.log(Level.SEVERE, "authorisation failed", e);
+            if (authorisation.claim()) {
+                authorisation.from.answer(Answers.failure(500));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/dapplequay/net/Deadlines.java
@@ -0,0 +1,84 @@
+package dapplequay.net;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.TreeSet;
+import java.util.function.LongSupplier;
+import java.util.logging.Level;
+import java.util.logging.Logger;
+
+/** All deadlines of the process, sorted; the timekeeper sweeps those that have passed each turn. */
+final class Deadlines {
+    private static final Logger LOG = Logger.getLogger(Deadlines.class.getName());
+
+    private final LongSupplier clock;
+    private final TreeSet<Deadline> sorted =
+            new TreeSet<>(Comparator.comparingLong((Deadline d) -> d.atUs).thenComparingLong(d -> d.number));
+    private long numbers;
+
+    /** One entry. What it does must not block: it closes something or opens something's eyes. */
+    static final class Deadline {
+        private final long atUs;
+        private final long number;
+        private final Runnable passed;
+
+        private Deadline(long atUs, long number, Runnable passed) {
+            this.atUs = atUs;
+            this.number = number;
+            this.passed = passed;
+        }
+    }
+
+    Deadlines(LongSupplier clock) {
+        this.clock = clock;
+    }
+
+    long now() {
+        return clock.getAsLong();
+    }
+
+    synchronized Deadline after(long delayUs, Runnable passed) {
+        Deadline deadline = new Deadline(now() + delayUs, numbers++, passed);
+        sorted.add(deadline);
+        if (sorted.first() == deadline) {
+            notifyAll();
+        }
+        return deadline;
+    }
+
+    synchronized void cancel(Deadline deadline) {
+        if (deadline != null) {
+            sorted.remove(deadline);
+        }
+    }
+
+    /** Waits until the first deadline passes, but no longer than this. */
+    synchronized void await(long longestUs) throws InterruptedException {
+        long waitUs = longestUs;
+        if (!sorted.isEmpty()) {
+            waitUs = Math.min(waitUs, sorted.first().atUs - now());
+        }
+        if (waitUs > 0) {
+            wait(waitUs / 1000, (int) (waitUs % 1000) * 1000);
+        }
+    }
+
+    /** Carries out all that have passed, outside the lock; one that fails does not keep the others. */
+    void sweep() {
+        List<Deadline> due = new ArrayList<>();
+        synchronized (this) {
+            long now = now();
+            while (!sorted.isEmpty() && sorted.first().atUs <= now) {
+                due.add(sorted.pollFirst());
+            }
+        }
+        for (Deadline deadline : due) {
+            try {
+                deadline.passed.run();
+            } catch (RuntimeException e) {
+                LOG.log(Level.SEVERE, "a deadline could not be carried out", e);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/dapplequay/net/Head.java
@@ -0,0 +1,136 @@
+package dapplequay.net;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+
+/**
+ * The head of a message, strictly read: what two parsers could understand differently is refused, as a
+ * difference about where a message ends would mix up the answers of two clients.
+ */
+final class Head {
+    private static final int MAX_FIELDS = 100;
+
+    /** Method, target, version of a request; version, status, reason of a response. */
+    final String[] start;
+    final List<Field> fields = new ArrayList<>();
+
+    record Field(String name, String value) { }
+
+    private Head(String[] start) {
+        this.start = start;
+    }
+
+    /** {@code text}: all lines of the head, without the empty one that ends it. */
+    static Head request(byte[] text) throws BadMessage {
+        String[] lines = lines(text);
+        String[] start = lines[0].split(" ", -1);
+        if (start.length != 3 || !isToken(start[0]) || !isTarget(start[1])) {
+            throw new BadMessage(400, "bad request line");
+        }
+        if (!isVersion(start[2])) {
+            throw new BadMessage(start[2].startsWith("HTTP/") ? 505 : 400, "bad version");
+        }
+        return new Head(start).readFields(lines);
+    }
+
+    static Head response(byte[] text) throws BadMessage {
+        String[] lines = lines(text);
+        String[] start = lines[0].split(" ", 3);
+        if (start.length < 2 || !isVersion(start[0]) || !start[1].matches("[1-5][0-9][0-9]")) {
+            throw new BadMessage(502, "bad status line");
+        }
+        return new Head(start).readFields(lines);
+    }
+
+    private static String[] lines(byte[] text) {
+        return new String(text, StandardCharsets.ISO_8859_1).split("\r\n", -1);
+    }
+
+    private Head readFields(String[] lines) throws BadMessage {
+        if (lines.length - 1 > MAX_FIELDS) {
+            throw new BadMessage(431, "too many header fields");
+        }
+        for (int i = 1; i < lines.length; i++) {
+            int colon = lines[i].indexOf(':');
+            String name = colon < 0 ? "" : lines[i].substring(0, colon);
+            String value = lines[i].substring(colon + 1);
+            if (!isToken(name) || !isText(value)) {
+                throw new BadMessage(400, "bad header field");
+            }
+            fields.add(new Field(name, value.strip()));
+        }
+        return this;
+    }
+
+    /** The value of the one field of this name, or null; where there are several, they must agree. */
+    String get(String name) throws BadMessage {
+        String found = null;
+        for (Field field : fields) {
+            if (field.name().equalsIgnoreCase(name)) {
+                if (found != null && !found.equals(field.value())) {
+                    throw new BadMessage(400, "contradicting " + name);
+                }
+                found = field.value();
+            }
+        }
+        return found;
+    }
+
+    /** Whether a field that holds a list of words names this one. */
+    boolean lists(String name, String word) {
+        for (Field field : fields) {
+            if (field.name().equalsIgnoreCase(name)) {
+                for (String part : field.value().split(",")) {
+                    if (part.strip().equalsIgnoreCase(word)) {
+                        return true;
+                    }
+                }
+            }
+        }
+        return false;
+    }
+
+    /** Whether the connection ends after this message. */
+    boolean closes(String version) {
+        return lists("Connection", "close") || version.equals("HTTP/1.0") && !lists("Connection", "keep-alive");
+    }
+
+    /** Adds the fields that concern the message and not this one connection, less those named. */
+    void passOn(StringBuilder out, List<String> without) {
+        for (Field field : fields) {
+            String name = field.name().toLowerCase(Locale.ROOT);
+            if (!without.contains(name) && !HOP_BY_HOP.contains(name) && !lists("Connection", name)) {
+                out.append(field.name()).append(": ").append(field.value()).append("\r\n");
+            }
+        }
+    }
+
+    private static final List<String> HOP_BY_HOP = List.of("connection", "keep-alive", "proxy-authenticate",
+            "proxy-authorization", "proxy-connection", "te", "trailer", "transfer-encoding", "upgrade",
+            "content-length", "expect");
+
+    private static boolean isVersion(String text) {
+        return text.equals("HTTP/1.1") || text.equals("HTTP/1.0");
+    }
+
+    static boolean isToken(String text) {
+        for (int i = 0; i < text.length(); i++) {
+            char c = text.charAt(i);
+            boolean letter = c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c >= '0' && c <= '9';
+            if (!letter && "!#$%&'*+-.^_`|~".indexOf(c) < 0) {
+                return false;
+            }
+        }
+        return !text.isEmpty();
+    }
+
+    private static boolean isTarget(String text) {
+        return text.startsWith("/") && text.chars().allMatch(c -> c > ' ' && c < 0x7f);
+    }
+
+    private static boolean isText(String text) {
+        return text.chars().allMatch(c -> c >= ' ' && c != 0x7f || c == '\t');
+    }
+}
--- /dev/null
+++ b/src/main/java/dapplequay/net/Leg.java
@@ -0,0 +1,97 @@
+package dapplequay.net;
+
+import dapplequay.facade.Decision;
+import dapplequay.facade.LegEnd;
+
+/** One attempt at an issuer host. It ends once: what comes first counts, be it an answer, a cut or a break. */
+final class Leg {
+    final Authorisation authorisation;
+    final Decision.Send order;
+    final long startUs;
+    final long untilUs;
+    private LegEnd end;
+    private boolean writing = true;      // until told otherwise: what is not known is not "never ran"
+    private boolean written;
+    private IssuerConnection connection;
+    private Deadlines.Deadline deadline;
+
+    Leg(Authorisation authorisation, Decision.Send order, long startUs) {
+        this.authorisation = authorisation;
+        this.order = order;
+        this.startUs = startUs;
+        untilUs = startUs + order.timeoutUs();
+    }
+
+    synchronized void on(IssuerConnection itsConnection, Deadlines.Deadline itsDeadline) {
+        connection = itsConnection;
+        deadline = itsDeadline;
+    }
+
+    synchronized Deadlines.Deadline deadline() {
+        return deadline;
+    }
+
+    /** The last byte is with the system, or the write has failed before it. */
+    synchronized void writeEnded(boolean whole) {
+        writing = false;
+        written = whole;
+        notifyAll();
+    }
+
+    /**
+     * Ends the wait from outside by closing the connection, so that a late answer reaches nobody. The
+     * connection's own thread reports the leg.
+     */
+    void cut(LegEnd why) {
+        IssuerConnection toClose;
+        synchronized (this) {
+            if (end != null) {
+                return;
+            }
+            end = why;
+            toClose = connection;
+        }
+        if (toClose != null) {
+            toClose.close();
+        }
+    }
+
+    synchronized boolean isWriting() {
+        return writing;
+    }
+
+    synchronized boolean isCut() {
+        return end != null;
+    }
+
+    /** The whole answer is here: false if the leg was cut before. */
+    synchronized boolean answered(LegEnd how) {
+        if (end != null) {
+            return false;
+        }
+        end = how;
+        return true;
+    }
+
+    /**
+     * How the leg ended, its connection being broken. What was not written whole never ran; while another
+     * thread still writes it, that is not known yet, and taking it for not run could run it twice.
+     */
+    synchronized LegEnd broken() {
+        boolean interrupted = false;
+        while (writing) {
+            try {
+                wait();
+            } catch (InterruptedException e) {
+                interrupted = true;
+            }
+        }
+        if (interrupted) {
+            Thread.currentThread().interrupt();
+        }
+        if (end == null || end == LegEnd.TIMED_OUT && !written) {
+            end = written ? LegEnd.RESET : LegEnd.NOT_CONNECTED;
+        }
+        return end;
+    }
+}
--- /dev/null
+++ b/src/main/java/dapplequay/net/RoutingTable.java
@@ -0,0 +1,115 @@
+package dapplequay.net;
+
+import dapplequay.facade.ListNews;
+import dapplequay.facade.ListNews.Line;
+import dapplequay.facade.ListNews.State;
+import dapplequay.settings.Json;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * Discovery's list as last heard: which endpoint belongs to a host's uid, and whether it wants new work. Only
+ * the network asks for endpoints; they differ from one sidecar to the next and may change.
+ */
+final class RoutingTable {
+    private final Map<String, Route> routes = new HashMap<>();
+    private long revision;
+
+    private record Route(InetSocketAddress endpoint, State state) { }
+
+    /** One text of discovery's, read and checked as a whole before any of it counts. */
+    record Update(long revision, ListNews news, Map<String, InetSocketAddress> endpoints) { }
+
+    static Update read(byte[] text) throws IOException {
+        return read(Json.parse(text));
+    }
+
+    /** IOException where the tree is not a list of discovery's. */
+    static Update read(Object tree) throws IOException {
+        try {
+            Map<?, ?> map = (Map<?, ?>) tree;
+            boolean whole = (Boolean) map.get("all");
+            List<Line> lines = new ArrayList<>();
+            Map<String, InetSocketAddress> endpoints = new HashMap<>();
+            for (Object target : (List<?>) map.get("targets")) {
+                Map<?, ?> entry = (Map<?, ?>) target;
+                State state = State.valueOf((String) entry.get("state"));
+                String uid = (String) entry.get("uid");
+                if (uid.isEmpty()) {
+                    throw new IOException("list entry without uid");
+                }
+                if (state != State.DELETED) {
+                    endpoints.put(uid, endpoint((String) entry.get("endpoint")));
+                }
+                lines.add(new Line(uid, (String) entry.get("az"), (int) number(entry, "pod_group", 0), state,
+                        number(entry, "capacity_hint", 1), (long) number(entry, "boot_ms", 0)));
+            }
+            ListNews.Kind kind = whole ? ListNews.Kind.WHOLE : ListNews.Kind.CHANGES;
+            return new Update(((Number) map.get("rev")).longValue(), new ListNews(kind, lines), endpoints);
+        } catch (ClassCastException | NullPointerException | IllegalArgumentException e) {
+            throw new IOException("not a list of servers: " + e.getMessage(), e);
+        }
+    }
+
+    private static double number(Map<?, ?> entry, String field, double absent) {
+        Object value = entry.get(field);
+        return value == null ? absent : ((Number) value).doubleValue();
+    }
+
+    /** An address with its port. Names are refused: there is nobody to ask for them. */
+    static InetSocketAddress endpoint(String text) throws IOException {
+        int colon = text.lastIndexOf(':');
+        String host = colon < 0 ? "" : text.substring(0, colon);
+        String port = text.substring(colon + 1);
+        if (!host.matches("[0-9]{1,3}(\\.[0-9]{1,3}){3}|\\[[0-9a-fA-F:.]+\\]")
+                || !port.matches("[0-9]{1,5}") || Integer.parseInt(port) > 65535) {
+            throw new IOException("not an address with a port: " + text);
+        }
+        return new InetSocketAddress(InetAddress.getByName(host), Integer.parseInt(port));
+    }
+
+    synchronized long revision() {
+        return revision;
+    }
+
+    /** Takes an update over; the endpoints that want no more work, for their idle connections to be closed. */
+    synchronized Set<InetSocketAddress> take(Update update) {
+        Set<InetSocketAddress> before = serving();
+        if (update.news().kind() != ListNews.Kind.CHANGES) {
+            routes.clear();
+        }
+        for (Line line : update.news().lines()) {
+            if (line.state() == State.DELETED) {
+                routes.remove(line.uid());
+            } else {
+                routes.put(line.uid(), new Route(update.endpoints().get(line.uid()), line.state()));
+            }
+        }
+        revision = update.revision();
+        before.removeAll(serving());
+        return before;
+    }
+
+    private Set<InetSocketAddress> serving() {
+        Set<InetSocketAddress> serving = new HashSet<>();
+        for (Route route : routes.values()) {
+            if (route.state() == State.SERVING) {
+                serving.add(route.endpoint());
+            }
+        }
+        return serving;
+    }
+
+    /** Where to reach the host, or null where it wants no new work or is not listed. */
+    synchronized InetSocketAddress endpointOf(String uid) {
+        Route route = routes.get(uid);
+        return route == null || route.state() != State.SERVING ? null : route.endpoint();
+    }
+}
--- /dev/null
+++ b/src/main/java/dapplequay/net/Sidecar.java
@@ -0,0 +1,110 @@
+package dapplequay.net;
+
+import dapplequay.facade.Facade;
+import dapplequay.facade.ListNews;
+import dapplequay.facade.UnixClock;
+import dapplequay.settings.SettingsReader.Setup;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.logging.Level;
+import java.util.logging.Logger;
+
+/** One sidecar: puts the parts together, starts and ends them. */
+public final class Sidecar {
+    private static final Logger LOG = Logger.getLogger(Sidecar.class.getName());
+    /** Descriptors kept for the program itself, the listener and discovery. */
+    private static final int OWN_DESCRIPTORS = 64;
+    /** Each connection has a thread; more of them than this would not fit into the memory. */
+    private static final int MOST_CONNECTIONS = 360;
+    private static final long TURN_US = 10_000;
+    /** After an ending was ordered, new connections come for 0.4 s more. */
+    private static final long LATE_CONNECTIONS_US = 550_000;
+    private static final long ENDING_MARGIN_US = 300_000;
+
+    private final Deadlines deadlines;
+    private final Facade facade;
+    private final AcquirerSide acquirers;
+    private final Watch watch;
+    private final long longestDeadlineUs;
+
+    /** What a start needs. {@code known} is a tree in discovery's form, or null where none was kept. */
+    public record Plan(InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
+                       Object known, Setup setup) { }
+
+    /** Listens from here on; IOException where the address or the known list is no good. */
+    public Sidecar(Plan plan) throws IOException {
+        UnixClock clock = new UnixClock();
+        deadlines = new Deadlines(clock);
+        Setup setup = plan.setup();
+        facade = new Facade(setup.settings(), plan.seed(), clock);
+        RoutingTable table = restored(plan, facade);
+        int most = Math.max(1, Math.min(MOST_CONNECTIONS, (plan.sockets() - OWN_DESCRIPTORS) / 2));
+        IssuerSide issuers = new IssuerSide(table, deadlines, setup.connectTimeoutUs(), setup.connIdleUs(),
+                most);
+        Conductor conductor = new Conductor(facade, issuers);
+        issuers.conductor(conductor);
+        watch = new Watch(plan.discovery(), table, facade, issuers);
+        acquirers = new AcquirerSide(plan.listen(), setup, facade, conductor, deadlines, most);
+        longestDeadlineUs = setup.settings().classes().stream().mapToLong(c -> c.deadlineUs()).max()
+                .orElse(0);
+    }
+
+    private static RoutingTable restored(Plan plan, Facade facade) throws IOException {
+        RoutingTable table = new RoutingTable();
+        List<ListNews.Line> lines = List.of();
+        if (plan.known() != null) {
+            RoutingTable.Update known = RoutingTable.read(plan.known());
+            table.take(known);
+            lines = known.news().lines();
+        }
+        facade.news(new ListNews(ListNews.Kind.RESTORED, lines));
+        return table;
+    }
+
+    /** Whether a sidecar could be made of this, as far as that shows without listening. */
+    public static void check(Plan plan) throws IOException {
+        restored(plan, new Facade(plan.setup().settings(), plan.seed(), new UnixClock()));
+    }
+
+    public InetSocketAddress address() {
+        return acquirers.address();
+    }
+
+    public void start() {
+        daemon(this::keepTime, "timekeeper");
+        daemon(watch, "watch");
+        new Thread(acquirers, "listener").start();
+        LOG.log(Level.INFO, "serving on {0}", Sockets.text(address()));
+    }
+
+    private static void daemon(Runnable work, String name) {
+        Thread thread = new Thread(work, name);
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    /** Each turn: the module's timers, then the deadlines. A turn that fails is told, and the next follows. */
+    private void keepTime() {
+        while (true) {
+            try {
+                facade.tick();
+                deadlines.sweep();
+                deadlines.await(TURN_US);
+            } catch (InterruptedException e) {
+                return;
+            } catch (RuntimeException e) {
+                LOG.log(Level.SEVERE, "the timekeeper's turn failed", e);
+            }
+        }
+    }
+
+    /** Ends in order, and returns when nothing is held any more. */
+    public void end() throws InterruptedException {
+        LOG.info("ending: late connections are still served");
+        long until = deadlines.now() + LATE_CONNECTIONS_US;
+        Thread.sleep(LATE_CONNECTIONS_US / 1000);
+        acquirers.end(until + longestDeadlineUs + ENDING_MARGIN_US);
+        LOG.info("ended");
+    }
+}
--- /dev/null
+++ b/src/main/java/dapplequay/net/Sockets.java
@@ -0,0 +1,25 @@
+package dapplequay.net;
+
+import java.io.Closeable;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+
+/** Small things about sockets. */
+final class Sockets {
+    private Sockets() { }
+
+    /** Closes what may be null or closed already; that it fails then changes nothing for anybody. */
+    static void close(Closeable socket) {
+        if (socket != null) {
+            try {
+                socket.close();
+            } catch (IOException e) {
+                // It is gone either way.
+            }
+        }
+    }
+
+    static String text(InetSocketAddress address) {
+        return address.getAddress().getHostAddress() + ":" + address.getPort();
+    }
+}
--- /dev/null
+++ b/src/main/java/dapplequay/settings/Json.java
@@ -0,0 +1,68 @@
+package dapplequay.settings;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** Small JSON texts as trees of maps, lists, strings, numbers and truths. */
+public final class Json {
+    private static final JsonFactory FACTORY = new JsonFactory();
+
+    private Json() { }
+
+    /** The one value that the text holds; IOException where it is not JSON or holds more. */
+    public static Object parse(byte[] text) throws IOException {
+        try (JsonParser in = FACTORY.createParser(text)) {
+            if (in.nextToken() == null) {
+                throw new IOException("empty text in place of JSON");
+            }
+            Object tree = value(in);
+            if (in.nextToken() != null) {
+                throw new IOException("more than one JSON value");
+            }
+            return tree;
+        }
+    }
+
+    /** The value that the parser stands on. */
+    static Object value(JsonParser in) throws IOException {
+        switch (in.currentToken()) {
+            case START_OBJECT -> {
+                Map<String, Object> object = new LinkedHashMap<>();
+                while (in.nextToken() != JsonToken.END_OBJECT) {
+                    String name = in.currentName();
+                    in.nextToken();
+                    object.put(name, value(in));
+                }
+                return object;
+            }
+            case START_ARRAY -> {
+                List<Object> array = new ArrayList<>();
+                while (in.nextToken() != JsonToken.END_ARRAY) {
+                    array.add(value(in));
+                }
+                return array;
+            }
+            case VALUE_STRING -> {
+                return in.getText();
+            }
+            case VALUE_NUMBER_INT, VALUE_NUMBER_FLOAT -> {
+                return in.getNumberValue();
+            }
+            case VALUE_TRUE -> {
+                return Boolean.TRUE;
+            }
+            case VALUE_FALSE -> {
+                return Boolean.FALSE;
+            }
+            default -> {
+                return null;
+            }
+        }
+    }
+}
--- a/src/main/java/dapplequay/benchlink/SettingsReader.java
+++ b/src/main/java/dapplequay/settings/SettingsReader.java
@@ -1,11 +1,9 @@
-package dapplequay.benchlink;
+package dapplequay.settings;
 
 import com.fasterxml.jackson.core.JsonParser;
-import com.fasterxml.jackson.core.JsonToken;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import dapplequay.BalancerApi.ColdStart;
@@ -19,9 +17,14 @@
 import dapplequay.BalancerApi.Tenant;
 
 /** Turns a {@code setup} object into settings. Fields it does not know are passed over. */
-final class SettingsReader {
+public final class SettingsReader {
     /** Settings, and what the wire's names stand for under them. */
-    record Setup(Settings settings, Map<String, Integer> classes, Map<String, Integer> tenants) { }
+    public record Setup(Settings settings, Map<String, Integer> classes, Map<String, Integer> tenants,
+                        long connectTimeoutUs, long connIdleUs) { }
+
+    /** Only the network needs these two; where the settings leave them out, cautious figures stand in. */
+    private static final long CONNECT_TIMEOUT_US = 250_000;
+    private static final long CONN_IDLE_US = 10_000_000;
 
     private final String place;
     private final Map<String, Object> fields;
@@ -31,50 +34,18 @@
         this.fields = fields;
     }
 
-    static Setup read(JsonParser in, String place) throws IOException {
-        if (in.currentToken() != JsonToken.START_OBJECT) {
-            throw new WireException(place + ": field setup must be an object");
-        }
-        @SuppressWarnings("unchecked")
-        Map<String, Object> fields = (Map<String, Object>) value(in);
-        return new SettingsReader(place, fields).setup();
-    }
-
-    /** A small tree: settings come once an instance, so convenience may cost an allocation here. */
-    private static Object value(JsonParser in) throws IOException {
-        switch (in.currentToken()) {
-            case START_OBJECT -> {
-                Map<String, Object> object = new LinkedHashMap<>();
-                while (in.nextToken() != JsonToken.END_OBJECT) {
-                    String name = in.currentName();
-                    in.nextToken();
-                    object.put(name, value(in));
-                }
-                return object;
-            }
-            case START_ARRAY -> {
-                List<Object> array = new ArrayList<>();
-                while (in.nextToken() != JsonToken.END_ARRAY) {
-                    array.add(value(in));
-                }
-                return array;
-            }
-            case VALUE_STRING -> {
-                return in.getText();
-            }
-            case VALUE_NUMBER_INT, VALUE_NUMBER_FLOAT -> {
-                return in.getNumberValue();
-            }
-            case VALUE_TRUE -> {
-                return Boolean.TRUE;
-            }
-            case VALUE_FALSE -> {
-                return Boolean.FALSE;
-            }
-            default -> {
-                return null;
-            }
+    /** Reads the object that the parser stands on. */
+    public static Setup read(JsonParser in, String place) throws IOException {
+        return of(Json.value(in), place);
+    }
+
+    /** Settings out of a tree that was read before; {@code place} begins the message where they are bad. */
+    @SuppressWarnings("unchecked")
+    public static Setup of(Object tree, String place) {
+        if (!(tree instanceof Map)) {
+            throw new SettingsException(place + ": field setup must be an object");
         }
+        return new SettingsReader(place, (Map<String, Object>) tree).setup();
     }
 
     private Setup setup() {
@@ -109,7 +80,9 @@
                         rules.whole("tip_after_us")),
                 new Prices(prices.real("cross_zone", 0), prices.real("waste", 0), prices.real("late_fail", 0),
                         prices.real("probe", 0), prices.real("handshake", 0)));
-        return new Setup(settings, classIndex, tenantIndex);
+        return new Setup(settings, classIndex, tenantIndex,
+                limits.whole("connect_timeout_us", CONNECT_TIMEOUT_US),
+                limits.whole("conn_idle_us", CONN_IDLE_US));
     }
 
     private ServiceClass serviceClass() {
@@ -121,8 +94,8 @@
                 fields.get("stream") != null && truth("stream"));
     }
 
-    private WireException bad(String field, String what) {
-        return new WireException(place + ": setup field " + field + " " + what);
+    private SettingsException bad(String field, String what) {
+        return new SettingsException(place + ": setup field " + field + " " + what);
     }
 
     private Object need(String field) {
