--- a/src/main/java/dapplequay/net/Answers.java
+++ b/src/main/java/dapplequay/net/Answers.java
@@ -47,8 +47,8 @@
     static Answer refusal(long pauseUs) {
         Answer answer = plain(503, "not now");
         if (pauseUs > 0) {
-            answer.head().append("Retry-After: ")
-                    .append(BigDecimal.valueOf(pauseUs, 6).stripTrailingZeros().toPlainString()).append("\r\n");
+            String seconds = BigDecimal.valueOf(pauseUs, 6).stripTrailingZeros().toPlainString();
+            answer.head().append("Retry-After: ").append(seconds).append("\r\n");
         }
         return answer;
     }
--- a/src/main/java/dapplequay/net/Authorisation.java
+++ b/src/main/java/dapplequay/net/Authorisation.java
@@ -1,6 +1,6 @@
 package dapplequay.net;
 
-/** One request that an acquirer sent, until its one answer. Whoever claims it first answers it, or drops it. */
+/** One request of the acquirer's, until its one answer. Whoever claims it first answers it, or drops it. */
 final class Authorisation {
     final long id;
     final AcquirerConnection from;
--- a/src/main/java/dapplequay/net/Head.java
+++ b/src/main/java/dapplequay/net/Head.java
@@ -94,7 +94,8 @@
 
     /** Whether the connection ends after this message. */
     boolean closes(String version) {
-        return lists("Connection", "close") || version.equals("HTTP/1.0") && !lists("Connection", "keep-alive");
+        return lists("Connection", "close")
+                || version.equals("HTTP/1.0") && !lists("Connection", "keep-alive");
     }
 
     /** Adds the fields that concern the message and not this one connection, less those named. */
--- a/src/main/java/dapplequay/net/Leg.java
+++ b/src/main/java/dapplequay/net/Leg.java
@@ -3,7 +3,7 @@
 import dapplequay.facade.Decision;
 import dapplequay.facade.LegEnd;
 
-/** One attempt at an issuer host. It ends once: what comes first counts, be it an answer, a cut or a break. */
+/** One attempt at an issuer host. It ends once: the first counts of an answer, a cut and a break. */
 final class Leg {
     final Authorisation authorisation;
     final Decision.Send order;
--- a/src/main/java/dapplequay/net/RoutingTable.java
+++ b/src/main/java/dapplequay/net/RoutingTable.java
@@ -48,8 +48,8 @@
                 if (state != State.DELETED) {
                     endpoints.put(uid, endpoint((String) entry.get("endpoint")));
                 }
-                lines.add(new Line(uid, (String) entry.get("az"), (int) number(entry, "pod_group", 0), state,
-                        number(entry, "capacity_hint", 1), (long) number(entry, "boot_ms", 0)));
+                lines.add(new Line(uid, (String) entry.get("az"), (int) number(entry, "pod_group", 0),
+                        state, number(entry, "capacity_hint", 1), (long) number(entry, "boot_ms", 0)));
             }
             ListNews.Kind kind = whole ? ListNews.Kind.WHOLE : ListNews.Kind.CHANGES;
             return new Update(((Number) map.get("rev")).longValue(), new ListNews(kind, lines), endpoints);
@@ -79,7 +79,7 @@
         return revision;
     }
 
-    /** Takes an update over; the endpoints that want no more work, for their idle connections to be closed. */
+    /** Takes an update over; returns the endpoints that want no new work. */
     synchronized Set<InetSocketAddress> take(Update update) {
         Set<InetSocketAddress> before = serving();
         if (update.news().kind() != ListNews.Kind.CHANGES) {
--- a/src/main/java/dapplequay/net/Sidecar.java
+++ b/src/main/java/dapplequay/net/Sidecar.java
@@ -84,7 +84,7 @@
         thread.start();
     }
 
-    /** Each turn: the module's timers, then the deadlines. A turn that fails is told, and the next follows. */
+    /** Each turn: the module's timers, then the deadlines. One that fails is told, and the next follows. */
     private void keepTime() {
         while (true) {
             try {
--- a/src/main/java/dapplequay/net/Watch.java
+++ b/src/main/java/dapplequay/net/Watch.java
@@ -17,7 +17,7 @@
 final class Watch implements Runnable {
     private static final Logger LOG = Logger.getLogger(Watch.class.getName());
     private static final int WAIT_MS = 20_000;
-    /** What discovery has to tell counts as told 2 s after a call's wait is over; no use in waiting longer. */
+    /** What discovery has to tell counts as told 2 s after a call's wait is over: no use in waiting on. */
     private static final int MARGIN_MS = 2_000;
     private static final int CONNECT_MS = 2_000;
 
