Judge a server's load by own attempts and a running mean of the reports

Cause: held() added to the own attempts what a report told less the own attempts at its arrival. A report is up to 1.7 s old by then, so the difference was noise as large as the figure itself. Past TH_v everywhere the least figure takes the send, where the head did. Tried and put back: tenant mix over 100 requests, one hold doubling (noise).

--- a/src/main/java/dapplequay/Balance.java
+++ b/src/main/java/dapplequay/Balance.java
@@ -23,9 +23,9 @@
     /** Buddies of other zones at least, where there are other zones, so that an overloaded zone can spill. */
     private static final int FOREIGN_BUDDIES = 6;
     /** Thresholds as shares of the aim: past TH_v in this sense, long-tailed work begins to miss it. */
-    private static final double AIM_TH_U = 0.2;
-    private static final double AIM_TH_F = 0.3;
-    private static final double AIM_TH_V = 0.4;
+    private static final double AIM_TH_U = 0.1;
+    private static final double AIM_TH_F = 0.14;
+    private static final double AIM_TH_V = 0.18;
     /**
      * A send is refused whose figure is past a share of its aim: this over the share of recent answers that
      * came too late, within the bounds below. Figures are old and servers turn away what they cannot hold, so
@@ -33,8 +33,8 @@
      * long everywhere.
      */
     private static final double ADMIT_LOSS = 0.12;
-    private static final double ADMIT_MIN = 0.4;
-    private static final double ADMIT_MAX = 1.5;
+    private static final double ADMIT_MIN = 0.7;
+    private static final double ADMIT_MAX = 3;
     /** Weight of the newest answer in the share that came too late: about the last half dozen. */
     private static final double LATE_GAIN = 0.15;
     /** What an answer past its aim counts in it: the queue was too long, or only the request heavy. */
@@ -43,12 +43,14 @@
      * Balancers spread their thresholds between these multiples, by number: with one threshold for all, those
      * that share a server see the same late figure and turn away, and back, together.
      */
-    private static final double SPREAD_LOW = 0.4;
-    private static final double SPREAD_HIGH = 1.6;
+    private static final double SPREAD_LOW = 0.7;
+    private static final double SPREAD_HIGH = 1.3;
     /** What a report tells fades with this time constant, us, towards what its zone's buddies mostly held, */
-    private static final double FADE_US = 2_000_000;
+    private static final double FADE_US = 8_000_000;
     /** which fades towards nothing with this one, us: a queue nobody feeds is worked off. */
     private static final double ZONE_FADE_US = 8_000_000;
+    /** Weight of the newest report in what a server holds for others: each is old and far from the mean. */
+    private static final double OTHERS_GAIN = 0.08;
     /** A cleared flag is set again after this, us: one diverted send then tells how the server is. */
     private static final long FLAG_TIMER_US = 2_000_000;
     /** The same for a buddy new to the set: soon, as its first figures come only with a send. */
@@ -117,7 +119,7 @@
         int own;                  // own attempts out
         long silentSince;         // while any is out: the last outcome, or the send that ended its idleness
         double reported = Double.NaN;
-        int ownAtReport;
+        double others;            // held for others, as told, running mean
         long reportAt;
         double heldSeen;          // requests held a unit of size as told with answers, running mean
         double took;              // what those answers took, us, running mean
@@ -434,32 +436,33 @@
 
     /** The mechanism's rule, and what departs from it where it would send into a queue that is too long. */
     private Server pick(long now, Held h) {
+        double limit = thresholdV(h.type.aimUs()) * h.worthShare;
         Server head = null;
-        Server spare = null;
+        Server least = null;
+        double leastFigure = 0;
         for (int i = 0; i < buddies.size(); i++) {
             Server s = buddies.get(i);
+            if (!usable(now, h, s, i == 0) || head != null && !worthDiverting(now, h, s, head)) {
+                continue;
+            }
+            double figure = figure(now, s, h.load);
+            if (figure <= limit && (head == null || flagged(now, s))) {
+                return s;
+            }
             if (head == null) {
-                if (usable(now, h, s, i == 0)) {
-                    head = s;
-                    if (figure(now, s, h.load) <= thresholdV(h.type.aimUs()) * h.worthShare) {
-                        return head;
-                    }
-                }
-            } else if (usable(now, h, s, false) && worthDiverting(now, h, s, head)) {
-                if (flagged(now, s) && figure(now, s, h.load) <= thresholdV(h.type.aimUs()) * h.worthShare) {
-                    return s;
-                }
-                if (spare == null && inTime(now, h, s)) {
-                    spare = s;
-                }
+                head = s;
+            }
+            if (least == null || figure < leastFigure) {
+                least = s;
+                leastFigure = figure;
             }
         }
         if (head == null) {
             return lastResort(now, h);
         }
-        // Else the head; where it would be late, the first in order that would not; where all would, nobody:
-        // better refused early than failed late, as such a send only delays those that can still be in time.
-        return inTime(now, h, head) ? head : spare;
+        // Past TH_v everywhere the head would take it, and heads that many share would be swamped: the least
+        // figure takes it; where even that is late, nobody does: better refused early than failed late.
+        return inTime(now, h, least) ? least : null;
     }
 
     private boolean inTime(long now, Held h, Server s) {
@@ -543,7 +546,7 @@
             return Math.max(usual, s.own);
         }
         double fresh = Math.exp((s.reportAt - now) / FADE_US);
-        return fresh * Math.max(0, s.reported - s.ownAtReport) + (1 - fresh) * usual + s.own;
+        return fresh * s.others + (1 - fresh) * Math.max(0, usual - s.own) + s.own;
     }
 
     /** The lower median of what a zone's buddies told of late: one loaded head must not condemn its zone. */
@@ -565,8 +568,10 @@
     }
 
     private void told(long now, Server s, double requests) {
+        boolean first = Double.isNaN(s.reported);
         s.reported = requests;
-        s.ownAtReport = s.own;
+        double others = Math.max(0, requests - s.own - 1);
+        s.others = first ? others : s.others + OTHERS_GAIN * (others - s.others);
         s.reportAt = now;
         noteZone(now, s.zone);
     }
