--- /dev/null
+++ b/src/test/java/dapplequay/cli/ProgramTest.java
@@ -0,0 +1,115 @@
+package dapplequay.cli;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.Socket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Starts the program itself, and speaks to it from outside. */
+@Timeout(90)
+class ProgramTest {
+    private static final Path EXAMPLE = Path.of("example/config.json");
+
+    @TempDir
+    private Path folder;
+
+    private static Process start(String... args) throws IOException {
+        List<String> command = Stream.concat(Stream.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-cp", System.getProperty("java.class.path"), "dapplequay.cli.Main"), Stream.of(args)).toList();
+        ProcessBuilder builder = new ProcessBuilder(command);
+        builder.environment().keySet().removeIf(name -> name.startsWith("EDGE_"));
+        return builder.start();
+    }
+
+    private static String text(InputStream stream) throws IOException {
+        return new String(stream.readAllBytes(), StandardCharsets.UTF_8);
+    }
+
+    private Path config(String find, String replace) throws IOException {
+        String text = Files.readString(EXAMPLE);
+        assertThat(text).contains(find);
+        return Files.writeString(folder.resolve("config.json"), text.replace("127.0.0.1:7070", "127.0.0.1:0")
+                .replace("127.0.0.1:8500", "127.0.0.1:1").replace(find, replace));
+    }
+
+    @Test
+    void servesFromItsStartAndEndsInOrderWhenTold() throws Exception {
+        Process program = start("serve", "--config", config("00c0ffee", "00c0ffee").toString());
+        try {
+            BufferedReader log = program.errorReader();
+            Matcher address;
+            do {
+                address = Pattern.compile("serving on (127[.0-9]+:\\d+)").matcher(String.valueOf(log.readLine()));
+            } while (!address.find());
+            HttpClient client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+            HttpRequest health = HttpRequest.newBuilder(URI.create("http://" + address.group(1) + "/healthz")).build();
+            assertThat(client.send(health, HttpResponse.BodyHandlers.ofString()).statusCode()).isEqualTo(200);
+            HttpRequest pay = HttpRequest.newBuilder(URI.create("http://" + address.group(1) + "/pay/1"))
+                    .header("X-Call-Id", "ab").header("X-Caller", "shop-a").header("X-Budget-Ms", "800")
+                    .header("Idempotency-Key", "k").POST(HttpRequest.BodyPublishers.ofString("{}")).build();
+            HttpResponse<String> answer = client.send(pay, HttpResponse.BodyHandlers.ofString());
+            assertThat(answer.statusCode()).as("nobody listens where the list says").isEqualTo(503);
+            assertThat(answer.headers().firstValue("Retry-After")).contains("1.5");
+            program.destroy();
+            String[] parts = address.group(1).split(":");
+            try (Socket late = new Socket(parts[0], Integer.parseInt(parts[1]))) {
+                late.getOutputStream().write("GET /healthz HTTP/1.1\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+                assertThat(late.getInputStream().readNBytes(9)).asString().isEqualTo("HTTP/1.1 ");
+            }
+            assertThat(program.waitFor(30, TimeUnit.SECONDS)).isTrue();
+            assertThat(program.exitValue()).isEqualTo(128 + 15);
+        } finally {
+            program.destroyForcibly();
+        }
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = ';', value = {
+        "\"seed\": \"00c0ffee00c0ffee\"; \"seed\": \"x\"; seed", "\"send_cap\": 3; \"send_cap\": \"3\"; send_cap",
+        "\"locality\": \"north\"; \"locality\": \"up\"; locality", "\"listen\"; \"listens\"; listen",
+        "\"endpoint\": \"127.0.0.1:9001\"; \"endpoint\": \"there\"; there", "\"balancers\": 1; \"balancers\" 1; unreadable",
+    })
+    void badConfigurationStopsTheStartWithOnePlainLine(String find, String replace, String named) throws Exception {
+        String file = config(find, replace).toString();
+        for (String command : List.of("serve", "check-config")) {
+            Process program = start(command, "--config", file);
+            String told = text(program.getErrorStream());
+            assertThat(program.waitFor()).isNotZero();
+            assertThat(told.lines()).hasSize(1);
+            assertThat(told).contains(named).doesNotContain("Exception");
+        }
+    }
+
+    @Test
+    void theOtherCommands() throws Exception {
+        Process good = start("check-config", "--config", EXAMPLE.toString());
+        assertThat(text(good.getInputStream())).isEqualTo("good\n");
+        assertThat(text(start("version").getInputStream())).startsWith("dapplequay ");
+        Process wrong = start("dance");
+        assertThat(text(wrong.getErrorStream())).contains("usage:");
+        assertThat(wrong.waitFor()).isEqualTo(Main.BAD_USAGE);
+        Process simulated = start("simhost");
+        simulated.getOutputStream().write("{\"now_us\":1,\"turn\":1,\"msgs\":[]}\n".getBytes(StandardCharsets.UTF_8));
+        simulated.getOutputStream().close();
+        assertThat(text(simulated.getInputStream())).isEqualTo("{\"turn\":1,\"output\":[]}\n");
+    }
+}
--- /dev/null
+++ b/src/test/java/dapplequay/net/Host.java
@@ -0,0 +1,128 @@
+package dapplequay.net;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+
+/** The far end of a test: a scripted server, and a client's connection, both on real sockets. */
+final class Host implements AutoCloseable {
+    static final int PATIENCE_S = 20;
+
+    /** What a host does with a request; null: close the connection with no answer. */
+    interface Script {
+        String answer(Head head, Seen seen) throws Exception;
+    }
+
+    /** One request as it came. */
+    record Seen(Head head, String body, Socket socket) { }
+
+    final BlockingQueue<Seen> seen = new LinkedBlockingQueue<>();
+    final BlockingQueue<Boolean> closed = new LinkedBlockingQueue<>();
+    private final ServerSocket listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+    private final Script script;
+
+    Host(Script script) throws IOException {
+        this.script = script;
+        daemon(() -> {
+            while (true) {
+                Socket socket = listener.accept();
+                daemon(() -> serve(socket));
+            }
+        });
+    }
+
+    interface Work {
+        void run() throws Exception;
+    }
+
+    static void daemon(Work work) {
+        Thread thread = new Thread(() -> {
+            try {
+                work.run();
+            } catch (Exception e) {
+                // The other end or the test has closed it.
+            }
+        });
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    private void serve(Socket socket) throws Exception {
+        try (socket) {
+            MessageReader reader = new MessageReader(socket.getInputStream());
+            while (reader.await()) {
+                Head head = reader.request();
+                Seen now = new Seen(head, new String(reader.requestBody(head), StandardCharsets.ISO_8859_1), socket);
+                seen.add(now);
+                String answer = script.answer(head, now);
+                if (answer == null) {
+                    return;
+                }
+                socket.getOutputStream().write(answer.getBytes(StandardCharsets.ISO_8859_1));
+            }
+        } finally {
+            closed.add(true);
+        }
+    }
+
+    int port() {
+        return listener.getLocalPort();
+    }
+
+    Seen next() throws InterruptedException {
+        Seen next = seen.poll(PATIENCE_S, TimeUnit.SECONDS);
+        if (next == null) {
+            throw new AssertionError("no request came");
+        }
+        return next;
+    }
+
+    static String ok(String body, String... fields) {
+        return "HTTP/1.1 200 OK\r\n" + String.join("", fields) + "Content-Length: " + body.length() + "\r\n\r\n" + body;
+    }
+
+    @Override
+    public void close() throws IOException {
+        listener.close();
+    }
+
+    /** A client's connection. */
+    static final class Client implements AutoCloseable {
+        final Socket socket = new Socket();
+        final MessageReader reader;
+
+        Client(InetSocketAddress sidecar) throws IOException {
+            socket.connect(sidecar);
+            socket.setSoTimeout(PATIENCE_S * 1000);
+            reader = new MessageReader(socket.getInputStream());
+        }
+
+        void send(String text) throws IOException {
+            socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+        }
+
+        /** Status, and the head for what else a test asks. */
+        Answer answer() throws IOException {
+            Head head = reader.response();
+            String body = new String(reader.responseBody(head), StandardCharsets.ISO_8859_1);
+            return new Answer(Integer.parseInt(head.start[1]), head, body);
+        }
+
+        boolean atEnd() throws IOException {
+            return !reader.await();
+        }
+
+        @Override
+        public void close() throws IOException {
+            socket.close();
+        }
+    }
+
+    record Answer(int status, Head head, String body) { }
+}
--- /dev/null
+++ b/src/test/java/dapplequay/net/RoutingTableTest.java
@@ -0,0 +1,52 @@
+package dapplequay.net;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class RoutingTableTest {
+
+    private static RoutingTable.Update list(int rev, boolean all, String... targets) throws IOException {
+        String text = "{\"rev\":" + rev + ",\"all\":" + all + ",\"targets\":[" + String.join(",", targets) + "]}";
+        return RoutingTable.read(text.getBytes(StandardCharsets.UTF_8));
+    }
+
+    private static String target(String uid, int port, String state) {
+        return "{\"uid\":\"" + uid + "\",\"endpoint\":\"127.0.0.1:" + port + "\",\"az\":\"a\",\"pod_group\":3,"
+                + "\"state\":\"" + state + "\",\"capacity_hint\":1.0,\"boot_ms\":0}";
+    }
+
+    @Test
+    void onlyServingHostsHaveAnEndpointAndChangesKeepTheRest() throws IOException {
+        RoutingTable table = new RoutingTable();
+        table.take(list(1, true, target("s1", 1, "SERVING"), target("s2", 2, "SERVING"),
+                target("s3", 3, "DRAINING")));
+        assertThat(table.endpointOf("s1").getPort()).isEqualTo(1);
+        assertThat(table.endpointOf("s3")).isNull();
+        assertThat(table.take(list(2, false, target("s1", 1, "DRAINING"), target("s2", 9, "SERVING"))))
+                .extracting(a -> a.getPort()).containsExactlyInAnyOrder(1, 2);
+        assertThat(table.endpointOf("s1")).isNull();
+        assertThat(table.endpointOf("s2").getPort()).isEqualTo(9);
+        table.take(list(3, false, "{\"uid\":\"s2\",\"state\":\"DELETED\"}"));
+        assertThat(table.endpointOf("s2")).isNull();
+        table.take(list(7, true, target("s4", 4, "SERVING")));
+        assertThat(table.endpointOf("s3")).isNull();
+        assertThat(table.revision()).isEqualTo(7);
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"", "{}", "[]", "{\"rev\":1,\"all\":true,\"targets\":[{}]}", "{\"rev\":1} x",
+        "{\"rev\":\"1\",\"all\":true,\"targets\":[]}", "{\"rev\":1,\"all\":true,\"targets\":[7]}",
+        "{\"rev\":1,\"all\":true,\"targets\":[{\"uid\":\"a\",\"state\":\"LOST\",\"endpoint\":\"127.0.0.1:1\"}]}",
+        "{\"rev\":1,\"all\":true,\"targets\":[{\"uid\":\"a\",\"state\":\"SERVING\",\"endpoint\":\"host:1\"}]}",
+        "{\"rev\":1,\"all\":true,\"targets\":[{\"uid\":\"a\",\"state\":\"SERVING\",\"endpoint\":\"127.0.0.1\"}]}"})
+    void rubbishIsAFailedCall(String text) {
+        assertThatThrownBy(() -> RoutingTable.read(text.getBytes(StandardCharsets.UTF_8)))
+                .isInstanceOf(IOException.class);
+    }
+}
--- /dev/null
+++ b/src/test/java/dapplequay/net/SidecarTest.java
@@ -0,0 +1,268 @@
+package dapplequay.net;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import dapplequay.settings.Json;
+import dapplequay.settings.SettingsReader;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** A sidecar on real sockets between scripted hosts, a scripted discovery and clients: one test a rule. */
+@Timeout(60)
+class SidecarTest {
+    private final List<AutoCloseable> toClose = new ArrayList<>();
+    private final BlockingQueue<String> lists = new LinkedBlockingQueue<>();
+
+    @AfterEach
+    void closeAll() throws Exception {
+        for (AutoCloseable one : toClose) {
+            one.close();
+        }
+    }
+
+    private <T extends AutoCloseable> T open(T one) {
+        toClose.add(one);
+        return one;
+    }
+
+    private Host host(Host.Script script) throws IOException {
+        return open(new Host(script));
+    }
+
+    private static String target(int number, int port, String state) {
+        return "{\"uid\":\"s" + number + "\",\"endpoint\":\"127.0.0.1:" + port + "\",\"az\":\"north\",\"pod_group\":"
+                + number + ",\"state\":\"" + state + "\",\"capacity_hint\":1,\"boot_ms\":0}";
+    }
+
+    private static String list(boolean all, String... targets) {
+        return "{\"rev\":5,\"all\":" + all + ",\"targets\":[" + String.join(",", targets) + "]}";
+    }
+
+    /** A sidecar that knows servers at these ports, with numbers in their order. */
+    private Sidecar sidecar(int... ports) throws IOException {
+        String[] targets = new String[ports.length];
+        for (int i = 0; i < ports.length; i++) {
+            targets[i] = target(i, ports[i], "SERVING");
+        }
+        Host discovery = host((head, seen) -> Host.ok(lists.take()));
+        Map<?, ?> example = (Map<?, ?>) Json.parse(Files.readAllBytes(Path.of("example/config.json")));
+        InetAddress here = InetAddress.getLoopbackAddress();
+        Sidecar sidecar = new Sidecar(new Sidecar.Plan(new InetSocketAddress(here, 0),
+                new InetSocketAddress(here, discovery.port()), 7, 1024, Json.parse(list(true, targets).getBytes()),
+                SettingsReader.of(example.get("settings"), "example")));
+        sidecar.start();
+        return sidecar;
+    }
+
+    private Host.Client client(Sidecar sidecar) throws IOException {
+        return open(new Host.Client(sidecar.address()));
+    }
+
+    private static String pay(int id, int budgetMs, String body) {
+        return "POST /pay/x?y=z HTTP/1.1\r\nHost: service.internal\r\nX-Call-Id: fffffffffffffff" + id
+                + "\r\nX-Caller: shop-a\r\nX-Budget-Ms: " + budgetMs + "\r\nIdempotency-Key: k" + id
+                + "\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
+    }
+
+    @Test
+    void requestAndAnswerPassUnchanged() throws Exception {
+        Host host = host((head, seen) -> Host.ok("done", "X-Load-Report: inflight=1,queue=0\r\n"));
+        Host.Client client = client(sidecar(host.port()));
+        client.send("GET /healthz HTTP/1.1\r\n\r\n");
+        assertThat(client.answer().status()).isEqualTo(200);
+        client.send(pay(1, 900, "abc"));
+        Host.Seen seen = host.next();
+        assertThat(seen.head().start).containsExactly("POST", "/pay/x?y=z", "HTTP/1.1");
+        assertThat(seen.head().get("X-Call-Id")).isEqualTo("fffffffffffffff1");
+        assertThat(seen.head().get("Idempotency-Key")).isEqualTo("k1");
+        assertThat(Integer.parseInt(seen.head().get("X-Budget-Ms"))).isBetween(1, 900);
+        assertThat(seen.body()).isEqualTo("abc");
+        Host.Answer answer = client.answer();
+        assertThat(answer.status()).isEqualTo(200);
+        assertThat(answer.body()).isEqualTo("done");
+    }
+
+    @ParameterizedTest
+    @CsvSource({"X-Budget-Ms: 900,X-Budget-Ms: x,400", "X-Budget-Ms: 900,X-Budget-Ms: 0,400",
+        "X-Budget-Ms: 900,A: b,400", "X-Call-Id: fffffffffffffff1,X-Call-Id: 1fffffffffffffff1,400",
+        "X-Caller: shop-a,X-Caller: nobody,403", "/pay,/nothing,404", "POST,GET,405",
+        "Idempotency-Key: k1,A: b,400", "Content-Length: 1,Content-Length: 70000,413", "Host: service,Ho st: s,400"})
+    void badRequestsAreAnsweredAndNothingGoesOut(String good, String bad, int status) throws Exception {
+        Host host = host((head, seen) -> Host.ok("done"));
+        Sidecar sidecar = sidecar(host.port());
+        Host.Client client = client(sidecar);
+        client.send(pay(1, 900, "a").replace(good, bad));
+        assertThat(client.answer().status()).isEqualTo(status);
+        Host.Client next = client(sidecar);
+        next.send(pay(2, 900, ""));
+        assertThat(next.answer().status()).isEqualTo(200);
+        assertThat(host.next().head().get("X-Call-Id")).endsWith("2");
+        assertThat(host.seen).isEmpty();
+    }
+
+    @Test
+    void connectionsAreUsedAgainAndPipelinedRequestsAnsweredInOrder() throws Exception {
+        Host host = host((head, seen) -> Host.ok(head.get("Idempotency-Key")));
+        Host.Client client = client(sidecar(host.port()));
+        client.send(pay(1, 900, "") + pay(2, 900, "") + pay(3, 900, ""));
+        for (int i = 1; i <= 3; i++) {
+            assertThat(client.answer().body()).isEqualTo("k" + i);
+        }
+        assertThat(host.next().socket()).isSameAs(host.next().socket()).isSameAs(host.next().socket());
+    }
+
+    @Test
+    void connectionThatTheHostClosedIsNotWrittenTo() throws Exception {
+        Host host = host((head, seen) -> Host.ok("done", "Connection: close\r\n"));
+        Host.Client client = client(sidecar(host.port()));
+        for (int i = 1; i <= 3; i++) {
+            client.send(pay(i, 900, ""));
+            assertThat(client.answer().status()).isEqualTo(200);
+        }
+    }
+
+    @Test
+    void clientThatLeavesTakesItsLegAlong() throws Exception {
+        CountDownLatch never = new CountDownLatch(1);
+        Host host = host((head, seen) -> {
+            seen.socket().getInputStream().read();
+            return null;
+        });
+        Host.Client client = client(sidecar(host.port()));
+        client.send(pay(1, 60_000, ""));
+        host.next();
+        client.close();
+        assertThat(host.closed.poll(Host.PATIENCE_S, TimeUnit.SECONDS)).isTrue();
+        assertThat(never.getCount()).isOne();
+    }
+
+    @Test
+    void legWithoutAnswerFailsInTimeAndItsLateAnswerReachesNobody() throws Exception {
+        CountDownLatch late = new CountDownLatch(1);
+        Host host = host((head, seen) -> {
+            if (head.get("Idempotency-Key").equals("k1")) {
+                late.await();
+                return Host.ok("late");
+            }
+            return Host.ok("fresh");
+        });
+        Host.Client client = client(sidecar(host.port()));
+        long start = System.nanoTime();
+        client.send(pay(1, 300, ""));
+        assertThat(client.answer().status()).isEqualTo(504);
+        assertThat(System.nanoTime() - start).isGreaterThan(250_000_000L);
+        late.countDown();
+        Host.Answer answer;
+        int id = 2;
+        do {                        // the host is spared for a while after the time-out
+            client.send(pay(id, 900, ""));
+            answer = client.answer();
+            assertThat(answer.body()).isNotEqualTo("late");
+            id = 2 + (id - 1) % 8;
+        } while (answer.status() != 200);
+        assertThat(answer.body()).isEqualTo("fresh");
+    }
+
+    @Test
+    void whatMayHaveRunIsFailedAndNeverRefusedNorSentElsewhere() throws Exception {
+        Host first = host((head, seen) -> null);
+        Host second = host((head, seen) -> null);
+        Host.Client client = client(sidecar(first.port(), second.port()));
+        client.send(pay(1, 900, ""));
+        assertThat(client.answer().status()).isEqualTo(502);
+        assertThat(first.seen.size() + second.seen.size()).isEqualTo(1);
+    }
+
+    @Test
+    void whatNeverRanGoesToAnotherHostOrIsRefusedWithAPause() throws Exception {
+        Host busy = host((head, seen) -> "HTTP/1.1 503 Busy\r\nX-Rejected: 1\r\nContent-Length: 0\r\n\r\n");
+        int nobody;
+        try (ServerSocket gone = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            nobody = gone.getLocalPort();
+        }
+        Host.Client client = client(sidecar(busy.port(), nobody));
+        client.send(pay(1, 900, ""));
+        Host.Answer answer = client.answer();
+        assertThat(answer.status()).isEqualTo(503);
+        assertThat(answer.head().get("Retry-After")).isEqualTo("1.5");
+        assertThat(busy.seen.size()).isEqualTo(1);
+    }
+
+    @Test
+    void hostThatDrainsGetsNothingNew() throws Exception {
+        Host host = host((head, seen) -> Host.ok("done"));
+        Host.Client client = client(sidecar(host.port()));
+        client.send(pay(1, 900, ""));
+        assertThat(client.answer().status()).isEqualTo(200);
+        lists.add(list(false, target(0, host.port(), "DRAINING")));
+        // Its idle connection is closed with the news, once these are with the module.
+        assertThat(host.closed.poll(Host.PATIENCE_S, TimeUnit.SECONDS)).isTrue();
+        client.send(pay(2, 900, ""));
+        assertThat(client.answer().status()).isEqualTo(503);
+        assertThat(host.seen.size()).isEqualTo(1);
+    }
+
+    @Test
+    void rubbishFromDiscoveryIsAFailedCallAndTheWatchBeginsAnew() throws Exception {
+        Host host = host((head, seen) -> Host.ok("done"));
+        Host.Client client = client(sidecar());
+        lists.add("rubbish");
+        lists.add(list(true, target(0, host.port(), "SERVING")));
+        int status = 503;
+        for (int id = 1; status != 200; id = id % 9 + 1) {
+            client.send(pay(id, 900, ""));
+            status = client.answer().status();
+            assertThat(status).isIn(200, 503);
+        }
+    }
+
+    @Test
+    void endingAnswersWhatIsHeldAndWhatComesLate() throws Exception {
+        CountDownLatch go = new CountDownLatch(1);
+        Host host = host((head, seen) -> {
+            if (head.get("Idempotency-Key").equals("k1")) {
+                go.await();
+            }
+            return Host.ok("done");
+        });
+        Sidecar sidecar = sidecar(host.port());
+        Host.Client idle = client(sidecar);
+        idle.send("GET /healthz HTTP/1.1\r\n\r\n");
+        idle.answer();
+        Host.Client held = client(sidecar);
+        held.send(pay(1, 10_000, ""));
+        host.next();
+        CountDownLatch ended = new CountDownLatch(1);
+        Host.daemon(() -> {
+            sidecar.end();
+            ended.countDown();
+        });
+        Host.Client late = client(sidecar);
+        late.send(pay(2, 900, ""));
+        assertThat(late.answer().status()).isEqualTo(200);
+        assertThat(idle.atEnd()).isTrue();
+        go.countDown();
+        Host.Answer answer = held.answer();
+        assertThat(answer.status()).isEqualTo(200);
+        assertThat(answer.head().get("Connection")).isEqualTo("close");
+        assertThat(held.atEnd()).isTrue();
+        held.close();
+        assertThat(ended.await(Host.PATIENCE_S, TimeUnit.SECONDS)).isTrue();
+    }
+}
