Close a host's idle connections after a time-out; log lines leave the facade's lock

The module's log lines were written under the facade's lock; they now leave with the timekeeper's turn, outside it. Log lines of an ending in order were lost with the log manager's own shutdown. More room for acquirer connections (480), as those wait unanswered beyond the bound; an answer to HEAD now closes; running out of memory ends no core thread.

--- a/src/main/java/dapplequay/cli/Main.java
+++ b/src/main/java/dapplequay/cli/Main.java
@@ -34,6 +34,7 @@
     }
 
     public static void main(String[] args) {
+        System.setProperty("java.util.logging.manager", Logs.Kept.class.getName());
         int status = run(args, System.getenv());
         if (status != 0) {
             System.exit(status);
--- a/src/main/java/dapplequay/facade/Facade.java
+++ b/src/main/java/dapplequay/facade/Facade.java
@@ -11,6 +11,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.PriorityQueue;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.function.LongSupplier;
 import java.util.logging.Logger;
 
@@ -25,6 +27,7 @@
     private final LongSupplier clock;
     private final BalancerApi module;
     private final PriorityQueue<Timer> timers = new PriorityQueue<>();
+    private final Queue<String> lines = new ConcurrentLinkedQueue<>();
     private long timersSet;
     private long lastId;
     private long inHand;
@@ -110,11 +113,17 @@
     }
 
     /** Gives the module its timers that are due. */
-    public synchronized void tick() {
-        long now = clock.getAsLong();
-        while (!timers.isEmpty() && timers.peek().atUs() <= now) {
-            begin(0, 0);
-            module.timer(now, timers.poll().token());
+    public void tick() {
+        synchronized (this) {
+            long now = clock.getAsLong();
+            while (!timers.isEmpty() && timers.peek().atUs() <= now) {
+                begin(0, 0);
+                module.timer(now, timers.poll().token());
+            }
+        }
+        // Outside the lock: where the log's reader is stuck, the decisions must not wait for it.
+        for (String line = lines.poll(); line != null; line = lines.poll()) {
+            LOG.info(line);
         }
     }
 
@@ -168,7 +177,7 @@
 
         @Override
         public void log(String line) {
-            LOG.info(line);
+            lines.add(line);
         }
 
         // The module asks for none of these. Should it begin to, the network has to learn them first.
--- a/src/main/java/dapplequay/net/AcquirerConnection.java
+++ b/src/main/java/dapplequay/net/AcquirerConnection.java
@@ -98,11 +98,17 @@
         } finally {
             side.deadlines().cancel(late);
         }
-        lastRequest = head.closes(head.start[2]);
+        // An answer to HEAD ends after its head, whatever length it names: not a method that is served here.
+        lastRequest = head.closes(head.start[2]) || head.start[0].equals("HEAD");
         try {
             handle(head, body, receivedUs);
         } catch (BadMessage e) {
             answer(Answers.plain(e.status, e.getMessage()));
+        } catch (RuntimeException e) {
+            LOG.log(Level.SEVERE, "request could not be handled", e);
+            if (current == null || current.claim()) {
+                answer(Answers.plain(500, "failed"));
+            }
         }
     }
 
--- a/src/main/java/dapplequay/net/Deadlines.java
+++ b/src/main/java/dapplequay/net/Deadlines.java
@@ -76,7 +76,7 @@
         for (Deadline deadline : due) {
             try {
                 deadline.passed.run();
-            } catch (RuntimeException e) {
+            } catch (RuntimeException | OutOfMemoryError e) {
                 LOG.log(Level.SEVERE, "a deadline could not be carried out", e);
             }
         }
--- a/src/main/java/dapplequay/net/IssuerSide.java
+++ b/src/main/java/dapplequay/net/IssuerSide.java
@@ -7,6 +7,7 @@
 import java.util.Collection;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.logging.Level;
 import java.util.logging.Logger;
@@ -176,6 +177,11 @@
         if (owed != null) {
             LegEnd end = owed.broken();
             deadlines.cancel(owed.deadline());
+            if (end == LegEnd.TIMED_OUT) {
+                // A machine that vanished leaves its idle connections open and silent: a leg on another one
+                // would time out too and might have run, while a connect that fails proves that it never ran.
+                closeIdle(List.of(connection.endpoint));
+            }
             conductor.legEnded(owed, end, null, null, null);
         }
     }
--- a/src/main/java/dapplequay/net/Sidecar.java
+++ b/src/main/java/dapplequay/net/Sidecar.java
@@ -15,8 +15,9 @@
     private static final Logger LOG = Logger.getLogger(Sidecar.class.getName());
     /** Descriptors kept for the program itself, the listener and discovery. */
     private static final int OWN_DESCRIPTORS = 64;
-    /** Each connection has a thread; more of them than this would not fit into the memory. */
-    private static final int MOST_CONNECTIONS = 360;
+    /** Each connection has a thread, at about 0.11 MB with its buffer; 192 MB hold no more than these. */
+    private static final int MOST_ACQUIRERS = 480;
+    private static final int MOST_ISSUERS = 360;
     private static final long TURN_US = 10_000;
     /** After an ending was ordered, new connections come for 0.4 s more. */
     private static final long LATE_CONNECTIONS_US = 550_000;
@@ -39,13 +40,14 @@
         Setup setup = plan.setup();
         facade = new Facade(setup.settings(), plan.seed(), clock);
         RoutingTable table = restored(plan, facade);
-        int most = Math.max(1, Math.min(MOST_CONNECTIONS, (plan.sockets() - OWN_DESCRIPTORS) / 2));
+        int half = Math.max(1, (plan.sockets() - OWN_DESCRIPTORS) / 2);
         IssuerSide issuers = new IssuerSide(table, deadlines, setup.connectTimeoutUs(), setup.connIdleUs(),
-                most);
+                Math.min(MOST_ISSUERS, half));
         Conductor conductor = new Conductor(facade, issuers);
         issuers.conductor(conductor);
         watch = new Watch(plan.discovery(), table, facade, issuers);
-        acquirers = new AcquirerSide(plan.listen(), setup, facade, conductor, deadlines, most);
+        acquirers = new AcquirerSide(plan.listen(), setup, facade, conductor, deadlines,
+                Math.min(MOST_ACQUIRERS, half));
         longestDeadlineUs = setup.settings().classes().stream().mapToLong(c -> c.deadlineUs()).max()
                 .orElse(0);
     }
@@ -93,7 +95,7 @@
                 deadlines.await(TURN_US);
             } catch (InterruptedException e) {
                 return;
-            } catch (RuntimeException e) {
+            } catch (RuntimeException | OutOfMemoryError e) {
                 LOG.log(Level.SEVERE, "the timekeeper's turn failed", e);
             }
         }
--- a/src/main/java/dapplequay/net/Watch.java
+++ b/src/main/java/dapplequay/net/Watch.java
@@ -43,7 +43,7 @@
                 try {
                     // Handed over before anything else is done: a drain counts as told once its bytes came.
                     hear(call());
-                } catch (IOException | RuntimeException e) {
+                } catch (IOException | RuntimeException | OutOfMemoryError e) {
                     Sockets.close(socket);
                     socket = null;
                     LOG.log(Level.WARNING, "discovery call failed: {0}", e.toString());
