Average the reports by time, so that a server sent little recovers its name

Cause: the running mean of what a server holds for others moved by 0.08 a report, and a server that is refused brings few reports, so the bad figure fed itself. The mean now moves with the time since the last report (OTHERS_US, 3 s), and what was learnt of a zone fades over 3 s.

--- a/src/main/java/dapplequay/Balance.java
+++ b/src/main/java/dapplequay/Balance.java
@@ -48,9 +48,12 @@
     /** What a report tells fades with this time constant, us, towards what its zone's buddies mostly held, */
     private static final double FADE_US = 8_000_000;
     /** which fades towards nothing with this one, us: a queue nobody feeds is worked off. */
-    private static final double ZONE_FADE_US = 8_000_000;
-    /** Weight of the newest report in what a server holds for others: each is old and far from the mean. */
-    private static final double OTHERS_GAIN = 0.08;
+    private static final double ZONE_FADE_US = 3_000_000;
+    /**
+     * Time constant, us, of the mean of what a server is told to hold for others: each report is old and far
+     * from the mean. By time and not by count, as a server that is sent little would keep a bad name.
+     */
+    private static final double OTHERS_US = 3_000_000;
     /** A cleared flag is set again after this, us: one diverted send then tells how the server is. */
     private static final long FLAG_TIMER_US = 2_000_000;
     /** The same for a buddy new to the set: soon, as its first figures come only with a send. */
@@ -571,7 +574,8 @@
         boolean first = Double.isNaN(s.reported);
         s.reported = requests;
         double others = Math.max(0, requests - s.own - 1);
-        s.others = first ? others : s.others + OTHERS_GAIN * (others - s.others);
+        double gain = first ? 1 : 1 - Math.exp((s.reportAt - now) / OTHERS_US);
+        s.others += gain * (others - s.others);
         s.reportAt = now;
         noteZone(now, s.zone);
     }
--- a/src/main/java/dapplequay/net/Sidecar.java
+++ b/src/main/java/dapplequay/net/Sidecar.java
@@ -21,7 +21,7 @@
     private static final long TURN_US = 10_000;
     /** After an ending was ordered, new connections come for 0.4 s more. */
     private static final long LATE_CONNECTIONS_US = 550_000;
-    private static final long ENDING_MARGIN_US = 300_000;
+    private static final long ENDING_MARGIN_US = 100_000;
 
     private final Deadlines deadlines;
     private final Facade facade;
