--- a/src/main/java/dapplequay/net/AcquirerConnection.java
+++ b/src/main/java/dapplequay/net/AcquirerConnection.java
@@ -61,17 +61,7 @@
 
     /** Waits for the answer to the request before; false where the connection takes no more. */
     private synchronized boolean beginRequest() {
-        boolean interrupted = false;
-        while (state == State.BUSY) {
-            try {
-                wait();
-            } catch (InterruptedException e) {
-                interrupted = true;
-            }
-        }
-        if (interrupted) {
-            Thread.currentThread().interrupt();
-        }
+        Waits.whileTrue(this, () -> state == State.BUSY);
         if (state == State.IDLE) {
             state = State.BUSY;
             current = null;
--- a/src/main/java/dapplequay/net/Leg.java
+++ b/src/main/java/dapplequay/net/Leg.java
@@ -78,17 +78,7 @@
      * thread still writes it, that is not known yet, and taking it for not run could run it twice.
      */
     synchronized LegEnd broken() {
-        boolean interrupted = false;
-        while (writing) {
-            try {
-                wait();
-            } catch (InterruptedException e) {
-                interrupted = true;
-            }
-        }
-        if (interrupted) {
-            Thread.currentThread().interrupt();
-        }
+        Waits.whileTrue(this, () -> writing);
         if (end == null || end == LegEnd.TIMED_OUT && !written) {
             end = written ? LegEnd.RESET : LegEnd.NOT_CONNECTED;
         }
--- a/src/main/java/dapplequay/net/Sidecar.java
+++ b/src/main/java/dapplequay/net/Sidecar.java
@@ -103,9 +103,13 @@
 
     /** Ends in order, and returns when nothing is held any more. */
     public void end() throws InterruptedException {
+        end(LATE_CONNECTIONS_US);
+    }
+
+    void end(long lateConnectionsUs) throws InterruptedException {
         LOG.info("ending: late connections are still served");
-        long until = deadlines.now() + LATE_CONNECTIONS_US;
-        Thread.sleep(LATE_CONNECTIONS_US / 1000);
+        long until = deadlines.now() + lateConnectionsUs;
+        Thread.sleep(lateConnectionsUs / 1000);
         acquirers.end(until + longestDeadlineUs + ENDING_MARGIN_US);
         LOG.info("ended");
     }
