At the bound only the oldest idle acquirer connection makes room

Seen: the test of the bound failed once with the machine under pressure; a client met the end of its connection before its first answer. Ruled out: the answer's write (no error in the log) and the test's patience. Wrong: awaitRoom closed every idle connection, also those just accepted whose first request was on its way. It now closes one, the oldest, and waits until that one has ended.

--- a/src/main/java/dapplequay/net/AcquirerConnection.java
+++ b/src/main/java/dapplequay/net/AcquirerConnection.java
@@ -137,8 +137,11 @@
         }
     }
 
-    /** Ends a connection between requests; one on which something has come is served first. */
-    synchronized void closeIfIdle() {
+    /**
+     * Ends a connection between requests; one on which something has come is served first. True where the
+     * connection is ending, by this call or an earlier one.
+     */
+    synchronized boolean closeIfIdle() {
         try {
             if (state == State.IDLE && (reader == null || !reader.hasBytes())
                     && socket.getInputStream().available() == 0) {
@@ -146,7 +149,9 @@
                 close();
             }
         } catch (IOException e) {
+            state = State.CLOSED;
             close();
         }
+        return state == State.CLOSED;
     }
 }
--- a/src/main/java/dapplequay/net/AcquirerSide.java
+++ b/src/main/java/dapplequay/net/AcquirerSide.java
@@ -109,11 +109,16 @@
         }
     }
 
-    /** At the bound an idle connection makes room, and while there is none the next has to wait. */
+    /**
+     * At the bound the oldest idle connection makes room, and while there is none the next waits. One at
+     * a time: closing all idle ones also met those just accepted, whose first request was still on its way.
+     */
     private synchronized void awaitRoom() throws InterruptedException {
         while (connections.size() >= most) {
             for (AcquirerConnection connection : connections) {
-                connection.closeIfIdle();
+                if (connection.closeIfIdle()) {
+                    break;
+                }
             }
             wait(PAUSE_MS);
         }
