Empty buffers give back what a long message took

Found by adding up: 840 connections that each once saw a 64 KiB body would keep 60 MB of buffers, the whole heap. A buffer that is empty and longer than 8 KiB starts again small; it still grows and is compacted in place while a message comes.

--- a/src/main/java/dapplequay/net/Buffer.java
+++ b/src/main/java/dapplequay/net/Buffer.java
@@ -7,6 +7,8 @@
 /** The one buffer of a connection: bytes read and not yet used. It grows as it needs, up to a limit. */
 final class Buffer {
     private static final int FIRST_SIZE = 1024;
+    /** What an empty buffer may keep: many connections that each once saw a long body fill the heap. */
+    private static final int KEPT_SIZE = 8 * 1024;
 
     private final int limit;
     private byte[] data = new byte[FIRST_SIZE];
@@ -57,6 +59,13 @@
         if (start == end) {
             start = 0;
             end = 0;
+            if (data.length > KEPT_SIZE) {
+                data = new byte[FIRST_SIZE];
+            }
         }
     }
+
+    int capacity() {
+        return data.length;
+    }
 }
--- /dev/null
+++ b/src/test/java/dapplequay/net/BufferTest.java
@@ -0,0 +1,46 @@
+package dapplequay.net;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.io.ByteArrayInputStream;
+import java.io.IOException;
+import org.junit.jupiter.api.Test;
+
+class BufferTest {
+
+    private static Buffer filled(int limit, int count) throws IOException {
+        Buffer buffer = new Buffer(limit);
+        ByteArrayInputStream in = new ByteArrayInputStream(new byte[count]);
+        while (buffer.size() < count) {
+            buffer.fill(in);
+        }
+        return buffer;
+    }
+
+    @Test
+    void growsToItsLimitAndNoFurther() throws IOException {
+        Buffer buffer = filled(3_000, 3_000);
+        assertThat(buffer.capacity()).isEqualTo(3_000);
+        assertThatThrownBy(() -> buffer.fill(new ByteArrayInputStream(new byte[1])))
+                .isInstanceOf(BadMessage.class);
+    }
+
+    @Test
+    void usedBytesMakeRoomBeforeItGrows() throws IOException {
+        Buffer buffer = filled(4_096, 1_024);
+        buffer.take(1_000);
+        assertThat(buffer.fill(new ByteArrayInputStream(new byte[500]))).isEqualTo(500);
+        assertThat(buffer.capacity()).isEqualTo(1_024);
+        assertThat(buffer.size()).isEqualTo(524);
+    }
+
+    @Test
+    void emptyBufferGivesBackWhatALongMessageTook() throws IOException {
+        Buffer buffer = filled(70_000, 70_000);
+        buffer.take(69_999);
+        assertThat(buffer.capacity()).isEqualTo(70_000);
+        buffer.skip(1);
+        assertThat(buffer.capacity()).isLessThan(9_000);
+    }
+}
