Test that a leg which waited for its connect spares a host that drains meanwhile

The drain is told between the pick and the connect, by the clock that the connecting thread reads; with the check before the write taken out, the test fails.

--- a/src/main/java/dapplequay/net/Conductor.java
+++ b/src/main/java/dapplequay/net/Conductor.java
@@ -9,7 +9,7 @@
 import java.util.logging.Logger;
 
 /** Carries out what the facade decides: legs to the issuer side, answers to the acquirer side. */
-final class Conductor {
+class Conductor {
     private static final Logger LOG = Logger.getLogger(Conductor.class.getName());
 
     private final Facade facade;
--- /dev/null
+++ b/src/test/java/dapplequay/net/IssuerSideTest.java
@@ -0,0 +1,55 @@
+package dapplequay.net;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import dapplequay.facade.Decision;
+import dapplequay.facade.HostLoad;
+import dapplequay.facade.LegEnd;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+
+class IssuerSideTest {
+
+    private static void list(RoutingTable table, int port, String state) {
+        try {
+            table.take(RoutingTable.read(("{\"rev\":1,\"all\":true,\"targets\":[{\"uid\":\"s1\",\"endpoint\":\"127.0.0.1:"
+                    + port + "\",\"az\":\"a\",\"state\":\"" + state + "\"}]}").getBytes(StandardCharsets.UTF_8)));
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    /** The connecting thread reads the clock between the pick and the connect: there the drain is told. */
+    @Test
+    void legThatWaitedForItsConnectIsNotSentToAHostThatDrainsMeanwhile() throws Exception {
+        RoutingTable table = new RoutingTable();
+        BlockingQueue<LegEnd> ends = new LinkedBlockingQueue<>();
+        try (Host host = new Host((head, seen) -> Host.ok("done"))) {
+            list(table, host.port(), "SERVING");
+            Deadlines deadlines = new Deadlines(() -> {
+                if (Thread.currentThread().getName().startsWith("issuer")) {
+                    list(table, host.port(), "DRAINING");
+                }
+                return System.nanoTime() / 1000;
+            });
+            IssuerSide side = new IssuerSide(table, deadlines, 10_000_000, 30_000_000, 10);
+            side.conductor(new Conductor(null, side) {
+                @Override
+                void legEnded(Leg leg, LegEnd end, HostLoad load, Head head, byte[] body) {
+                    ends.add(end);
+                }
+            });
+            Head head = Head.request("POST /pay HTTP/1.1".getBytes(StandardCharsets.US_ASCII));
+            AcquirerRequest request = new AcquirerRequest(head, new byte[0], 0, 0, 10_000_000);
+            side.send(new Leg(new Authorisation(1, null, request), new Decision.Send(0, "s1", 10_000_000), side.now()));
+            assertThat(ends.poll(Host.PATIENCE_S, TimeUnit.SECONDS)).isEqualTo(LegEnd.NOT_SENT);
+            assertThat(host.closed.poll(Host.PATIENCE_S, TimeUnit.SECONDS)).isTrue();
+            assertThat(host.seen).isEmpty();
+        }
+    }
+}
