SIGHUP reads the configuration again and moves the watch; it ended the process before

Nothing in Main.Serve handled the signal, so that the JVM's own handler ended the process; and Watch held its address for good.

Now Main reads the file again and hands discovery's address on; Watch.moveTo cuts the call that waits at the old address, which is no failed call for the module, and asks the new one at once for the whole list, as its versions may be counted anew. A file that is no good changes nothing. Checked with the environment printed to the log: at a restart EDGE_DISCOVERY follows the file, so that the order of the two may stay as it is.

--- a/src/main/java/dapplequay/cli/Config.java
+++ b/src/main/java/dapplequay/cli/Config.java
@@ -19,6 +19,20 @@
 
     /** SettingsException, with one plain line, where the configuration is no good. */
     static Sidecar.Plan read(Path file, Map<String, String> environment) {
+        Map<?, ?> fields = fields(file);
+        String place = file.toString();
+        return new Sidecar.Plan(address(place, fields, "listen", environment.get("EDGE_LISTEN")),
+                address(place, fields, "discovery", environment.get("EDGE_DISCOVERY")), seed(place, fields),
+                sockets(place, fields), fields.get("known"),
+                SettingsReader.of(fields.get("settings"), place));
+    }
+
+    /** Where discovery is by the file alone: it may be replaced while the environment stays as it was. */
+    static InetSocketAddress discovery(Path file) {
+        return address(file.toString(), fields(file), "discovery", null);
+    }
+
+    private static Map<?, ?> fields(Path file) {
         Object tree;
         try {
             tree = Json.parse(Files.readAllBytes(file));
@@ -27,14 +41,10 @@
                     : String.valueOf(e.getMessage()).lines().findFirst().orElse("");
             throw new SettingsException(file + ": unreadable: " + why);
         }
-        if (!(tree instanceof Map<?, ?> fields)) {
-            throw new SettingsException(file + ": must hold an object");
+        if (tree instanceof Map<?, ?> fields) {
+            return fields;
         }
-        String place = file.toString();
-        return new Sidecar.Plan(address(place, fields, "listen", environment.get("EDGE_LISTEN")),
-                address(place, fields, "discovery", environment.get("EDGE_DISCOVERY")), seed(place, fields),
-                sockets(place, fields), fields.get("known"),
-                SettingsReader.of(fields.get("settings"), place));
+        throw new SettingsException(file + ": must hold an object");
     }
 
     private static InetSocketAddress address(String place, Map<?, ?> fields, String name, String before) {
--- a/src/main/java/dapplequay/cli/Main.java
+++ b/src/main/java/dapplequay/cli/Main.java
@@ -15,6 +15,7 @@
 import org.kohsuke.args4j.spi.SubCommand;
 import org.kohsuke.args4j.spi.SubCommandHandler;
 import org.kohsuke.args4j.spi.SubCommands;
+import sun.misc.Signal;
 
 /** The command line of the jar. */
 public final class Main {
@@ -62,12 +63,16 @@
         @Option(name = "--config", metaVar = "FILE", usage = "the configuration; else EDGE_CONFIG names it")
         private String config;
 
-        Sidecar.Plan plan(Map<String, String> environment) {
+        Path file(Map<String, String> environment) {
             String file = config == null ? environment.get("EDGE_CONFIG") : config;
             if (file == null || file.isEmpty()) {
                 throw new SettingsException("no configuration: give --config or set EDGE_CONFIG");
             }
-            return Config.read(Path.of(file), environment);
+            return Path.of(file);
+        }
+
+        Sidecar.Plan plan(Map<String, String> environment) {
+            return Config.read(file(environment), environment);
         }
     }
 
@@ -89,9 +94,22 @@
                     Thread.currentThread().interrupt();
                 }
             }, "ending"));
+            // Left to the system, this signal would end the process in the middle of its work.
+            Signal.handle(new Signal("HUP"), signal -> reload(sidecar, environment));
             sidecar.start();
             return 0;
         }
+
+        /** Takes over what may change while serving; a file that is no good changes nothing. */
+        private void reload(Sidecar sidecar, Map<String, String> environment) {
+            Logger log = Logger.getLogger(Main.class.getName());
+            try {
+                sidecar.discoveryAt(Config.discovery(file(environment)));
+                log.info("configuration read again; all but discovery takes a restart");
+            } catch (RuntimeException e) {
+                log.log(Level.WARNING, "configuration kept as it was: {0}", e.getMessage());
+            }
+        }
     }
 
     /** Hosts instances of the decision module for the simulator, on standard input and output. */
--- a/src/main/java/dapplequay/facade/Facade.java
+++ b/src/main/java/dapplequay/facade/Facade.java
@@ -134,6 +134,12 @@
         }
     }
 
+    /** The list is to be had elsewhere from now on: asked there at once, whatever pause was under way. */
+    public synchronized void watchAnew() {
+        watchWanted = true;
+        notifyAll();
+    }
+
     private void begin(long id, int legs) {
         inHand = id;
         sends = legs;
--- a/src/main/java/dapplequay/net/Sidecar.java
+++ b/src/main/java/dapplequay/net/Sidecar.java
@@ -80,6 +80,11 @@
         LOG.log(Level.INFO, "serving on {0}", Sockets.text(address()));
     }
 
+    /** Another discovery from now on; nothing that is held is touched. */
+    public void discoveryAt(InetSocketAddress discovery) {
+        watch.moveTo(discovery);
+    }
+
     private static void daemon(Runnable work, String name) {
         Thread thread = new Thread(work, name);
         thread.setDaemon(true);
--- a/src/main/java/dapplequay/net/Watch.java
+++ b/src/main/java/dapplequay/net/Watch.java
@@ -12,7 +12,8 @@
 /**
  * The discovery client: watches for changes as long as the module wants that, one call after the other. When
  * to begin again after a failure is the module's to say: it backs off with jitter, as all sidecars share one
- * discovery service.
+ * discovery service. A new address is asked at once, and for the whole list: its versions may be counted
+ * anew.
  */
 final class Watch implements Runnable {
     private static final Logger LOG = Logger.getLogger(Watch.class.getName());
@@ -21,11 +22,14 @@
     private static final int MARGIN_MS = 2_000;
     private static final int CONNECT_MS = 2_000;
 
-    private final InetSocketAddress discovery;
     private final RoutingTable table;
     private final Facade facade;
     private final IssuerSide issuers;
+    private InetSocketAddress discovery;
+    /** The open connection and whom it leads to; both change under the lock, as {@link #moveTo} closes it. */
     private Socket socket;
+    private InetSocketAddress asked;
+    private boolean whole;
     private MessageReader reader;
 
     Watch(InetSocketAddress discovery, RoutingTable table, Facade facade, IssuerSide issuers) {
@@ -44,8 +48,10 @@
                     // Handed over before anything else is done: a drain counts as told once its bytes came.
                     hear(call());
                 } catch (IOException | RuntimeException | OutOfMemoryError e) {
-                    Sockets.close(socket);
-                    socket = null;
+                    drop();
+                    if (hasMoved()) {
+                        continue;       // no failure of discovery's: the next call goes to the new address
+                    }
                     LOG.log(Level.WARNING, "discovery call failed: {0}", e.toString());
                     facade.news(ListNews.failed());
                 }
@@ -53,8 +59,48 @@
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         } finally {
+            drop();
+        }
+    }
+
+    /** Another address from now on; a call that waits at the old one is cut, as its news may never come. */
+    void moveTo(InetSocketAddress next) {
+        synchronized (this) {
+            if (next.equals(discovery)) {
+                return;
+            }
+            discovery = next;
             Sockets.close(socket);
         }
+        LOG.log(Level.INFO, "discovery is at {0} now", Sockets.text(next));
+        facade.watchAnew();
+    }
+
+    private synchronized boolean hasMoved() {
+        return !discovery.equals(asked);
+    }
+
+    private synchronized void drop() {
+        Sockets.close(socket);
+        socket = null;
+    }
+
+    /** The connection to where discovery is now. */
+    private Socket connected() throws IOException {
+        Socket now;
+        synchronized (this) {
+            if (socket != null && !hasMoved()) {
+                return socket;
+            }
+            drop();
+            whole |= asked != null && hasMoved();
+            asked = discovery;
+            socket = now = new Socket();
+        }
+        now.connect(asked, CONNECT_MS);
+        now.setTcpNoDelay(true);
+        reader = new MessageReader(now.getInputStream(), MessageReader.MAX_LIST);
+        return now;
     }
 
     private void hear(RoutingTable.Update update) {
@@ -64,25 +110,20 @@
     }
 
     private RoutingTable.Update call() throws IOException {
-        if (socket == null) {
-            socket = new Socket();
-            socket.connect(discovery, CONNECT_MS);
-            socket.setTcpNoDelay(true);
-            reader = new MessageReader(socket.getInputStream(), MessageReader.MAX_LIST);
-        }
-        socket.setSoTimeout(WAIT_MS + MARGIN_MS);
-        String request = "GET /v1/servers?after=" + table.revision() + "&wait_ms=" + WAIT_MS
-                + " HTTP/1.1\r\nHost: " + Sockets.text(discovery) + "\r\n\r\n";
-        socket.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
+        Socket to = connected();
+        to.setSoTimeout(WAIT_MS + MARGIN_MS);
+        String query = whole ? "" : "?after=" + table.revision() + "&wait_ms=" + WAIT_MS;
+        String request = "GET /v1/servers" + query + " HTTP/1.1\r\nHost: " + Sockets.text(asked) + "\r\n\r\n";
+        to.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
         Head head = reader.response();
         byte[] body = reader.responseBody(head);
         if (!head.start[1].equals("200")) {
             throw new IOException("discovery answered " + head.start[1]);
         }
         RoutingTable.Update update = RoutingTable.read(body);
-        if (head.closes(head.start[0]) || MessageReader.lastsToTheEnd(head)) {
-            Sockets.close(socket);
-            socket = null;
+        whole = false;
+        if (head.closes(head.start[0]) || MessageReader.lastsToTheEnd(head) || reader.hasBytes()) {
+            drop();             // bytes that nobody asked for would be read as the next answer
         }
         return update;
     }
--- a/src/test/java/dapplequay/cli/ProgramTest.java
+++ b/src/test/java/dapplequay/cli/ProgramTest.java
@@ -5,6 +5,10 @@
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStream;
+import java.io.InputStreamReader;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -44,10 +48,10 @@
     }
 
     private Path config(String find, String replace) throws IOException {
-        String text = Files.readString(EXAMPLE);
+        String text = Files.readString(EXAMPLE).replace("127.0.0.1:7070", "127.0.0.1:0")
+                .replace("127.0.0.1:8500", "127.0.0.1:1");
         assertThat(text).contains(find);
-        return Files.writeString(folder.resolve("config.json"), text.replace("127.0.0.1:7070", "127.0.0.1:0")
-                .replace("127.0.0.1:8500", "127.0.0.1:1").replace(find, replace));
+        return Files.writeString(folder.resolve("config.json"), text.replace(find, replace));
     }
 
     @Test
@@ -77,6 +81,49 @@
         }
     }
 
+    /** The call as it came, answered with an empty list; the watch that follows stays unanswered. */
+    private static String called(ServerSocket discovery) throws IOException {
+        Socket socket = discovery.accept();
+        BufferedReader in = new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.UTF_8));
+        String call = in.readLine();
+        while (!in.readLine().isEmpty()) { }
+        String list = "{\"rev\":3,\"all\":true,\"targets\":[]}";
+        socket.getOutputStream().write(("HTTP/1.1 200 OK\r\nContent-Length: " + list.length() + "\r\n\r\n" + list)
+                .getBytes(StandardCharsets.UTF_8));
+        in.readLine();
+        return call;
+    }
+
+    @Test
+    void aNewConfigurationMovesTheWatchAndABadOneChangesNothing() throws Exception {
+        try (ServerSocket old = new ServerSocket(0, 9, InetAddress.getLoopbackAddress());
+                ServerSocket next = new ServerSocket(0, 9, InetAddress.getLoopbackAddress())) {
+            old.setSoTimeout(60_000);
+            next.setSoTimeout(60_000);
+            String good = Files.readString(config("127.0.0.1:1", "127.0.0.1:" + old.getLocalPort()));
+            Path file = folder.resolve("config.json");
+            Process program = start("serve", "--config", file.toString());
+            try {
+                assertThat(called(old)).startsWith("GET /v1/servers?after=");
+                BufferedReader log = program.errorReader();
+                for (String text : List.of("{", good.replace("127.0.0.1:" + old.getLocalPort(),
+                        "127.0.0.1:" + next.getLocalPort()))) {
+                    Files.writeString(file, text);
+                    new ProcessBuilder("kill", "-HUP", String.valueOf(program.pid())).start().waitFor();
+                    String line;
+                    do {
+                        line = log.readLine();
+                        assertThat(line).as("the program goes on").isNotNull();
+                    } while (!line.contains("configuration"));
+                    assertThat(line).contains(text.equals("{") ? "kept as it was" : "read again");
+                }
+                assertThat(called(next)).isEqualTo("GET /v1/servers HTTP/1.1");
+            } finally {
+                program.destroyForcibly();
+            }
+        }
+    }
+
     @ParameterizedTest
     @CsvSource(delimiter = ';', value = {
         "\"seed\": \"00c0ffee00c0ffee\"; \"seed\": \"x\"; seed", "\"send_cap\": 3; \"send_cap\": \"3\"; send_cap",
