--- a/src/main/java/dapplequay/Balance.java
+++ b/src/main/java/dapplequay/Balance.java
@@ -18,6 +18,12 @@
  */
 public final class Balance implements BalancerApi {
     // ---- settings; a load figure is the time, us, that a request sent now is thought to take ----
+    /**
+     * The shortest aim, us, that the times below were fitted to: where aims are shorter, work, reports and
+     * troubles pass faster too, and all these times shrink with them. Unshrunk, a deployment four times as
+     * fast passed servers over for four times too long.
+     */
+    private static final double FITTED_AIM_US = 600_000;
     /** Buddies; the paper finds 10 to 15 enough at any fleet size, and each buddy may cost a connection. */
     private static final int SET_SIZE = 12;
     /** Buddies of other zones at least, where there are other zones, so that an overloaded zone can spill. */
@@ -54,6 +60,8 @@
      * from the mean. By time and not by count, as a server that is sent little would keep a bad name.
      */
     private static final double OTHERS_US = 3_000_000;
+    /** A request of a greater share of its worth may ask a server anew that nothing would be sent to. */
+    private static final double ASKING_WORTH = 0.5;
     /** A cleared flag is set again after this, us: one diverted send then tells how the server is. */
     private static final long FLAG_TIMER_US = 2_000_000;
     /** The same for a buddy new to the set: soon, as its first figures come only with a send. */
@@ -75,8 +83,18 @@
      */
     private static final long SHUN_FIRST_US = 1_000_000;
     private static final long SHUN_MAX_US = 8_000_000;
-    /** Answers in a row that end a failing server's trial: it may fail but part of its requests. */
-    private static final int GOOD_RUN = 3;
+    /**
+     * Whether a server fails more than the others is weighed as odds, in logarithms: where it stands when
+     * nothing speaks against it, what a failure adds at most and what an answer takes away. A failing one
+     * fails a third of its requests or more; where all fail now and then, one failure is no reason.
+     */
+    private static final double DOUBT_NONE = -3.5;
+    private static final double DOUBT_ADD = 3;
+    private static final double DOUBT_TAKE = 0.9;
+    private static final double FAILING_SHARE = 0.6;
+    /** Weight of the newest outcome in the share that fails at sound servers, and the least it counts. */
+    private static final double COMMON_GAIN = 0.01;
+    private static final double COMMON_MIN = 0.002;
     /** A trial ends by itself after this, us: where nothing repeatable comes by, it would never end. */
     private static final long TRIAL_US = 10_000_000;
     /** From this share of the aim on, a figure loses more than an exponential answer time would. */
@@ -90,6 +108,11 @@
     /** Weight of the newest answer in a server's pace, and the set's pace as that many answers beside it. */
     private static final double PACE_GAIN = 0.15;
     private static final double PACE_PRIOR = 0.5;
+    /**
+     * A server's own pace fades with this, us, where no answer renews it: one slow answer, as at a cold start
+     * of this very process, would else keep sends away, and with them the answers that could mend it.
+     */
+    private static final double PACE_FADE_US = 8_000_000;
     /** Share of the cold budget that is used: the rest is for chance, handshakes and ill-spread heads. */
     private static final double COLD_MARGIN = 0.4;
     /** Bounds on what a cost hint may make of a request, in requests of the mean: hints can be rough. */
@@ -114,6 +137,7 @@
         int zone;
         int cell;
         boolean ready;
+        boolean draining;
         double weight;
         long startedUs;
         double size = 1;          // registered weight over the fleet's mean
@@ -126,13 +150,14 @@
         long reportAt;
         double heldSeen;          // requests held a unit of size as told with answers, running mean
         double took;              // what those answers took, us, running mean
+        long pacedAt;             // the last of them
         boolean flag;
         long flagSetAt;           // the timer: from then on the flag counts as set
         long holdUntil;
         int strikes;
         long shunUntil;
         boolean trial;            // failed, and not yet proved sound again
-        int goodRun;
+        double doubt = DOUBT_NONE;
         int badRun;               // refusals and time-outs, less the answers since
         double coldCredit;
 
@@ -172,6 +197,7 @@
     private final Map<Long, Held> held = new HashMap<>();
     private final long[] longestLeft;                              // per class: the try that clients grant
     private final boolean someRepeatable;
+    private final double haste;                                    // what the fitted times are multiplied by
     private final double spread;                                   // own multiple of the thresholds
     private final double[] lateShare;                              // of recent answers, by zone
     private final double[] fullShare;                              // of recent attempts turned away, by zone
@@ -185,6 +211,7 @@
     private double meanWorth;
     private double setHeld = 1;                                    // of all answered sends, as per server
     private double setTook;
+    private double commonFailures;
     private boolean following;
     private int askFailures;
     private long nextLogAt;
@@ -201,12 +228,15 @@
         check(settings.limits().sendCap() >= 1, "sendCap");
         check(settings.coldStart().from() >= 0 && settings.coldStart().warmUpUs() >= 0, "coldStart");
         boolean repeatable = false;
+        long shortest = Long.MAX_VALUE;
         for (ServiceClass c : settings.classes()) {
             check(c.aimUs() > 0, "aimUs of " + c.name());
             check(c.deadlineUs() > 0, "deadlineUs of " + c.name());
             repeatable |= c.semantics() != Semantics.FRAGILE;
+            shortest = Math.min(shortest, c.aimUs());
         }
         someRepeatable = repeatable;
+        haste = Math.min(1, shortest / FITTED_AIM_US);
         spread = SPREAD_LOW + (SPREAD_HIGH - SPREAD_LOW) * unit(mix(settings.position() + 1L));
         lateShare = new double[settings.zones().size()];
         fullShare = new double[settings.zones().size()];
@@ -217,6 +247,10 @@
         longestLeft = new long[settings.classes().size()];
     }
 
+    private long hasty(long fitted) {
+        return Math.max(1, (long) (fitted * haste));
+    }
+
     private static void check(boolean good, String setting) {
         if (!good) {
             throw new IllegalArgumentException("illegal setting: " + setting);
@@ -247,6 +281,7 @@
         if (changed) {
             for (Server s : listed) {
                 s.ready = false;      // a full list leaves out what is gone
+                s.draining = false;
             }
         }
         for (FleetEntry e : entries) {
@@ -254,9 +289,16 @@
         }
         if (changed) {
             formSet(now);
+            // New servers come under new ids for good: what is gone must not stay in memory.
+            listed.removeIf(s -> !s.ready && s.own == 0 && !s.draining && servers.remove(s.host) != null);
         }
     }
 
+    /** Servers kept in memory. */
+    int known() {
+        return listed.size();
+    }
+
     private long askSpread() {
         return (long) (settings.discovery().askWithinUs() * ASK_SPREAD);
     }
@@ -278,6 +320,7 @@
             restart(now, s);          // what was known is about a process that is gone
         }
         s.ready = ready;
+        s.draining = e.state() == HostState.DRAINING;
         if (e.zone() >= 0) {
             s.zone = e.zone();
             s.cell = e.cell();
@@ -292,6 +335,7 @@
         s.strikes = 0;
         s.shunUntil = 0;
         s.trial = false;
+        s.doubt = DOUBT_NONE;
         s.badRun = 0;
         s.holdUntil = 0;
         s.coldCredit = 0;
@@ -339,7 +383,7 @@
         for (Server s : set) {
             if (!s.buddy) {
                 s.flag = false;       // a new buddy starts clear
-                s.flagSetAt = now + NEW_FLAG_US / 2 + random.nextLong(NEW_FLAG_US);
+                s.flagSetAt = now + hasty(NEW_FLAG_US) / 2 + random.nextLong(hasty(NEW_FLAG_US));
             }
         }
         for (Server s : buddies) {
@@ -442,6 +486,7 @@
         double limit = thresholdV(h.type.aimUs()) * h.worthShare;
         Server head = null;
         Server least = null;
+        Server unasked = null;
         double leastFigure = 0;
         for (int i = 0; i < buddies.size(); i++) {
             Server s = buddies.get(i);
@@ -459,13 +504,19 @@
                 least = s;
                 leastFigure = figure;
             }
+            if (s.own == 0 && now - Math.max(s.silentSince, s.reportAt) > h.type.aimUs() && now >= s.holdUntil
+                    && (unasked == null || s.silentSince < unasked.silentSince)) {
+                unasked = s;
+            }
         }
         if (head == null) {
             return lastResort(now, h);
         }
         // Past TH_v everywhere the head would take it, and heads that many share would be swamped: the least
         // figure takes it; where even that is late, nobody does: better refused early than failed late.
-        return inTime(now, h, least) ? least : null;
+        // One that nothing was sent to for an aim, and nothing heard of, is asked first: figures that keep
+        // all sends away from everywhere would never be corrected, and the refusals never end.
+        return inTime(now, h, least) ? least : h.worthShare > ASKING_WORTH ? unasked : null;
     }
 
     private boolean inTime(long now, Held h, Server s) {
@@ -509,7 +560,7 @@
             return false;
         }
         boolean risky = someRepeatable && h.type.semantics() == Semantics.FRAGILE;
-        if (s.trial && now < s.shunUntil + TRIAL_US && (s.own > 0 || risky)) {
+        if (s.trial && now < s.shunUntil + hasty(TRIAL_US) && (s.own > 0 || risky)) {
             return false;             // a suspect is tried by what can be repeated, one at a time
         }
         double share = coldShare(now, s);
@@ -548,7 +599,7 @@
         if (Double.isNaN(s.reported)) {
             return Math.max(usual, s.own);
         }
-        double fresh = Math.exp((s.reportAt - now) / FADE_US);
+        double fresh = Math.exp((s.reportAt - now) / (FADE_US * haste));
         return fresh * s.others + (1 - fresh) * Math.max(0, usual - s.own) + s.own;
     }
 
@@ -556,7 +607,7 @@
     private void noteZone(long now, int zone) {
         int known = 0;
         for (Server s : buddies) {
-            if (s.zone == zone && !Double.isNaN(s.reported) && now - s.reportAt < ZONE_FADE_US) {
+            if (s.zone == zone && !Double.isNaN(s.reported) && now - s.reportAt < ZONE_FADE_US * haste) {
                 zoneScratch[known++] = s.reported / s.size;
             }
         }
@@ -566,15 +617,15 @@
     }
 
     /** How much of what was learnt of a zone at that time still counts. */
-    private static double fresh(long now, long learntAt) {
-        return Math.exp((learntAt - now) / ZONE_FADE_US);
+    private double fresh(long now, long learntAt) {
+        return Math.exp((learntAt - now) / (ZONE_FADE_US * haste));
     }
 
     private void told(long now, Server s, double requests) {
         boolean first = Double.isNaN(s.reported);
         s.reported = requests;
         double others = Math.max(0, requests - s.own - 1);
-        double gain = first ? 1 : 1 - Math.exp((s.reportAt - now) / OTHERS_US);
+        double gain = first ? 1 : 1 - Math.exp((s.reportAt - now) / (OTHERS_US * haste));
         s.others += gain * (others - s.others);
         s.reportAt = now;
         noteZone(now, s.zone);
@@ -585,7 +636,7 @@
      * shows.
      */
     private double figure(long now, Server s, double more) {
-        double time = (held(now, s) + more) / s.size * pace(s);
+        double time = (held(now, s) + more) / s.size * pace(now, s);
         if (s.own > 0) {
             // No outcome for so long while own requests are out: a hanging server sends no report to say so.
             time = Math.max(time, now - s.silentSince);
@@ -596,14 +647,16 @@
     /**
      * Time per request held and unit of size (Little's law), leaning on the whole set where little was sent.
      */
-    private double pace(Server s) {
-        return (s.took + PACE_PRIOR * setTook) / (s.heldSeen + PACE_PRIOR * setHeld);
+    private double pace(long now, Server s) {
+        double own = Math.exp((s.pacedAt - now) / (PACE_FADE_US * haste));
+        return (own * s.took + PACE_PRIOR * setTook) / (own * s.heldSeen + PACE_PRIOR * setHeld);
     }
 
     /**
      * Only from answers that tell what was held: a time-out with an unknown queue would make any server slow.
      */
-    private void notePace(Server s, double heldPerSize, double took) {
+    private void notePace(long now, Server s, double heldPerSize, double took) {
+        s.pacedAt = now;
         s.heldSeen += PACE_GAIN * (heldPerSize - s.heldSeen);
         s.took += PACE_GAIN * (took - s.took);
         double gain = setTook == 0 ? 1 : PACE_GAIN / 2;    // the first answer is better than none
@@ -621,7 +674,7 @@
 
     private void clearFlag(long now, Server s) {
         s.flag = false;
-        long timer = FLAG_TIMER_US << Math.min(s.badRun, FLAG_DOUBLINGS);
+        long timer = hasty(FLAG_TIMER_US << Math.min(s.badRun, FLAG_DOUBLINGS));
         s.flagSetAt = now + timer / 2 + random.nextLong(timer);
     }
 
@@ -674,7 +727,8 @@
         boolean refusable = h.firstMayHaveRun == null || h.type.semantics() == Semantics.RETRYABLE
                 || h.type.semantics() == Semantics.DEDUP && h.type.group() == Group.ALL;
         if (refusable) {
-            actions.refuse(h.request.id(), settings.limits().maxRetryAfterUs());
+            // Short of the aim: a client that came back after its deadline would not be served at all.
+            actions.refuse(h.request.id(), Math.min(settings.limits().maxRetryAfterUs(), h.type.aimUs() / 2));
         } else {
             actions.fail(h.request.id());
         }
@@ -727,9 +781,9 @@
         double late = !answered ? 1 : tookUs > aim ? LATE_ANSWER : 0;
         lateShare[s.zone] += LATE_GAIN * (late - lateShare[s.zone]);
         if (!answered) {
-            told(now, s, Math.min(MAX_HELD, HOLD_SHARE * meanAim / Math.max(1, pace(s)) * s.size));
+            told(now, s, Math.min(MAX_HELD, HOLD_SHARE * meanAim / Math.max(1, pace(now, s)) * s.size));
         } else if (report != null && s.reportAt == now) {
-            notePace(s, Math.max(1, s.reported) / s.size, tookUs);
+            notePace(now, s, Math.max(1, s.reported) / s.size, tookUs);
         }
     }
 
@@ -738,22 +792,34 @@
         switch (outcome) {
             case OK -> {
                 s.badRun = Math.max(0, s.badRun - 1);
-                if (s.trial && ++s.goodRun >= GOOD_RUN) {
+                noteCommon(s, 0);
+                s.doubt = Math.max(DOUBT_NONE, s.doubt - DOUBT_TAKE);
+                if (s.trial && s.doubt < -2 * DOUBT_TAKE) {
                     s.trial = false;
                     s.strikes = 0;
                     log(now, "sound again: " + s.host);
                 }
             }
             case REFUSED -> {
-                s.holdUntil = Math.max(s.holdUntil, now + HOLD_US);   // room may come with the next answer
+                // Room may come with the next answer.
+                s.holdUntil = Math.max(s.holdUntil, now + hasty(HOLD_US));
                 clearFlag(now, s);
             }
             case TIMEOUT -> {
-                s.holdUntil = now + (TIMEOUT_HOLD_US << Math.min(s.badRun, HOLD_DOUBLINGS));
+                s.holdUntil = now + hasty(TIMEOUT_HOLD_US << Math.min(s.badRun, HOLD_DOUBLINGS));
                 s.badRun++;
                 clearFlag(now, s);
             }
-            case ERROR, RESET, CONNECT_FAILED -> {
+            case ERROR, RESET -> {
+                double odds = FAILING_SHARE / Math.max(COMMON_MIN, commonFailures);
+                s.doubt += Math.min(DOUBT_ADD, Math.max(0, Math.log(odds)));
+                noteCommon(s, 1);
+                if (s.doubt >= 0) {
+                    clearFlag(now, s);
+                    shun(now, s, outcome.name());
+                }
+            }
+            case CONNECT_FAILED -> {
                 clearFlag(now, s);
                 shun(now, s, outcome.name());
             }
@@ -766,10 +832,17 @@
         if (!s.trial) {
             log(now, "passed over for " + why + ": " + s.host);
         }
-        s.shunUntil = now + Math.min(SHUN_MAX_US, SHUN_FIRST_US << Math.min(s.strikes, 10));
+        s.shunUntil = now + hasty(Math.min(SHUN_MAX_US, SHUN_FIRST_US << Math.min(s.strikes, 10)));
         s.strikes++;
         s.trial = true;
-        s.goodRun = 0;
+        s.doubt = 0;
+    }
+
+    /** What fails everywhere says nothing of one server; those on trial are left out of it. */
+    private void noteCommon(Server s, int failed) {
+        if (!s.trial) {
+            commonFailures += COMMON_GAIN * (failed - commonFailures);
+        }
     }
 
     private void noteReport(long now, Server s, LoadReport report) {
@@ -781,7 +854,7 @@
             return;                   // also NaN: one broken report must not upset the running means for good
         }
         told(now, s, requests);
-        double figure = requests / s.size * pace(s);
+        double figure = requests / s.size * pace(now, s);
         if (figure > spread * AIM_TH_F * meanAim) {
             clearFlag(now, s);
         } else if (figure <= spread * AIM_TH_U * meanAim && !s.trial && now >= s.holdUntil) {
