--- a/src/test/java/dapplequay/MechanismTest.java
+++ b/src/test/java/dapplequay/MechanismTest.java
@@ -326,7 +326,8 @@
     void slowAnswerLongPastNoLongerKeepsSendsAway() {
         Bench b = new Bench().fleet(2, 0);
         Done slow = b.request(Bench.SAFE);
-        b.module.outcome(b.now, slow.id(), 0, slow.host(), Outcome.OK, Bench.AIM, true, new LoadReport(1, 1));
+        b.module.outcome(b.now, slow.id(), 0, slow.host(), Outcome.OK, 9 * Bench.AIM, true,
+                new LoadReport(1, 1));
         boolean again = false;
         for (int i = 0; i < 300; i++) {
             Done send = b.pass(100_000).request(Bench.SAFE);
