--- a/src/main/java/dapplequay/Balance.java
+++ b/src/main/java/dapplequay/Balance.java
@@ -211,6 +211,7 @@
     private double meanWorth;
     private double setHeld = 1;                                    // of all answered sends, as per server
     private double setTook;
+    private int answers = 1;                                       // the guess at the start counts as one
     private double commonFailures;
     private boolean following;
     private int askFailures;
@@ -237,6 +238,8 @@
         }
         someRepeatable = repeatable;
         haste = Math.min(1, shortest / FITTED_AIM_US);
+        // A guess, until answers tell: with none all figures are 0, and the head gets all of the first burst.
+        setTook = AIM_TH_U * shortest;
         spread = SPREAD_LOW + (SPREAD_HIGH - SPREAD_LOW) * unit(mix(settings.position() + 1L));
         lateShare = new double[settings.zones().size()];
         fullShare = new double[settings.zones().size()];
@@ -659,7 +662,7 @@
         s.pacedAt = now;
         s.heldSeen += PACE_GAIN * (heldPerSize - s.heldSeen);
         s.took += PACE_GAIN * (took - s.took);
-        double gain = setTook == 0 ? 1 : PACE_GAIN / 2;    // the first answer is better than none
+        double gain = Math.max(PACE_GAIN / 2, 1.0 / ++answers);
         setHeld += gain * (heldPerSize - setHeld);
         setTook += gain * (took - setTook);
     }
--- a/src/main/java/dapplequay/net/Sidecar.java
+++ b/src/main/java/dapplequay/net/Sidecar.java
@@ -46,6 +46,7 @@
         Conductor conductor = new Conductor(facade, issuers);
         issuers.conductor(conductor);
         watch = new Watch(plan.discovery(), table, facade, issuers);
+        new WarmUp(setup, deadlines).run();
         acquirers = new AcquirerSide(plan.listen(), setup, facade, conductor, deadlines,
                 Math.min(MOST_ACQUIRERS, half));
         longestDeadlineUs = setup.settings().classes().stream().mapToLong(c -> c.deadlineUs()).max()
--- /dev/null
+++ b/src/main/java/dapplequay/net/WarmUp.java
@@ -0,0 +1,101 @@
+package dapplequay.net;
+
+import dapplequay.BalancerApi.Semantics;
+import dapplequay.facade.Decision;
+import dapplequay.facade.Facade;
+import dapplequay.facade.LegEnd;
+import dapplequay.facade.ListNews;
+import dapplequay.settings.SettingsReader.Setup;
+import java.io.ByteArrayInputStream;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.logging.Level;
+import java.util.logging.Logger;
+
+/**
+ * Walks made-up requests through the parsers, the decisions and the answers, in memory alone, before the
+ * listener opens. A process that is still loading and compiling its classes needs several times the CPU for
+ * a request; with clients at the door from its first moment, it falls behind and fails them.
+ */
+final class WarmUp {
+    private static final Logger LOG = Logger.getLogger(WarmUp.class.getName());
+    /** Enough for the compiler to have taken up what each request runs through. */
+    private static final int ROUNDS = 400;
+    /** Clients wait meanwhile. */
+    private static final long LONGEST_US = 1_000_000;
+    private static final int HOSTS = 9;
+    private static final String ANSWER = "HTTP/1.1 200 OK\r\nX-Load-Report: inflight=2,queue=1\r\n"
+            + "Content-Type: text/plain\r\nContent-Length: 4\r\n\r\ndone";
+
+    private final Setup setup;
+    private final Deadlines deadlines;
+    private final Facade facade;
+
+    /** Its facade is its own and is thrown away: nothing made up here may be taken for news of a host. */
+    WarmUp(Setup setup, Deadlines deadlines) {
+        this.setup = setup;
+        this.deadlines = deadlines;
+        facade = new Facade(setup.settings(), 1, deadlines::now);
+    }
+
+    /** Returns how many rounds were walked; a fault ends it and is told, as serving does not hang on it. */
+    int run() {
+        int rounds = 0;
+        long until = deadlines.now() + LONGEST_US;
+        try {
+            List<ListNews.Line> lines = new ArrayList<>();
+            for (int i = 0; i < HOSTS; i++) {
+                String zone = setup.settings().zones().get(i % setup.settings().zones().size());
+                lines.add(new ListNews.Line("w" + i, zone, i % 2, ListNews.State.SERVING, 1, 0));
+            }
+            facade.news(new ListNews(ListNews.Kind.RESTORED, lines));
+            while (rounds < ROUNDS && deadlines.now() < until) {
+                round(rounds++);
+            }
+        } catch (IOException | RuntimeException e) {
+            LOG.log(Level.WARNING, "not warmed up", e);
+        }
+        return rounds;
+    }
+
+    private void round(int number) throws IOException {
+        MessageReader in = reader(requestText(number));
+        in.await();
+        Head head = in.request();
+        AcquirerRequest request = AcquirerRequest.check(head, in.requestBody(head), setup);
+        long id = facade.nextId();
+        Decision decision = facade.pick(id, request.call(request.budgetUs()));
+        if (decision instanceof Decision.Send send) {
+            Deadlines.Deadline deadline = deadlines.after(send.timeoutUs(), () -> { });
+            request.bytesFor(new InetSocketAddress(InetAddress.getLoopbackAddress(), 1), send.timeoutUs());
+            MessageReader back = reader(ANSWER);
+            Head answer = back.response();
+            byte[] body = back.responseBody(answer);
+            facade.report(id, send.leg(), send.host(), LegEnd.SERVED, 1_000, true,
+                    LoadText.read(answer.get("X-Load-Report")));
+            Answers.served(answer, body).bytes(false);
+            deadlines.cancel(deadline);
+        }
+        facade.tick();
+    }
+
+    private static MessageReader reader(String text) {
+        return new MessageReader(new ByteArrayInputStream(text.getBytes(StandardCharsets.ISO_8859_1)));
+    }
+
+    private String requestText(int number) {
+        int index = number % setup.settings().classes().size();
+        var type = setup.settings().classes().get(index);
+        var tenants = setup.settings().tenants();
+        String tenant = tenants.isEmpty() ? ""
+                : "X-Caller: " + tenants.get(number % tenants.size()).name() + "\r\n";
+        return (type.semantics() == Semantics.RETRYABLE ? "GET /" : "POST /") + type.name()
+                + "/1?a=b HTTP/1.1\r\nHost: w\r\nX-Call-Id: " + Integer.toHexString(number) + "\r\n" + tenant
+                + "X-Budget-Ms: " + Math.max(1, type.deadlineUs() / 1000) + "\r\nIdempotency-Key: k\r\n"
+                + "Content-Length: 4\r\n\r\nbody";
+    }
+}
--- a/src/test/java/dapplequay/MechanismTest.java
+++ b/src/test/java/dapplequay/MechanismTest.java
@@ -5,8 +5,11 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.Collections;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.TreeSet;
 import dapplequay.Bench.Done;
 import dapplequay.BalancerApi.FleetEntry;
@@ -289,6 +292,17 @@
         return b.request(Bench.SAFE);
     }
 
+    /** With no pace known all figures were 0, and the head got the whole first burst. */
+    @Test
+    void firstBurstIsSpreadBeforeAnyAnswer() {
+        Bench b = new Bench().fleet(9, 0);
+        Map<String, Integer> sent = new TreeMap<>();
+        for (int i = 0; i < 45; i++) {
+            sent.merge(b.pass(100).request(Bench.SAFE).host(), 1, Integer::sum);
+        }
+        assertTrue(Collections.max(sent.values()) <= 10, "sends by server: " + sent);
+    }
+
     /** Slow answers of the first second, with the process still cold, kept a deployment refusing for good. */
     @Test
     void refusalsEndByAskingAServerThatNothingIsHeardOf() {
