--- a/src/main/java/dapplequay/cli/Config.java
+++ b/src/main/java/dapplequay/cli/Config.java
@@ -14,6 +14,7 @@
 /** Reads a sidecar's configuration: the file, with the addresses of the environment before its own. */
 final class Config {
     private static final int SOCKETS = 1024;
+    private static final int MEMORY_MB = 192;
 
     private Config() { }
 
@@ -23,7 +24,8 @@
         String place = file.toString();
         return new Sidecar.Plan(address(place, fields, "listen", environment.get("EDGE_LISTEN")),
                 address(place, fields, "discovery", environment.get("EDGE_DISCOVERY")), seed(place, fields),
-                sockets(place, fields), fields.get("known"),
+                limit(place, fields, "sockets", SOCKETS), limit(place, fields, "memory_mb", MEMORY_MB),
+                fields.get("known"),
                 SettingsReader.of(fields.get("settings"), place));
     }
 
@@ -74,12 +76,12 @@
         }
     }
 
-    private static int sockets(String place, Map<?, ?> fields) {
+    private static int limit(String place, Map<?, ?> fields, String name, int absent) {
         Object limits = fields.get("limits");
-        Object value = limits instanceof Map<?, ?> map ? map.get("sockets") : null;
+        Object value = limits instanceof Map<?, ?> map ? map.get(name) : null;
         if (value != null && !(value instanceof Number)) {
-            throw new SettingsException(place + ": limits.sockets is not a number: " + value);
+            throw new SettingsException(place + ": limits." + name + " is not a number: " + value);
         }
-        return value == null ? SOCKETS : ((Number) value).intValue();
+        return value == null ? absent : ((Number) value).intValue();
     }
 }
--- a/src/main/java/dapplequay/facade/LegEnd.java
+++ b/src/main/java/dapplequay/facade/LegEnd.java
@@ -7,6 +7,8 @@
     SERVED(Outcome.OK),
     /** The host answered that it failed. */
     ERROR(Outcome.ERROR),
+    /** The host found fault with the request itself, as a client made it: this tells nothing of the host. */
+    NOT_ACCEPTED(Outcome.CANCELLED),
     /** The host sent it back unseen. */
     TURNED_AWAY(Outcome.REFUSED),
     TIMED_OUT(Outcome.TIMEOUT),
--- a/src/main/java/dapplequay/net/AcquirerConnection.java
+++ b/src/main/java/dapplequay/net/AcquirerConnection.java
@@ -1,6 +1,8 @@
 package dapplequay.net;
 
+import java.io.EOFException;
 import java.io.IOException;
+import java.io.InputStream;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.logging.Level;
@@ -12,7 +14,12 @@
  */
 final class AcquirerConnection implements Runnable {
     private static final Logger LOG = Logger.getLogger(AcquirerConnection.class.getName());
-    private static final long WHOLE_REQUEST_US = 10_000_000;
+    /** An idle connection is closed after this: some clients ask once and never again, nor ever close. */
+    private static final long IDLE_US = 2_100_000;
+    /** A stranger, one that has not asked for anything yet, has at least so long before it makes room. */
+    private static final long STRANGER_US = 50_000;
+    /** What is still read after the last answer: clients that send without end are not waited for. */
+    private static final int DRAINED = 256 * 1024;
     /** A client that does not take its answer must not hold the thread that writes it. */
     private static final long WRITE_US = 5_000_000;
     /** After the last answer the client closes; closing first could take the answer from it. */
@@ -20,11 +27,16 @@
     private static final byte[] CONTINUE =
             "HTTP/1.1 100 Continue\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1);
 
-    private enum State { IDLE, BUSY, CLOSED }
+    /** READING: a request has begun to come; BUSY: it is whole and its answer is due. */
+    private enum State { IDLE, READING, BUSY, CLOSED }
 
     private final AcquirerSide side;
     private final Socket socket;
+    private final long sinceUs;
     private State state = State.IDLE;
+    private boolean asked;
+    private boolean late;
+    private Deadlines.Deadline idleEnd;
     private boolean lastRequest;
     private MessageReader reader;
     private Authorisation current;
@@ -32,6 +44,8 @@
     AcquirerConnection(AcquirerSide side, Socket socket) {
         this.side = side;
         this.socket = socket;
+        sinceUs = side.deadlines().now();
+        idleEnd = side.deadlines().after(IDLE_US, this::closeIfIdle);
     }
 
     void close() {
@@ -46,8 +60,7 @@
             while (reader.await() && beginRequest()) {
                 readRequest();
             }
-            // Bytes left unread would turn the close into a reset, and take the last answer from the client.
-            socket.getInputStream().skip(Long.MAX_VALUE);
+            drain();
         } catch (IOException e) {
             LOG.log(Level.FINE, "acquirer connection ended: {0}", e.toString());
         } finally {
@@ -55,24 +68,60 @@
                 side.conductor().clientLeft(current);
             }
             close();
+            synchronized (this) {
+                side.deadlines().cancel(idleEnd);
+            }
             side.ended(this);
         }
     }
 
+    /** Bytes left unread would turn the close into a reset, and take the last answer from the client. */
+    private void drain() throws IOException {
+        InputStream in = socket.getInputStream();
+        byte[] unread = new byte[4 * 1024];
+        int read = 0;
+        for (int sum = 0; read >= 0 && sum < DRAINED; sum += read) {
+            read = in.read(unread);
+        }
+    }
+
     /** Waits for the answer to the request before; false where the connection takes no more. */
     private synchronized boolean beginRequest() {
         Waits.whileTrue(this, () -> state == State.BUSY);
         if (state == State.IDLE) {
-            state = State.BUSY;
+            state = State.READING;
+            side.deadlines().cancel(idleEnd);
             current = null;
             return true;
         }
         return false;
     }
 
+    /** The request is whole; IOException where the connection was closed to make room meanwhile. */
+    private synchronized void requestIsWhole() throws IOException {
+        if (state == State.CLOSED) {
+            throw new EOFException("made room");
+        }
+        state = State.BUSY;
+    }
+
+    /** Ends the wait for the rest of a request; its thread finds the end of the stream and answers. */
+    private synchronized void requestIsLate() {
+        late = true;
+        try {
+            socket.shutdownInput();
+        } catch (IOException e) {
+            close();
+        }
+    }
+
+    private synchronized boolean isLate() {
+        return late;
+    }
+
     private void readRequest() throws IOException {
         long receivedUs = side.deadlines().now();
-        Deadlines.Deadline late = side.deadlines().after(WHOLE_REQUEST_US, this::close);
+        Deadlines.Deadline whole = side.deadlines().after(side.wholeRequestUs(), this::requestIsLate);
         Head head;
         byte[] body;
         try {
@@ -85,9 +134,17 @@
             lastRequest = true;         // where this message ends, and the next begins, nobody can say
             answer(Answers.plain(e.status, e.getMessage()));
             return;
+        } catch (EOFException e) {
+            if (!isLate()) {
+                throw e;
+            }
+            lastRequest = true;
+            answer(Answers.plain(408, "request did not come whole in time"));
+            return;
         } finally {
-            side.deadlines().cancel(late);
+            side.deadlines().cancel(whole);
         }
+        requestIsWhole();
         // An answer to HEAD ends after its head, whatever length it names: not a method that is served here.
         lastRequest = head.closes(head.start[2]) || head.start[0].equals("HEAD");
         try {
@@ -108,6 +165,12 @@
             return;
         }
         AcquirerRequest request = AcquirerRequest.check(head, body, side.setup());
+        if (!side.callIds().isNew(request.callId(), receivedUs)) {
+            throw new BadMessage(409, "X-Call-Id of another request");
+        }
+        synchronized (this) {
+            asked = true;
+        }
         Authorisation authorisation = new Authorisation(side.nextId(), this, request);
         current = authorisation;
         long leftUs = request.budgetUs() - (side.deadlines().now() - receivedUs);
@@ -133,6 +196,9 @@
         }
         synchronized (this) {
             state = last ? State.CLOSED : State.IDLE;
+            if (!last) {
+                idleEnd = side.deadlines().after(IDLE_US, this::closeIfIdle);
+            }
             notifyAll();
         }
     }
@@ -154,4 +220,23 @@
         }
         return state == State.CLOSED;
     }
+
+    /** Whether nothing has been asked for whole on this connection. */
+    synchronized boolean isStranger() {
+        return !asked && (state == State.IDLE || state == State.READING);
+    }
+
+    /**
+     * Closes a grown stranger that says nothing or only the beginning of a request, and one that has its last
+     * answer: true if this was one.
+     */
+    synchronized boolean closeIfStranger() {
+        boolean grown = isStranger() && side.deadlines().now() - sinceUs >= STRANGER_US;
+        if (grown || state == State.CLOSED) {
+            state = State.CLOSED;
+            close();
+            return true;
+        }
+        return false;
+    }
 }
--- a/src/main/java/dapplequay/net/AcquirerRequest.java
+++ b/src/main/java/dapplequay/net/AcquirerRequest.java
@@ -11,8 +11,6 @@
 /** A request of the acquirer's, checked against the settings: what is wrong with it, no issuer host sees. */
 record AcquirerRequest(Head head, byte[] body, int serviceClass, int tenant, long budgetUs) {
     private static final List<String> REPLACED = List.of("host", "x-budget-ms");
-    /** Longer than any client waits; keeps the sum with the clock far from overflow. */
-    private static final long MAX_BUDGET_MS = 24L * 3600 * 1000;
 
     static AcquirerRequest check(Head head, byte[] body, Setup setup) throws BadMessage {
         String path = head.start[1].split("\\?", 2)[0];
@@ -33,12 +31,14 @@
             throw new BadMessage(400, "missing or bad X-Call-Id");
         }
         String budget = head.get("X-Budget-Ms");
-        if (budget == null || !budget.matches("[0-9]{1,9}") || Long.parseLong(budget) < 1
-                || Long.parseLong(budget) > MAX_BUDGET_MS) {
+        if (budget == null || !budget.matches("[0-9]{1,9}") || Long.parseLong(budget) < 1) {
             throw new BadMessage(400, "missing or bad X-Budget-Ms");
         }
+        // No client waits for longer than its class grants: a greater figure would hold a leg for good, and
+        // make all others look like later tries to the module.
+        long longestUs = setup.settings().classes().get(serviceClass).deadlineUs();
         return new AcquirerRequest(head, body, serviceClass, tenant(head, setup),
-                Long.parseLong(budget) * 1000);
+                Math.min(Long.parseLong(budget) * 1000, longestUs));
     }
 
     private static int tenant(Head head, Setup setup) throws BadMessage {
@@ -53,6 +53,11 @@
         return tenant;
     }
 
+    /** The id as the number it is: other ways of writing it are no other ids. */
+    long callId() throws BadMessage {
+        return Long.parseUnsignedLong(head.get("X-Call-Id"), 16);
+    }
+
     Call call(long leftUs) throws BadMessage {
         long hint = 0;
         String info = head.get("X-Call-Info");
--- a/src/main/java/dapplequay/net/AcquirerSide.java
+++ b/src/main/java/dapplequay/net/AcquirerSide.java
@@ -18,6 +18,9 @@
     private static final Logger LOG = Logger.getLogger(AcquirerSide.class.getName());
     private static final int BACKLOG = 1024;
     private static final long PAUSE_MS = 20;
+    /** Bounds, us, for a request to come whole; a client that is slower than it waits has left by then. */
+    private static final long WHOLE_LEAST_US = 1_000_000;
+    private static final long WHOLE_MOST_US = 2_000_000;
 
     private final Setup setup;
     private final Facade facade;
@@ -26,6 +29,8 @@
     private final int most;
     private final ServerSocket listener = new ServerSocket();
     private final Set<AcquirerConnection> connections = new LinkedHashSet<>();
+    private final long wholeRequestUs;
+    private final CallIds callIds;
     private volatile boolean ending;
 
     AcquirerSide(InetSocketAddress listen, Setup setup, Facade facade, Conductor conductor,
@@ -35,6 +40,9 @@
         this.conductor = conductor;
         this.deadlines = deadlines;
         this.most = most;
+        long longestUs = setup.settings().classes().stream().mapToLong(c -> c.deadlineUs()).max().orElse(0);
+        wholeRequestUs = Math.max(WHOLE_LEAST_US, Math.min(WHOLE_MOST_US, longestUs));
+        callIds = new CallIds(2 * longestUs);
         listener.bind(listen, BACKLOG);
     }
 
@@ -46,6 +54,15 @@
         return setup;
     }
 
+    /** How long a request may take to come whole. */
+    long wholeRequestUs() {
+        return wholeRequestUs;
+    }
+
+    CallIds callIds() {
+        return callIds;
+    }
+
     long nextId() {
         return facade.nextId();
     }
@@ -110,15 +127,16 @@
     }
 
     /**
-     * At the bound the oldest idle connection makes room, and while there is none the next waits. One at
-     * a time: closing all idle ones also met those just accepted, whose first request was still on its way.
+     * At the bound the oldest stranger makes room, else the oldest idle connection, and while there is none
+     * the next waits. One at a time: closing all idle ones also met those just accepted, whose first request
+     * was still on its way. Strangers first, also where they have to come of age, as floods of them would
+     * close the clients' connections.
      */
     private synchronized void awaitRoom() throws InterruptedException {
         while (connections.size() >= most) {
-            for (AcquirerConnection connection : connections) {
-                if (connection.closeIfIdle()) {
-                    break;
-                }
+            if (connections.stream().noneMatch(AcquirerConnection::closeIfStranger)
+                    && connections.stream().noneMatch(AcquirerConnection::isStranger)) {
+                connections.stream().anyMatch(AcquirerConnection::closeIfIdle);
             }
             wait(PAUSE_MS);
         }
--- a/src/main/java/dapplequay/net/Answers.java
+++ b/src/main/java/dapplequay/net/Answers.java
@@ -9,7 +9,8 @@
 final class Answers {
     private static final Map<Integer, String> REASONS = Map.ofEntries(Map.entry(200, "OK"),
             Map.entry(400, "Bad Request"), Map.entry(403, "Forbidden"), Map.entry(404, "Not Found"),
-            Map.entry(405, "Method Not Allowed"), Map.entry(413, "Content Too Large"),
+            Map.entry(405, "Method Not Allowed"), Map.entry(408, "Request Timeout"),
+            Map.entry(409, "Conflict"), Map.entry(413, "Content Too Large"),
             Map.entry(431, "Request Header Fields Too Large"), Map.entry(500, "Internal Server Error"),
             Map.entry(502, "Bad Gateway"), Map.entry(503, "Service Unavailable"),
             Map.entry(504, "Gateway Timeout"), Map.entry(505, "HTTP Version Not Supported"));
--- a/src/main/java/dapplequay/net/Conductor.java
+++ b/src/main/java/dapplequay/net/Conductor.java
@@ -38,12 +38,14 @@
     void legEnded(Leg leg, LegEnd end, HostLoad load, Head head, byte[] body) {
         Authorisation authorisation = leg.authorisation;
         guarded(authorisation, () -> {
-            boolean serves = end == LegEnd.SERVED && authorisation.claim();
+            // What the request itself is at fault for, another host would find too.
+            boolean serves = (end == LegEnd.SERVED || end == LegEnd.NOT_ACCEPTED) && authorisation.claim();
             authorisation.lastLegTimedOut(end == LegEnd.TIMED_OUT);
             Decision next = facade.report(authorisation.id, leg.order.leg(), leg.order.host(), end,
                     issuers.now() - leg.startUs, authorisation.isOver(), load);
             if (serves) {
-                authorisation.from.answer(Answers.served(head, body));
+                authorisation.from.answer(end == LegEnd.SERVED ? Answers.served(head, body)
+                        : Answers.plain(400, "not accepted"));
             } else {
                 carryOut(authorisation, next);
             }
--- a/src/main/java/dapplequay/net/IssuerConnection.java
+++ b/src/main/java/dapplequay/net/IssuerConnection.java
@@ -3,7 +3,6 @@
 import dapplequay.facade.HostLoad;
 import dapplequay.facade.LegEnd;
 import java.io.IOException;
-import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.util.logging.Level;
 import java.util.logging.Logger;
@@ -15,15 +14,16 @@
 final class IssuerConnection implements Runnable {
     private static final Logger LOG = Logger.getLogger(IssuerConnection.class.getName());
 
-    final InetSocketAddress endpoint;
+    final RoutingTable.Route route;
     private final IssuerSide side;
     private final Socket socket = new Socket();
     private Leg leg;
     private Deadlines.Deadline idleEnd;
+    private long idleSinceUs;
 
-    IssuerConnection(IssuerSide side, InetSocketAddress endpoint, Leg first) {
+    IssuerConnection(IssuerSide side, RoutingTable.Route route, Leg first) {
         this.side = side;
-        this.endpoint = endpoint;
+        this.route = route;
         leg = first;
     }
 
@@ -32,10 +32,15 @@
         leg = next;
     }
 
-    void idleEnd(Deadlines.Deadline end) {
+    void idle(long sinceUs, Deadlines.Deadline end) {
+        idleSinceUs = sinceUs;
         idleEnd = end;
     }
 
+    long idleSinceUs() {
+        return idleSinceUs;
+    }
+
     Deadlines.Deadline idleEnd() {
         return idleEnd;
     }
@@ -48,13 +53,13 @@
     void write(Leg now) {
         boolean whole = false;
         try {
-            byte[] message = now.authorisation.request.bytesFor(endpoint, now.untilUs - side.now());
+            byte[] message = now.authorisation.request.bytesFor(route.endpoint(), now.untilUs - side.now());
             if (!now.isCut()) {
                 socket.getOutputStream().write(message);
                 whole = true;
             }
         } catch (IOException e) {
-            LOG.log(Level.FINE, "leg could not be written to {0}: {1}", new Object[] {endpoint, e});
+            LOG.log(Level.FINE, "leg could not be written to {0}: {1}", new Object[] {route.endpoint(), e});
         } finally {
             now.writeEnded(whole);
             if (!whole) {
@@ -71,7 +76,7 @@
                 while (reader.await() && serve(reader)) { }
             }
         } catch (IOException e) {
-            LOG.log(Level.FINE, "connection to {0} ended: {1}", new Object[] {endpoint, e});
+            LOG.log(Level.FINE, "connection to {0} ended: {1}", new Object[] {route.endpoint(), e});
         } finally {
             close();
             side.ended(this);
@@ -87,9 +92,9 @@
             }
             long waitUs = Math.min(side.connectTimeoutUs(), first.untilUs - side.now());
             socket.setTcpNoDelay(true);
-            socket.connect(endpoint, (int) Math.max(1, waitUs / 1000));
+            socket.connect(route.endpoint(), (int) Math.max(1, waitUs / 1000));
             // The host may have been told to drain while the connect was under way.
-            ready = endpoint.equals(side.endpointOf(first.order.host())) || !first.answered(LegEnd.NOT_SENT);
+            ready = route.equals(side.routeOf(first.order.host())) || !first.answered(LegEnd.NOT_SENT);
         } finally {
             if (!ready) {
                 first.writeEnded(false);
@@ -116,7 +121,7 @@
             boolean open = !head.closes(head.start[0]) && !MessageReader.lastsToTheEnd(head)
                     && !reader.hasBytes() && !served.isWriting();
             LegEnd end = end(head);
-            HostLoad load = LoadText.read(head.get("X-Load-Report"));
+            HostLoad load = LoadText.read(head);
             if (!served.answered(end)) {
                 return false;       // cut while the answer came; the end of the connection reports it
             }
@@ -124,7 +129,7 @@
             side.answered(this, served, end, load, head, body, open);
             return open;
         } catch (BadMessage e) {
-            LOG.log(Level.WARNING, "rubbish from {0}: {1}", new Object[] {endpoint, e.getMessage()});
+            LOG.log(Level.WARNING, "rubbish from {0}: {1}", new Object[] {route.endpoint(), e.getMessage()});
             served.answered(LegEnd.ERROR);
             return false;
         }
@@ -135,6 +140,9 @@
         if (status.equals("200")) {
             return LegEnd.SERVED;
         }
+        if (status.startsWith("4")) {
+            return LegEnd.NOT_ACCEPTED;
+        }
         boolean unseen = (status.equals("503") || status.equals("504")) && "1".equals(head.get("X-Rejected"));
         return unseen ? LegEnd.TURNED_AWAY : LegEnd.ERROR;
     }
--- a/src/main/java/dapplequay/net/IssuerSide.java
+++ b/src/main/java/dapplequay/net/IssuerSide.java
@@ -2,11 +2,11 @@
 
 import dapplequay.facade.HostLoad;
 import dapplequay.facade.LegEnd;
-import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Collection;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.logging.Level;
@@ -17,13 +17,18 @@
     private static final Logger LOG = Logger.getLogger(IssuerSide.class.getName());
     /** A host closes at the full time; what is written to a connection from then on ends as a reset. */
     private static final double IDLE_SHARE = 0.7;
+    /**
+     * A connection rests so long after an answer: what a host sends or closes right behind it shows by then,
+     * and is not taken for the answer to the next leg, or that leg for one that may have run.
+     */
+    private static final long REST_US = 3_000;
 
     private final RoutingTable table;
     private final Deadlines deadlines;
     private final long connectTimeoutUs;
     private final long idleUs;
     private final int most;
-    private final Map<InetSocketAddress, Deque<IssuerConnection>> idle = new HashMap<>();
+    private final Map<RoutingTable.Route, Deque<IssuerConnection>> idle = new HashMap<>();
     private int open;
     private Conductor conductor;
 
@@ -48,14 +53,14 @@
         return connectTimeoutUs;
     }
 
-    InetSocketAddress endpointOf(String uid) {
-        return table.endpointOf(uid);
+    RoutingTable.Route routeOf(String uid) {
+        return table.routeOf(uid);
     }
 
     /** Starts a leg. Its end is told to the conductor, by this thread if nothing went out at all. */
     void send(Leg leg) {
-        InetSocketAddress endpoint = table.endpointOf(leg.order.host());
-        if (endpoint == null) {
+        RoutingTable.Route route = table.routeOf(leg.order.host());
+        if (route == null) {
             conductor.legEnded(leg, LegEnd.NOT_SENT, null, null, null);
             return;
         }
@@ -67,13 +72,13 @@
         IssuerConnection evicted = null;
         boolean fresh = false;
         synchronized (this) {
-            connection = takeIdle(endpoint, leg);
+            connection = takeIdle(route, leg);
             if (connection == null) {
                 if (open >= most) {
                     evicted = evict();
                 }
                 if (open < most || evicted != null) {
-                    connection = new IssuerConnection(this, endpoint, leg);
+                    connection = new IssuerConnection(this, route, leg);
                     fresh = true;
                     open++;
                 }
@@ -93,7 +98,7 @@
             return;
         }
         try {
-            new Thread(connection, "issuer " + Sockets.text(endpoint)).start();
+            new Thread(connection, "issuer " + Sockets.text(route.endpoint())).start();
         } catch (OutOfMemoryError e) {
             // No thread to be had; the leg never ran, and the module decides what to do instead.
             LOG.log(Level.SEVERE, "no thread for a connection", e);
@@ -102,14 +107,22 @@
         }
     }
 
-    private IssuerConnection takeIdle(InetSocketAddress endpoint, Leg leg) {
-        Deque<IssuerConnection> ready = idle.get(endpoint);
-        IssuerConnection connection = ready == null ? null : ready.pollLast();
-        if (connection != null) {
-            deadlines.cancel(connection.idleEnd());
-            connection.assign(leg);
+    private IssuerConnection takeIdle(RoutingTable.Route route, Leg leg) {
+        Deque<IssuerConnection> ready = idle.get(route);
+        if (ready == null) {
+            return null;
+        }
+        long rested = now() - REST_US;
+        for (Iterator<IssuerConnection> last = ready.descendingIterator(); last.hasNext(); ) {
+            IssuerConnection connection = last.next();
+            if (connection.idleSinceUs() <= rested) {
+                last.remove();
+                deadlines.cancel(connection.idleEnd());
+                connection.assign(leg);
+                return connection;
+            }
         }
-        return connection;
+        return null;
     }
 
     private IssuerConnection evict() {
@@ -123,7 +136,7 @@
     }
 
     synchronized boolean isIdle(IssuerConnection connection) {
-        Deque<IssuerConnection> ready = idle.get(connection.endpoint);
+        Deque<IssuerConnection> ready = idle.get(connection.route);
         return ready != null && ready.contains(connection);
     }
 
@@ -131,10 +144,11 @@
     void answered(IssuerConnection connection, Leg leg, LegEnd end, HostLoad load, Head head, byte[] body,
                   boolean stays) {
         deadlines.cancel(leg.deadline());
-        if (stays && table.endpointOf(leg.order.host()) != null) {
+        // Where the list has changed meanwhile, the next leg goes to another process.
+        if (stays && connection.route.equals(table.routeOf(leg.order.host()))) {
             synchronized (this) {
-                connection.idleEnd(deadlines.after(idleUs, () -> retire(connection)));
-                idle.computeIfAbsent(connection.endpoint, e -> new ArrayDeque<>()).addLast(connection);
+                connection.idle(now(), deadlines.after(idleUs, () -> retire(connection)));
+                idle.computeIfAbsent(connection.route, e -> new ArrayDeque<>()).addLast(connection);
             }
         } else {
             connection.close();
@@ -149,16 +163,20 @@
     }
 
     private synchronized boolean removeIdle(IssuerConnection connection) {
-        Deque<IssuerConnection> ready = idle.get(connection.endpoint);
-        return ready != null && ready.remove(connection);
+        Deque<IssuerConnection> ready = idle.get(connection.route);
+        boolean removed = ready != null && ready.remove(connection);
+        if (removed && ready.isEmpty()) {
+            idle.remove(connection.route);      // hosts come under new ids for good
+        }
+        return removed;
     }
 
-    /** Closes the idle connections to endpoints that want no more work. */
-    void closeIdle(Collection<InetSocketAddress> endpoints) {
-        for (InetSocketAddress endpoint : endpoints) {
+    /** Closes the idle connections on routes that take no more work. */
+    void closeIdle(Collection<RoutingTable.Route> routes) {
+        for (RoutingTable.Route route : routes) {
             Deque<IssuerConnection> ready;
             synchronized (this) {
-                ready = idle.remove(endpoint);
+                ready = idle.remove(route);
             }
             if (ready != null) {
                 ready.forEach(IssuerConnection::close);
@@ -180,7 +198,7 @@
             if (end == LegEnd.TIMED_OUT) {
                 // A machine that vanished leaves its idle connections open and silent: a leg on another one
                 // would time out too and might have run, while a connect that fails proves that it never ran.
-                closeIdle(List.of(connection.endpoint));
+                closeIdle(List.of(connection.route));
             }
             conductor.legEnded(owed, end, null, null, null);
         }
--- a/src/main/java/dapplequay/net/LoadText.java
+++ b/src/main/java/dapplequay/net/LoadText.java
@@ -6,6 +6,18 @@
 final class LoadText {
     private LoadText() { }
 
+    /**
+     * Null where there is no report. One that can't be read, or contradicts another, spoils no answer: it is
+     * passed over.
+     */
+    static HostLoad read(Head answer) {
+        try {
+            return read(answer.get("X-Load-Report"));
+        } catch (BadMessage e) {
+            return null;
+        }
+    }
+
     /** Null where there is no report; what is no number counts as not told. */
     static HostLoad read(String text) {
         if (text == null) {
--- a/src/main/java/dapplequay/net/RoutingTable.java
+++ b/src/main/java/dapplequay/net/RoutingTable.java
@@ -19,10 +19,16 @@
  * the network asks for endpoints; they differ from one sidecar to the next and may change.
  */
 final class RoutingTable {
-    private final Map<String, Route> routes = new HashMap<>();
+    private final Map<String, Listed> routes = new HashMap<>();
     private long revision;
 
-    private record Route(InetSocketAddress endpoint, State state) { }
+    /**
+     * The way to one process: a host that restarts, moves or comes up at the address of a gone one is
+     * another, so that no connection of the one before is used for it.
+     */
+    record Route(String uid, InetSocketAddress endpoint, long bootMs) { }
+
+    private record Listed(Route route, State state) { }
 
     /** One text of discovery's, read and checked as a whole before any of it counts. */
     record Update(long revision, ListNews news, Map<String, InetSocketAddress> endpoints) { }
@@ -79,9 +85,9 @@
         return revision;
     }
 
-    /** Takes an update over; returns the endpoints that want no new work. */
-    synchronized Set<InetSocketAddress> take(Update update) {
-        Set<InetSocketAddress> before = serving();
+    /** Takes an update over; returns the routes that take no new work any more. */
+    synchronized Set<Route> take(Update update) {
+        Set<Route> before = serving();
         if (update.news().kind() != ListNews.Kind.CHANGES) {
             routes.clear();
         }
@@ -89,7 +95,8 @@
             if (line.state() == State.DELETED) {
                 routes.remove(line.uid());
             } else {
-                routes.put(line.uid(), new Route(update.endpoints().get(line.uid()), line.state()));
+                Route route = new Route(line.uid(), update.endpoints().get(line.uid()), line.bootMs());
+                routes.put(line.uid(), new Listed(route, line.state()));
             }
         }
         revision = update.revision();
@@ -97,19 +104,19 @@
         return before;
     }
 
-    private Set<InetSocketAddress> serving() {
-        Set<InetSocketAddress> serving = new HashSet<>();
-        for (Route route : routes.values()) {
-            if (route.state() == State.SERVING) {
-                serving.add(route.endpoint());
+    private Set<Route> serving() {
+        Set<Route> serving = new HashSet<>();
+        for (Listed listed : routes.values()) {
+            if (listed.state() == State.SERVING) {
+                serving.add(listed.route());
             }
         }
         return serving;
     }
 
-    /** Where to reach the host, or null where it wants no new work or is not listed. */
-    synchronized InetSocketAddress endpointOf(String uid) {
-        Route route = routes.get(uid);
-        return route == null || route.state() != State.SERVING ? null : route.endpoint();
+    /** How to reach the host, or null where it wants no new work or is not listed. */
+    synchronized Route routeOf(String uid) {
+        Listed listed = routes.get(uid);
+        return listed == null || listed.state() != State.SERVING ? null : listed.route();
     }
 }
--- a/src/main/java/dapplequay/net/Sidecar.java
+++ b/src/main/java/dapplequay/net/Sidecar.java
@@ -13,11 +13,14 @@
 /** One sidecar: puts the parts together, starts and ends them. */
 public final class Sidecar {
     private static final Logger LOG = Logger.getLogger(Sidecar.class.getName());
-    /** Descriptors kept for the program itself, the listener and discovery. */
-    private static final int OWN_DESCRIPTORS = 64;
-    /** Each connection has a thread, at about 0.11 MB with its buffer; 192 MB hold no more than these. */
-    private static final int MOST_ACQUIRERS = 480;
-    private static final int MOST_ISSUERS = 360;
+    /** Descriptors kept for the program itself, the listener and discovery; the JVM has two dozen open. */
+    private static final int OWN_DESCRIPTORS = 32;
+    /** Of the others; of all of them clients hold up to a third, and strangers come on top. */
+    private static final double ACQUIRER_SHARE = 0.55;
+    /** What the process takes without connections, and each of these with its thread and its buffer. */
+    private static final double BASE_MB = 75;
+    private static final double CONNECTION_MB = 0.11;
+    private static final int FEWEST = 4;
     private static final long TURN_US = 10_000;
     /** After an ending was ordered, new connections come for 0.4 s more. */
     private static final long LATE_CONNECTIONS_US = 550_000;
@@ -31,7 +34,13 @@
 
     /** What a start needs. {@code known} is a tree in discovery's form, or null where none was kept. */
     public record Plan(InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
-                       Object known, Setup setup) { }
+                       int memoryMb, Object known, Setup setup) {
+        /** Connections of both sides together that the limits allow. */
+        int mostConnections() {
+            double byMemory = (memoryMb - BASE_MB) / CONNECTION_MB;
+            return (int) Math.max(FEWEST, Math.min(sockets - OWN_DESCRIPTORS, byMemory));
+        }
+    }
 
     /** Listens from here on; IOException where the address or the known list is no good. */
     public Sidecar(Plan plan) throws IOException {
@@ -40,15 +49,16 @@
         Setup setup = plan.setup();
         facade = new Facade(setup.settings(), plan.seed(), clock);
         RoutingTable table = restored(plan, facade);
-        int half = Math.max(1, (plan.sockets() - OWN_DESCRIPTORS) / 2);
+        int most = plan.mostConnections();
+        int mostAcquirers = (int) (most * ACQUIRER_SHARE);
         IssuerSide issuers = new IssuerSide(table, deadlines, setup.connectTimeoutUs(), setup.connIdleUs(),
-                Math.min(MOST_ISSUERS, half));
+                most - mostAcquirers);
         Conductor conductor = new Conductor(facade, issuers);
         issuers.conductor(conductor);
         watch = new Watch(plan.discovery(), table, facade, issuers);
         new WarmUp(setup, deadlines).run();
         acquirers = new AcquirerSide(plan.listen(), setup, facade, conductor, deadlines,
-                Math.min(MOST_ACQUIRERS, half));
+                mostAcquirers);
         longestDeadlineUs = setup.settings().classes().stream().mapToLong(c -> c.deadlineUs()).max()
                 .orElse(0);
     }
--- a/src/main/java/dapplequay/net/WarmUp.java
+++ b/src/main/java/dapplequay/net/WarmUp.java
@@ -76,7 +76,7 @@
             Head answer = back.response();
             byte[] body = back.responseBody(answer);
             facade.report(id, send.leg(), send.host(), LegEnd.SERVED, 1_000, true,
-                    LoadText.read(answer.get("X-Load-Report")));
+                    LoadText.read(answer));
             Answers.served(answer, body).bytes(false);
             deadlines.cancel(deadline);
         }
