--- a/src/main/java/dapplequay/Balance.java
+++ b/src/main/java/dapplequay/Balance.java
@@ -5,6 +5,7 @@
 import java.util.Arrays;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
@@ -13,16 +14,12 @@
  * Every decision of one balancer: buddy-set load sharing after Shin and Chang. A small buddy set in a fixed
  * order; the head takes a send unless that takes it past TH_v; then the first buddy in order whose share flag
  * is set; else the head. One instance serves one client process, shares nothing, and is not thread-safe.
- * Rules are kept in two places: {@link #send} is the only one that sends, {@link #answer} the only one that
- * answers.
+ * Rules are kept in two places: only {@link #send} sends, and only {@link #answer} answers.
  */
 public final class Balance implements BalancerApi {
     // ---- settings; a load figure is the time, us, that a request sent now is thought to take ----
-    /**
-     * The shortest aim, us, that the times below were fitted to: where aims are shorter, work, reports and
-     * troubles pass faster too, and all these times shrink with them. Unshrunk, a deployment four times as
-     * fast passed servers over for four times too long.
-     */
+    // The aim, us, that the times below were fitted to: where the shortest aim is shorter, work, reports and
+    // troubles pass faster too, and these times, unshrunk, would pass servers over for far too long.
     private static final double FITTED_AIM_US = 600_000;
     /** Buddies; the paper finds 10 to 15 enough at any fleet size, and each buddy may cost a connection. */
     private static final int SET_SIZE = 12;
@@ -32,12 +29,10 @@
     private static final double AIM_TH_U = 0.1;
     private static final double AIM_TH_F = 0.14;
     private static final double AIM_TH_V = 0.18;
-    /**
-     * A send is refused whose figure is past a share of its aim: this over the share of recent answers that
-     * came too late, within the bounds below. Figures are old and servers turn away what they cannot hold, so
-     * while next to nothing is late the figure alone is no reason to refuse; where much is, queues are too
-     * long everywhere.
-     */
+    // A send is refused whose figure is past a share of its aim: this over the share of recent answers that
+    // came too late, within the bounds below. Figures are old and servers turn away what they cannot hold, so
+    // while next to nothing is late the figure alone is no reason to refuse; where much is, queues are too
+    // long everywhere.
     private static final double ADMIT_LOSS = 0.12;
     private static final double ADMIT_MIN = 0.7;
     private static final double ADMIT_MAX = 3;
@@ -45,20 +40,16 @@
     private static final double LATE_GAIN = 0.15;
     /** What an answer past its aim counts in it: the queue was too long, or only the request heavy. */
     private static final double LATE_ANSWER = 0.5;
-    /**
-     * Balancers spread their thresholds between these multiples, by number: with one threshold for all, those
-     * that share a server see the same late figure and turn away, and back, together.
-     */
+    // Balancers spread their thresholds between these multiples, by number: with one threshold for all, those
+    // that share a server see the same late figure and turn away, and back, together.
     private static final double SPREAD_LOW = 0.7;
     private static final double SPREAD_HIGH = 1.3;
     /** What a report tells fades with this time constant, us, towards what its zone's buddies mostly held, */
     private static final double FADE_US = 8_000_000;
     /** which fades towards nothing with this one, us: a queue nobody feeds is worked off. */
     private static final double ZONE_FADE_US = 3_000_000;
-    /**
-     * Time constant, us, of the mean of what a server is told to hold for others: each report is old and far
-     * from the mean. By time and not by count, as a server that is sent little would keep a bad name.
-     */
+    // Time constant, us, of the mean of what a server is told to hold for others: each report is old and far
+    // from the mean. By time and not by count, as a server that is sent little would keep a bad name.
     private static final double OTHERS_US = 3_000_000;
     /** A request of a greater share of its worth may ask a server anew that nothing would be sent to. */
     private static final double ASKING_WORTH = 0.5;
@@ -66,28 +57,20 @@
     private static final long FLAG_TIMER_US = 2_000_000;
     /** The same for a buddy new to the set: soon, as its first figures come only with a send. */
     private static final long NEW_FLAG_US = 300_000;
-    /**
-     * A refusal or time-out brings no report, so it stands for one: a figure of this share of the aim, for so
-     * long, us, doubled for each further one (an answer takes one back) up to so many times; the flag timer
-     * likewise.
-     */
+    // A refusal or time-out brings no report, so it stands for one: a figure of this share of the aim, for so
+    // long, us, doubled for each further one (an answer takes one back) up to so many times; the flag timer
+    // likewise.
     private static final double HOLD_SHARE = 1.2;
     private static final long HOLD_US = 300_000;
     /** The same after a time-out, which costs far more to repeat than a refusal. */
     private static final long TIMEOUT_HOLD_US = 1_000_000;
     private static final int HOLD_DOUBLINGS = 3;
-    private static final int FLAG_DOUBLINGS = 3;
-    /**
-     * A failing server is passed over for this long, us, doubled at each further failure up to the second
-     * value.
-     */
+    // A failing server is passed over for so long, us, doubled at each further failure up to the second.
     private static final long SHUN_FIRST_US = 1_000_000;
     private static final long SHUN_MAX_US = 8_000_000;
-    /**
-     * Whether a server fails more than the others is weighed as odds, in logarithms: where it stands when
-     * nothing speaks against it, what a failure adds at most and what an answer takes away. A failing one
-     * fails a third of its requests or more; where all fail now and then, one failure is no reason.
-     */
+    // Whether a server fails more than the others is weighed as odds, in logarithms: where it stands when
+    // nothing speaks against it, what a failure adds at most and what an answer takes away. A failing one
+    // fails a third of its requests or more; where all fail now and then, one failure is no reason.
     private static final double DOUBT_NONE = -3.5;
     private static final double DOUBT_ADD = 3;
     private static final double DOUBT_TAKE = 0.9;
@@ -95,6 +78,18 @@
     /** Weight of the newest outcome in the share that fails at sound servers, and the least it counts. */
     private static final double COMMON_GAIN = 0.01;
     private static final double COMMON_MIN = 0.002;
+    // A trial's leg is out for this share of the aim, where another server may take the request after it: one
+    // at a server that has vanished is then still served in time.
+    private static final double TRIAL_SHARE = 0.5;
+    // A server is silent once legs are out and none has been answered for this share of the aim (twice that
+    // with one leg) and so many times as long as its answers are usually apart; it is tried again after this,
+    // us. Such a machine may be back at any moment, and gone again: what is out there is lost.
+    private static final double SILENT_SHARE = 0.5;
+    private static final double SILENT_GAPS = 5;
+    private static final long SILENT_US = 300_000;
+    /** How often that is looked at, as a share of the aim. */
+    private static final double WATCH_SHARE = 0.1;
+    private static final long WATCH_TOKEN = 2;
     /** A trial ends by itself after this, us: where nothing repeatable comes by, it would never end. */
     private static final long TRIAL_US = 10_000_000;
     /** From this share of the aim on, a figure loses more than an exponential answer time would. */
@@ -108,10 +103,8 @@
     /** Weight of the newest answer in a server's pace, and the set's pace as that many answers beside it. */
     private static final double PACE_GAIN = 0.15;
     private static final double PACE_PRIOR = 0.5;
-    /**
-     * A server's own pace fades with this, us, where no answer renews it: one slow answer, as at a cold start
-     * of this very process, would else keep sends away, and with them the answers that could mend it.
-     */
+    // A server's own pace fades with this, us, where no answer renews it: one slow answer, as at a cold start
+    // of this very process, would else keep sends away, and with them the answers that could mend it.
     private static final double PACE_FADE_US = 8_000_000;
     /** Share of the cold budget that is used: the rest is for chance, handshakes and ill-spread heads. */
     private static final double COLD_MARGIN = 0.4;
@@ -144,6 +137,8 @@
         double orderKey;          // place in this balancer's permutation
         boolean buddy;
         int own;                  // own attempts out
+        long answeredAt;          // the last answer of any kind
+        double gap;               // usual time between answers while legs are out, us, running mean
         long silentSince;         // while any is out: the last outcome, or the send that ended its idleness
         double reported = Double.NaN;
         double others;            // held for others, as told, running mean
@@ -178,6 +173,7 @@
         Server firstMayHaveRun;
         long firstMayHaveRunAt;
         long sentAt;
+        int cut;                  // attempts of which the last was given up as its server is silent
 
         Held(Request request, ServiceClass type, long usefulUntil, double load, double worthShare) {
             this.request = request;
@@ -192,9 +188,9 @@
     private final Actions actions;
     private final SplittableRandom random;
     private final Map<String, Server> servers = new HashMap<>();   // looked up only, never walked
-    private final List<Server> listed = new ArrayList<>();         // the same servers, in the order met
+    final List<Server> listed = new ArrayList<>();                 // the same servers, in the order met
     private List<Server> buddies = List.of();
-    private final Map<Long, Held> held = new HashMap<>();
+    private final Map<Long, Held> held = new LinkedHashMap<>();
     private final long[] longestLeft;                              // per class: the try that clients grant
     private final boolean someRepeatable;
     private final double haste;                                    // what the fitted times are multiplied by
@@ -213,6 +209,7 @@
     private double setTook;
     private int answers = 1;                                       // the guess at the start counts as one
     private double commonFailures;
+    private boolean watching;
     private boolean following;
     private int askFailures;
     private long nextLogAt;
@@ -283,8 +280,7 @@
         boolean changed = kind != ListKind.DELTA;
         if (changed) {
             for (Server s : listed) {
-                s.ready = false;      // a full list leaves out what is gone
-                s.draining = false;
+                s.ready = s.draining = false;      // a full list leaves out what is gone
             }
         }
         for (FleetEntry e : entries) {
@@ -297,11 +293,6 @@
         }
     }
 
-    /** Servers kept in memory. */
-    int known() {
-        return listed.size();
-    }
-
     private long askSpread() {
         return (long) (settings.discovery().askWithinUs() * ASK_SPREAD);
     }
@@ -389,12 +380,8 @@
                 s.flagSetAt = now + hasty(NEW_FLAG_US) / 2 + random.nextLong(hasty(NEW_FLAG_US));
             }
         }
-        for (Server s : buddies) {
-            s.buddy = false;
-        }
-        for (Server s : set) {
-            s.buddy = true;
-        }
+        buddies.forEach(s -> s.buddy = false);
+        set.forEach(s -> s.buddy = true);
         buddies = set;
     }
 
@@ -402,10 +389,7 @@
     private Server headOf(List<Server> ring) {
         List<Server> order = new ArrayList<>(ring);
         order.sort(Comparator.comparingLong((Server s) -> mix(s.host.hashCode())).thenComparing(s -> s.host));
-        double arc = 0;
-        for (Server s : order) {
-            arc += s.size;
-        }
+        double arc = order.stream().mapToDouble(s -> s.size).sum();
         double point = fraction(settings.position()) * arc;
         for (Server s : order) {
             point -= s.size;
@@ -458,10 +442,8 @@
         proceed(now, h);
     }
 
-    /**
-     * What a request of this tenant is worth on average, as part of its class's worth. Usage across all
-     * balancers is unknown, but a burst shows in the mix at each: the tenant is deeper into its share.
-     */
+    // What a request of this tenant is worth on average, as part of its class's worth. Usage across all
+    // balancers is unknown, but a burst shows in the mix at each: the tenant is deeper into its share.
     private double tenantWorth(int tenant) {
         if (tenant < 0 || tenantMix.length < 2) {
             return 1;
@@ -486,7 +468,7 @@
 
     /** The mechanism's rule, and what departs from it where it would send into a queue that is too long. */
     private Server pick(long now, Held h) {
-        double limit = thresholdV(h.type.aimUs()) * h.worthShare;
+        double limit = spread * AIM_TH_V * h.type.aimUs() * h.worthShare;
         Server head = null;
         Server least = null;
         Server unasked = null;
@@ -497,7 +479,7 @@
                 continue;
             }
             double figure = figure(now, s, h.load);
-            if (figure <= limit && (head == null || flagged(now, s))) {
+            if (figure <= limit && (head == null || (s.flag || now >= s.flagSetAt))) {
                 return s;
             }
             if (head == null) {
@@ -532,12 +514,8 @@
 
     /** Acts when every buddy is failing, on trial or cold: the first in order that the rules allow. */
     private Server lastResort(long now, Held h) {
-        for (Server s : buddies) {
-            if (maySend(now, h, s) && !h.attempts.contains(s) && (coldShare(now, s) >= 1 || s.own == 0)) {
-                return s;
-            }
-        }
-        return null;
+        return buddies.stream().filter(s -> maySend(now, h, s) && !h.attempts.contains(s)
+                && (coldShare(now, s) >= 1 || s.own == 0)).findFirst().orElse(null);
     }
 
     /** Crossing zones has a price: a diversion crosses only if that saves more worth than it costs. */
@@ -583,9 +561,7 @@
         return true;
     }
 
-    /**
-     * The share of its heads' ordinary sends that a server may get: all balancers use the same, from its age.
-     */
+    // The share of its heads' ordinary sends that a server may get: all balancers use the same, from its age.
     private double coldShare(long now, Server s) {
         ColdStart cold = settings.coldStart();
         if (s.startedUs <= 0 || now - s.startedUs >= cold.warmUpUs()) {
@@ -634,10 +610,8 @@
         noteZone(now, s.zone);
     }
 
-    /**
-     * The paper's cumulative execution time: what the server holds, with {@code more}, times the pace it
-     * shows.
-     */
+    // The paper's cumulative execution time: what the server holds, with {@code more}, times the pace it
+    // shows.
     private double figure(long now, Server s, double more) {
         double time = (held(now, s) + more) / s.size * pace(now, s);
         if (s.own > 0) {
@@ -647,17 +621,13 @@
         return now < s.holdUntil ? Math.max(time, HOLD_SHARE * meanAim) : time;
     }
 
-    /**
-     * Time per request held and unit of size (Little's law), leaning on the whole set where little was sent.
-     */
+    // Time per request held and unit of size (Little's law), leaning on the whole set where little was sent.
     private double pace(long now, Server s) {
         double own = Math.exp((s.pacedAt - now) / (PACE_FADE_US * haste));
         return (own * s.took + PACE_PRIOR * setTook) / (own * s.heldSeen + PACE_PRIOR * setHeld);
     }
 
-    /**
-     * Only from answers that tell what was held: a time-out with an unknown queue would make any server slow.
-     */
+    // Only from answers that tell what was held: a time-out with an unknown queue would make any server slow.
     private void notePace(long now, Server s, double heldPerSize, double took) {
         s.pacedAt = now;
         s.heldSeen += PACE_GAIN * (heldPerSize - s.heldSeen);
@@ -667,17 +637,9 @@
         setTook += gain * (took - setTook);
     }
 
-    private double thresholdV(double aim) {
-        return spread * AIM_TH_V * aim;
-    }
-
-    private static boolean flagged(long now, Server s) {
-        return s.flag || now >= s.flagSetAt;
-    }
-
     private void clearFlag(long now, Server s) {
         s.flag = false;
-        long timer = hasty(FLAG_TIMER_US << Math.min(s.badRun, FLAG_DOUBLINGS));
+        long timer = hasty(FLAG_TIMER_US << Math.min(s.badRun, HOLD_DOUBLINGS));
         s.flagSetAt = now + timer / 2 + random.nextLong(timer);
     }
 
@@ -685,10 +647,8 @@
 
     /** Rules 2 and 3, and the site's limits on attempts. */
     private boolean maySend(long now, Held h, Server s) {
-        if (!s.ready || h.attempts.size() >= settings.limits().sendCap()) {
-            return false;
-        }
-        if (h.out > 0 && !settings.limits().secondCopies()) {
+        if (!s.ready || h.attempts.size() >= settings.limits().sendCap()
+                || h.out > 0 && !settings.limits().secondCopies()) {
             return false;
         }
         Server ran = h.firstMayHaveRun;
@@ -717,10 +677,13 @@
             h.firstMayHaveRun = s;    // out counts as may have run, until its outcome proves that it did not
             h.firstMayHaveRunAt = now;
         }
-        if (s.own++ == 0) {
-            s.silentSince = now;
+        s.silentSince = s.own++ == 0 ? now : s.silentSince;
+        long timeout = h.usefulUntil - now;
+        if (s.trial && buddies.stream().anyMatch(o -> o != s && !o.trial && maySend(now, h, o))) {
+            timeout = Math.min(timeout, (long) (TRIAL_SHARE * h.type.aimUs()));
         }
-        actions.send(h.request.id(), s.host, Math.max(MIN_ATTEMPT_US, h.usefulUntil - now));
+        actions.send(h.request.id(), s.host, Math.max(MIN_ATTEMPT_US, timeout));
+        watchOn(!watching && settings.limits().mayCancel());
         return true;
     }
 
@@ -750,12 +713,19 @@
         Server s = servers.get(host);
         if (s != null) {
             s.own = Math.max(0, s.own - 1);
+            // No answer at all since the leg began: the machine is gone, which tells nothing of queues.
+            boolean silent = outcome == Outcome.TIMEOUT && s.answeredAt <= now - tookUs
+                    && (s.own > 0 || s.trial);
+            if (outcome == Outcome.OK || outcome == Outcome.ERROR || outcome == Outcome.REFUSED) {
+                s.gap += PACE_GAIN * (now - s.silentSince - s.gap);
+                s.answeredAt = now;
+            }
             s.silentSince = now;
-            judge(now, s, outcome);
+            judge(now, s, outcome, silent);
             noteReport(now, s, report);
             triedAt[s.zone] = now;
             fullShare[s.zone] += LATE_GAIN * ((outcome == Outcome.REFUSED ? 1 : 0) - fullShare[s.zone]);
-            if (outcome == Outcome.OK || outcome == Outcome.TIMEOUT) {
+            if (outcome == Outcome.OK || outcome == Outcome.TIMEOUT && !silent) {
                 Held timed = held.get(id);
                 long aim = timed == null ? Long.MAX_VALUE : timed.type.aimUs();
                 noteTime(now, s, outcome == Outcome.OK, tookUs, aim, report);
@@ -791,7 +761,7 @@
     }
 
     /** Failure diversion: what an outcome says about the server's health and its flag. */
-    private void judge(long now, Server s, Outcome outcome) {
+    private void judge(long now, Server s, Outcome outcome, boolean silent) {
         switch (outcome) {
             case OK -> {
                 s.badRun = Math.max(0, s.badRun - 1);
@@ -809,6 +779,10 @@
                 clearFlag(now, s);
             }
             case TIMEOUT -> {
+                if (silent) {
+                    sparedAsSilent(now, s);
+                    return;
+                }
                 s.holdUntil = now + hasty(TIMEOUT_HOLD_US << Math.min(s.badRun, HOLD_DOUBLINGS));
                 s.badRun++;
                 clearFlag(now, s);
@@ -848,6 +822,43 @@
         }
     }
 
+    private void sparedAsSilent(long now, Server s) {
+        double doubt = s.trial ? s.doubt : -1.5 * DOUBT_TAKE;    // that much is gone with one answer
+        int strikes = s.strikes;
+        shun(now, s, "silence");
+        s.shunUntil = now + hasty(SILENT_US);
+        s.strikes = strikes;
+        s.doubt = doubt;
+    }
+
+    /** Gives up the legs at servers that have fallen silent, where others may still serve the requests. */
+    private void watchLegs(long now) {
+        for (Server s : listed) {
+            double share = s.own > 1 ? SILENT_SHARE : 2 * SILENT_SHARE;
+            double patience = Math.max(share * meanAim, SILENT_GAPS * Math.max(s.gap, setTook));
+            if (s.own == 0 || now < s.shunUntil || now - s.silentSince < patience) {
+                continue;
+            }
+            sparedAsSilent(now, s);
+            for (Held h : held.values()) {
+                if (h.out == 1 && h.cut < h.attempts.size() && h.attempts.get(h.attempts.size() - 1) == s
+                        && buddies.stream().anyMatch(o -> !o.trial && usable(now, h, o, false))) {
+                    h.cut = h.attempts.size();
+                    actions.cancel(h.request.id(), h.cut - 1);
+                }
+            }
+        }
+        watching = !held.isEmpty();
+        watchOn(watching);
+    }
+
+    private void watchOn(boolean wanted) {
+        if (wanted) {
+            watching = true;
+            actions.timer(Math.max(1, (long) (WATCH_SHARE * meanAim)), WATCH_TOKEN);
+        }
+    }
+
     private void noteReport(long now, Server s, LoadReport report) {
         if (report == null) {
             return;
@@ -874,6 +885,8 @@
     public void timer(long now, long token) {
         if (token == ASK_TOKEN && !following) {
             actions.watchFleet(true);
+        } else if (token == WATCH_TOKEN) {
+            watchLegs(now);
         }
     }
 
--- a/src/main/java/dapplequay/facade/Facade.java
+++ b/src/main/java/dapplequay/facade/Facade.java
@@ -27,6 +27,7 @@
     private final LongSupplier clock;
     private final BalancerApi module;
     private final PriorityQueue<Timer> timers = new PriorityQueue<>();
+    private final List<Cut> cuts = new ArrayList<>();
     private final Queue<String> lines = new ConcurrentLinkedQueue<>();
     private long timersSet;
     private long lastId;
@@ -35,6 +36,9 @@
     private Decision decided;
     private boolean watchWanted;
 
+    /** A leg that is not to be waited for any longer; its end is reported like any other. */
+    public record Cut(long id, int leg) { }
+
     private record Timer(long atUs, long number, long token) implements Comparable<Timer> {
         @Override
         public int compareTo(Timer other) {
@@ -112,19 +116,25 @@
         module.fleet(clock.getAsLong(), kind, entries);
     }
 
-    /** Gives the module its timers that are due. */
-    public void tick() {
-        synchronized (this) {
-            long now = clock.getAsLong();
-            while (!timers.isEmpty() && timers.peek().atUs() <= now) {
-                begin(0, 0);
-                module.timer(now, timers.poll().token());
-            }
-        }
+    /** Gives the module its timers that are due; returns the legs that are to be cut now. */
+    public List<Cut> tick() {
+        List<Cut> now = new ArrayList<>();
+        tick(now);
         // Outside the lock: where the log's reader is stuck, the decisions must not wait for it.
         for (String line = lines.poll(); line != null; line = lines.poll()) {
             LOG.info(line);
         }
+        return now;
+    }
+
+    private synchronized void tick(List<Cut> cutNow) {
+        long now = clock.getAsLong();
+        while (!timers.isEmpty() && timers.peek().atUs() <= now) {
+            begin(0, 0);
+            module.timer(now, timers.poll().token());
+        }
+        cutNow.addAll(cuts);
+        cuts.clear();
     }
 
     /** Waits until the module wants the list watched; it goes on wanting that until a watch has failed. */
@@ -186,13 +196,13 @@
             lines.add(line);
         }
 
-        // The module asks for none of these. Should it begin to, the network has to learn them first.
-
         @Override
         public void cancel(long id, int attempt) {
-            throw new UnsupportedOperationException("cancel");
+            cuts.add(new Cut(id, attempt));
         }
 
+        // The module asks for none of these. Should it begin to, the network has to learn them first.
+
         @Override
         public void fetchFleet() {
             throw new UnsupportedOperationException("fetchFleet");
--- a/src/main/java/dapplequay/facade/LegEnd.java
+++ b/src/main/java/dapplequay/facade/LegEnd.java
@@ -18,6 +18,8 @@
     RESET(Outcome.RESET),
     /** Given up on this side, as the client left. */
     GIVEN_UP(Outcome.CANCELLED),
+    /** Cut by the decisions, as its host has fallen silent; it may have run. */
+    SILENT(Outcome.CANCELLED),
     /** Never written, for a reason that tells nothing of the host. */
     NOT_SENT(Outcome.NOT_SENT);
 
--- a/src/main/java/dapplequay/net/Conductor.java
+++ b/src/main/java/dapplequay/net/Conductor.java
@@ -5,6 +5,9 @@
 import dapplequay.facade.Facade;
 import dapplequay.facade.HostLoad;
 import dapplequay.facade.LegEnd;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.logging.Level;
 import java.util.logging.Logger;
 
@@ -14,6 +17,8 @@
 
     private final Facade facade;
     private final IssuerSide issuers;
+    /** The legs that are out, by their authorisation's number. */
+    private final Map<Long, Leg> out = new ConcurrentHashMap<>();
 
     Conductor(Facade facade, IssuerSide issuers) {
         this.facade = facade;
@@ -26,7 +31,9 @@
 
     private void carryOut(Authorisation authorisation, Decision decision) {
         if (decision instanceof Decision.Send send) {
-            issuers.send(new Leg(authorisation, send, issuers.now()));
+            Leg leg = new Leg(authorisation, send, issuers.now());
+            out.put(authorisation.id, leg);
+            issuers.send(leg);
         } else if (decision instanceof Decision.Refuse refuse && authorisation.claim()) {
             authorisation.from.answer(Answers.refusal(refuse.pauseUs()));
         } else if (decision instanceof Decision.Fail && authorisation.claim()) {
@@ -37,6 +44,7 @@
     /** A leg has ended; {@code load}, {@code head} and {@code body} are there only if it was answered. */
     void legEnded(Leg leg, LegEnd end, HostLoad load, Head head, byte[] body) {
         Authorisation authorisation = leg.authorisation;
+        out.remove(authorisation.id, leg);
         guarded(authorisation, () -> {
             // What the request itself is at fault for, another host would find too.
             boolean serves = (end == LegEnd.SERVED || end == LegEnd.NOT_ACCEPTED) && authorisation.claim();
@@ -52,6 +60,16 @@
         });
     }
 
+    /** Ends the wait for these legs; each is reported by its connection's own thread. */
+    void cut(List<Facade.Cut> cuts) {
+        for (Facade.Cut cut : cuts) {
+            Leg leg = out.get(cut.id());
+            if (leg != null && leg.order.leg() == cut.leg()) {
+                leg.cut(LegEnd.SILENT);
+            }
+        }
+    }
+
     /** The client is gone: nothing is owed, and the leg that is out is given up. */
     void clientLeft(Authorisation authorisation) {
         if (authorisation.claim()) {
--- a/src/main/java/dapplequay/net/IssuerSide.java
+++ b/src/main/java/dapplequay/net/IssuerSide.java
@@ -195,7 +195,7 @@
         if (owed != null) {
             LegEnd end = owed.broken();
             deadlines.cancel(owed.deadline());
-            if (end == LegEnd.TIMED_OUT) {
+            if (end == LegEnd.TIMED_OUT || end == LegEnd.SILENT) {
                 // A machine that vanished leaves its idle connections open and silent: a leg on another one
                 // would time out too and might have run, while a connect that fails proves that it never ran.
                 closeIdle(List.of(connection.route));
--- a/src/main/java/dapplequay/net/Leg.java
+++ b/src/main/java/dapplequay/net/Leg.java
@@ -79,7 +79,7 @@
      */
     synchronized LegEnd broken() {
         Waits.whileTrue(this, () -> writing);
-        if (end == null || end == LegEnd.TIMED_OUT && !written) {
+        if (end == null || (end == LegEnd.TIMED_OUT || end == LegEnd.SILENT) && !written) {
             end = written ? LegEnd.RESET : LegEnd.NOT_CONNECTED;
         }
         return end;
--- a/src/main/java/dapplequay/net/Sidecar.java
+++ b/src/main/java/dapplequay/net/Sidecar.java
@@ -28,6 +28,7 @@
 
     private final Deadlines deadlines;
     private final Facade facade;
+    private final Conductor conductor;
     private final AcquirerSide acquirers;
     private final Watch watch;
     private final long longestDeadlineUs;
@@ -53,7 +54,7 @@
         int mostAcquirers = (int) (most * ACQUIRER_SHARE);
         IssuerSide issuers = new IssuerSide(table, deadlines, setup.connectTimeoutUs(), setup.connIdleUs(),
                 most - mostAcquirers);
-        Conductor conductor = new Conductor(facade, issuers);
+        conductor = new Conductor(facade, issuers);
         issuers.conductor(conductor);
         watch = new Watch(plan.discovery(), table, facade, issuers);
         new WarmUp(setup, deadlines).run();
@@ -106,7 +107,7 @@
     private void keepTime() {
         while (true) {
             try {
-                facade.tick();
+                conductor.cut(facade.tick());
                 deadlines.sweep();
                 deadlines.await(TURN_US);
             } catch (InterruptedException e) {
--- a/src/test/java/dapplequay/MechanismTest.java
+++ b/src/test/java/dapplequay/MechanismTest.java
@@ -292,6 +292,32 @@
         return b.request(Bench.SAFE);
     }
 
+    /** Legs at a machine that vanished were waited for until their clients left; and it was left out for long. */
+    @Test
+    void legsAtASilentServerGoElsewhereAndOneShortLegTriesItAgain() {
+        Bench b = new Bench().fleet(3, 0);
+        String gone = b.answered(Bench.SAFE, 0).host();
+        Done first = b.request(Bench.SAFE);
+        Done second = b.request(Bench.SAFE);
+        assertEquals(List.of(gone, gone), List.of(first.host(), second.host()));
+        b.pass(Bench.AIM / 4).module.timer(b.now, 2);
+        assertEquals(0, b.count("cancel"), "not yet");
+        b.pass(Bench.AIM / 2).module.timer(b.now, 2);
+        assertEquals(2, b.count("cancel"));
+        Done again = b.outcome(first, Outcome.CANCELLED);
+        assertNotEquals(gone, again.host());
+        assertEquals("send", b.outcome(second, Outcome.CANCELLED).what());
+        assertNotEquals(gone, b.request(Bench.SAFE).host());
+        Done trial = b.pass(300_000).request(Bench.SAFE);
+        assertEquals(gone, trial.host());
+        assertEquals(Bench.AIM / 2, trial.time());
+        assertNotEquals(gone, b.request(Bench.SAFE).host(), "one at a time");
+        b.outcome(trial, 0, Outcome.OK, new LoadReport(0, 0));
+        Done back = b.request(Bench.SAFE);
+        assertEquals(gone, back.host());
+        assertTrue(back.time() > Bench.AIM / 2, "in use again at once");
+    }
+
     /** With no pace known all figures were 0, and the head got the whole first burst. */
     @Test
     void firstBurstIsSpreadBeforeAnyAnswer() {
@@ -360,7 +386,7 @@
         for (int i = 0; i < 1_000; i++) {
             b.delta(Bench.host("new" + i, 0), Bench.host("new" + (i - 1), 0, BalancerApi.HostState.REMOVED, 0));
         }
-        assertEquals(3, b.module.known());
+        assertEquals(3, b.module.listed.size());
     }
 
     /** With a mean by count, a server that was sent little after a bad spell stayed refused for long. */
--- a/src/test/java/dapplequay/net/SidecarTest.java
+++ b/src/test/java/dapplequay/net/SidecarTest.java
@@ -37,6 +37,7 @@
     private final List<AutoCloseable> toClose = new ArrayList<>();
     private final BlockingQueue<String> lists = new LinkedBlockingQueue<>();
     private int sockets = 1024;
+    private boolean oneCell;
     private long connIdleUs = 30_000_000;
 
     @AfterEach
@@ -55,9 +56,9 @@
         return open(new Host(script));
     }
 
-    private static String target(int number, int port, String state) {
+    private String target(int number, int port, String state) {
         return "{\"uid\":\"s" + number + "\",\"endpoint\":\"127.0.0.1:" + port + "\",\"az\":\"north\",\"pod_group\":"
-                + number + ",\"state\":\"" + state + "\",\"capacity_hint\":1,\"boot_ms\":0}";
+                + (oneCell ? 0 : number) + ",\"state\":\"" + state + "\",\"capacity_hint\":1,\"boot_ms\":0}";
     }
 
     private static String list(boolean all, String... targets) {
@@ -354,6 +355,25 @@
         }
     }
 
+    @Test
+    void legAtASilentHostIsCutAndAnotherServes() throws Exception {
+        AtomicInteger calls = new AtomicInteger();
+        Host.Script script = (head, seen) -> {
+            if (calls.getAndIncrement() == 0) {
+                seen.socket().getInputStream().read();
+                return null;
+            }
+            return Host.ok("done");
+        };
+        Host first = host(script);
+        Host second = host(script);
+        oneCell = true;
+        Host.Client client = client(sidecar(first.port(), second.port()));
+        client.send(pay(1, 15_000, ""));
+        assertThat(client.answer().status()).isEqualTo(200);
+        assertThat(List.of(first.seen.size(), second.seen.size())).containsExactly(1, 1);
+    }
+
     @Test
     void whatMayHaveRunIsFailedAndNeverRefusedNorSentElsewhere() throws Exception {
         Host first = host((head, seen) -> null);
