--- a/src/main/java/dapplequay/net/IssuerSide.java
+++ b/src/main/java/dapplequay/net/IssuerSide.java
@@ -29,6 +29,7 @@
     private final long idleUs;
     private final int most;
     private final Map<RoutingTable.Route, Deque<IssuerConnection>> idle = new HashMap<>();
+    private final IdleRisk risk;
     private int open;
     private Conductor conductor;
 
@@ -38,6 +39,7 @@
         this.connectTimeoutUs = connectTimeoutUs;
         this.idleUs = (long) (connIdleUs * IDLE_SHARE);
         this.most = most;
+        risk = new IdleRisk(deadlines::now);
     }
 
     /** Who hears of the legs' ends; set once, before the first leg. */
@@ -112,13 +114,18 @@
         if (ready == null) {
             return null;
         }
-        long rested = now() - REST_US;
+        long now = now();
         for (Iterator<IssuerConnection> last = ready.descendingIterator(); last.hasNext(); ) {
             IssuerConnection connection = last.next();
-            if (connection.idleSinceUs() <= rested) {
+            long idleUs = now - connection.idleSinceUs();
+            if (idleUs >= REST_US) {
+                if (!risk.isAccepted(idleUs)) {
+                    return null;            // and the others have been idle for longer
+                }
                 last.remove();
                 deadlines.cancel(connection.idleEnd());
                 connection.assign(leg);
+                leg.afterIdle(idleUs);
                 return connection;
             }
         }
@@ -144,6 +151,7 @@
     void answered(IssuerConnection connection, Leg leg, LegEnd end, HostLoad load, Head head, byte[] body,
                   boolean stays) {
         deadlines.cancel(leg.deadline());
+        risk.note(leg.idleUs(), false);
         // Where the list has changed meanwhile, the next leg goes to another process.
         if (stays && connection.route.equals(table.routeOf(leg.order.host()))) {
             synchronized (this) {
@@ -195,6 +203,9 @@
         if (owed != null) {
             LegEnd end = owed.broken();
             deadlines.cancel(owed.deadline());
+            if (end == LegEnd.RESET || end == LegEnd.NOT_CONNECTED) {
+                risk.note(owed.idleUs(), true);
+            }
             if (end == LegEnd.TIMED_OUT || end == LegEnd.SILENT) {
                 // A machine that vanished leaves its idle connections open and silent: a leg on another one
                 // would time out too and might have run, while a connect that fails proves that it never ran.
--- a/src/main/java/dapplequay/net/Leg.java
+++ b/src/main/java/dapplequay/net/Leg.java
@@ -9,6 +9,7 @@
     final Decision.Send order;
     final long startUs;
     final long untilUs;
+    private long idleUs = -1;
     private LegEnd end;
     private boolean writing = true;      // until told otherwise: what is not known is not "never ran"
     private boolean written;
@@ -27,6 +28,16 @@
         deadline = itsDeadline;
     }
 
+    /** Its connection was used before, and idle for so long since. */
+    synchronized void afterIdle(long us) {
+        idleUs = us;
+    }
+
+    /** -1: the connection is new. */
+    synchronized long idleUs() {
+        return idleUs;
+    }
+
     synchronized Deadlines.Deadline deadline() {
         return deadline;
     }
--- a/src/test/java/dapplequay/MechanismTest.java
+++ b/src/test/java/dapplequay/MechanismTest.java
@@ -99,10 +99,12 @@
     /** One failure of many answers was taken for a failing server, and left out a tenth of the fleet. */
     @Test
     void oneFailureLeavesAServerInUse() {
-        Bench b = new Bench().fleet(6, 0);
-        Done send = b.request(Bench.SAFE);
-        b.outcome(send, Outcome.RESET);
-        assertEquals(send.host(), b.pass(1_000).request(Bench.SAFE).host());
+        for (Outcome failure : List.of(Outcome.ERROR, Outcome.RESET, Outcome.CONNECT_FAILED)) {
+            Bench b = new Bench().fleet(6, 0);
+            Done send = b.request(Bench.SAFE);
+            b.outcome(send, failure);
+            assertEquals(send.host(), b.pass(1_000).request(Bench.SAFE).host(), failure.name());
+        }
     }
 
     @Test
@@ -356,6 +358,7 @@
             Bench b = new Bench(setup).fleet(3, 0);
             Done send = b.request(Bench.SAFE);
             b.outcome(send, Outcome.CONNECT_FAILED);
+            b.outcome(b.request(Bench.SAFE), Outcome.CONNECT_FAILED);
             b.pass(300_000);
             assertEquals(aim < 600_000, send.host().equals(b.request(Bench.SAFE).host()), "aim " + aim);
         }
