--- a/src/main/java/dapplequay/Balance.java
+++ b/src/main/java/dapplequay/Balance.java
@@ -139,7 +139,7 @@
         int own;                  // own attempts out
         long answeredAt;          // the last answer of any kind
         double gap;               // usual time between answers while legs are out, us, running mean
-        long silentSince;         // while any is out: the last answer, or the send that ended its idleness
+        long silentSince;         // while any is out: the last outcome, or the send that ended its idleness
         double reported = Double.NaN;
         double others;            // held for others, as told, running mean
         long reportAt;
@@ -718,8 +718,9 @@
                     && (s.own > 0 || s.trial);
             if (outcome == Outcome.OK || outcome == Outcome.ERROR || outcome == Outcome.REFUSED) {
                 s.gap += PACE_GAIN * (now - s.silentSince - s.gap);
-                s.answeredAt = s.silentSince = now;
+                s.answeredAt = now;
             }
+            s.silentSince = now;
             judge(now, s, outcome, silent);
             noteReport(now, s, report);
             triedAt[s.zone] = now;
