--- a/src/main/java/dapplequay/Balance.java
+++ b/src/main/java/dapplequay/Balance.java
@@ -64,6 +64,7 @@
     private static final long HOLD_US = 300_000;
     /** The same after a time-out, which costs far more to repeat than a refusal. */
     private static final long TIMEOUT_HOLD_US = 1_000_000;
+    private static final int LOST = 3;
     private static final int HOLD_DOUBLINGS = 3;
     // A failing server is passed over for so long, us, doubled at each further failure up to the second.
     private static final long SHUN_FIRST_US = 1_000_000;
@@ -721,11 +722,13 @@
                 s.answeredAt = now;
             }
             s.silentSince = now;
-            judge(now, s, outcome, silent);
+            // Far longer than what the server shows with others: this leg or its connection was lost.
+            boolean queued = outcome == Outcome.TIMEOUT && !silent && tookUs < LOST * figure(now, s, 1);
+            judge(now, s, outcome, silent, queued);
             noteReport(now, s, report);
             triedAt[s.zone] = now;
             fullShare[s.zone] += LATE_GAIN * ((outcome == Outcome.REFUSED ? 1 : 0) - fullShare[s.zone]);
-            if (outcome == Outcome.OK || outcome == Outcome.TIMEOUT && !silent) {
+            if (outcome == Outcome.OK || queued) {
                 Held timed = held.get(id);
                 long aim = timed == null ? Long.MAX_VALUE : timed.type.aimUs();
                 noteTime(now, s, outcome == Outcome.OK, tookUs, aim, report);
@@ -761,11 +764,11 @@
     }
 
     /** Failure diversion: what an outcome says about the server's health and its flag. */
-    private void judge(long now, Server s, Outcome outcome, boolean silent) {
+    private void judge(long now, Server s, Outcome outcome, boolean silent, boolean queued) {
         switch (outcome) {
             case OK -> {
                 s.badRun = Math.max(0, s.badRun - 1);
-                noteCommon(s, 0);
+                noteCommon(0);
                 s.doubt = Math.max(DOUBT_NONE, s.doubt - DOUBT_TAKE);
                 if (s.trial && s.doubt < -2 * DOUBT_TAKE) {
                     s.trial = false;
@@ -779,8 +782,10 @@
                 clearFlag(now, s);
             }
             case TIMEOUT -> {
-                if (silent) {
-                    sparedAsSilent(now, s);
+                if (!queued) {
+                    if (silent) {
+                        sparedAsSilent(now, s);
+                    }
                     return;
                 }
                 s.holdUntil = now + hasty(TIMEOUT_HOLD_US << Math.min(s.badRun, HOLD_DOUBLINGS));
@@ -790,7 +795,7 @@
             case ERROR, RESET, CONNECT_FAILED -> {
                 double odds = FAILING_SHARE / Math.max(COMMON_MIN, commonFailures);
                 s.doubt += Math.min(DOUBT_ADD, Math.max(0, Math.log(odds)));
-                noteCommon(s, 1);
+                noteCommon(1);
                 if (s.doubt >= 0) {
                     clearFlag(now, s);
                     shun(now, s, outcome.name());
@@ -802,6 +807,9 @@
 
     /** A server that fails fast has a short queue and would look idle: its answers count, not its figure. */
     private void shun(long now, Server s, String why) {
+        if (!s.trial && 2 * buddies.stream().filter(o -> o.trial).count() >= buddies.size() - 1) {
+            return;               // where half are suspects, the trouble is not with single servers
+        }
         if (!s.trial) {
             log(now, "passed over for " + why + ": " + s.host);
         }
@@ -811,19 +819,16 @@
         s.doubt = 0;
     }
 
-    /** What fails everywhere says nothing of one server; those on trial are left out of it. */
-    private void noteCommon(Server s, int failed) {
-        if (!s.trial) {
-            commonFailures += COMMON_GAIN * (failed - commonFailures);
-        }
+    /** What fails everywhere says nothing of one server. */
+    private void noteCommon(int failed) {
+        commonFailures += COMMON_GAIN * (failed - commonFailures);
     }
 
     private void sparedAsSilent(long now, Server s) {
         double doubt = s.trial ? s.doubt : -1.5 * DOUBT_TAKE;    // that much is gone with one answer
-        int strikes = s.strikes;
         shun(now, s, "silence");
-        s.shunUntil = now + hasty(SILENT_US);
-        s.strikes = strikes;
+        s.shunUntil = s.trial ? now + hasty(SILENT_US) : s.shunUntil;
+        s.strikes = Math.max(0, s.strikes - 1);
         s.doubt = doubt;
     }
 
@@ -879,10 +884,10 @@
 
     @Override
     public void timer(long now, long token) {
-        if (token == ASK_TOKEN && !following) {
-            actions.watchFleet(true);
-        } else if (token == WATCH_TOKEN) {
+        if (token == WATCH_TOKEN) {
             watchLegs(now);
+        } else if (token == ASK_TOKEN && !following) {
+            actions.watchFleet(true);
         }
     }
 
--- a/src/test/java/dapplequay/MechanismTest.java
+++ b/src/test/java/dapplequay/MechanismTest.java
@@ -164,6 +164,7 @@
     void timeOutStandsForAReportAndItsHoldDoubles() {
         Bench b = new Bench().fleet(1, 0);
         b.answered(Bench.SAFE, 0);
+        loadHead(b, "a0", 10);
         long once = sparedAfterTimeOut(b);
         for (int i = 0; i < 4; i++) {
             sparedAfterTimeOut(b);
@@ -173,6 +174,36 @@
         assertTrue(often >= 4 * once, once + " then " + often);
     }
 
+    /** Where single connections fall silent, each time-out held its host as if a queue stood there. */
+    @Test
+    void timeOutFarBeyondWhatOthersTakeIsNoQueue() {
+        Bench b = new Bench().fleet(1, 0);
+        for (int i = 0; i < 20; i++) {
+            b.answered(Bench.SAFE, 1);
+        }
+        Done lost = b.request(Bench.SAFE);
+        b.pass(Bench.AIM);
+        b.answered(Bench.SAFE, 1);
+        b.module.outcome(b.now, lost.id(), 0, lost.host(), Outcome.TIMEOUT, Bench.LEFT, false, null);
+        assertEquals("send", b.request(Bench.SAFE).what());
+    }
+
+    /** Where everything fails now and then, suspects were made of all servers, and all stood idle. */
+    @Test
+    void noMoreThanHalfOfTheServersArePassedOver() {
+        Bench b = new Bench().fleet(8, 0);
+        for (int i = 0; i < 8; i++) {
+            for (int failures = 0; failures < 4; failures++) {
+                b.module.outcome(b.now, 0, 0, "a" + i, Outcome.ERROR, 1_000, true, null);
+            }
+        }
+        Set<String> used = new TreeSet<>();
+        for (int i = 0; i < 100; i++) {
+            used.add(b.pass(500).request(Bench.SAFE).host());
+        }
+        assertEquals(4, used.size(), "in use: " + used);
+    }
+
     /** How long the only server gets nothing after a time-out. */
     private static long sparedAfterTimeOut(Bench b) {
         Done send = b.request(Bench.SAFE);
