A few young strangers no longer hold up new connections at the bound

A trace of the module shows no refusal at all, but 70 requests a second where 500 are offered; 2,280 client connections in 22 s, that is a hundred a second which ask once and stay, so that their 2.1 s fill the bound of 193.

Cause: AcquirerSide.awaitRoom evicted no idle connection while any stranger was there, and each client that has just been accepted is one: every accept at the bound waited up to 50 ms. Now idle ones make room unless strangers are a quarter of the bound.

--- a/src/main/java/dapplequay/net/AcquirerSide.java
+++ b/src/main/java/dapplequay/net/AcquirerSide.java
@@ -18,6 +18,8 @@
     private static final Logger LOG = Logger.getLogger(AcquirerSide.class.getName());
     private static final int BACKLOG = 1024;
     private static final long PAUSE_MS = 20;
+    /** Strangers are a flood from this share of the bound on. */
+    private static final double FLOOD = 0.25;
     /** Bounds, us, for a request to come whole; a client that is slower than it waits has left by then. */
     private static final long WHOLE_LEAST_US = 1_000_000;
     private static final long WHOLE_MOST_US = 2_000_000;
@@ -129,13 +131,13 @@
     /**
      * At the bound the oldest stranger makes room, else the oldest idle connection, and while there is none
      * the next waits. One at a time: closing all idle ones also met those just accepted, whose first request
-     * was still on its way. Strangers first, also where they have to come of age, as floods of them would
-     * close the clients' connections.
+     * was still on its way. Strangers first, and a flood of them has to come of age, as it would close the
+     * clients' connections; but each client is a stranger at first, and a few must not hold up the others.
      */
     private synchronized void awaitRoom() throws InterruptedException {
         while (connections.size() >= most) {
             if (connections.stream().noneMatch(AcquirerConnection::closeIfStranger)
-                    && connections.stream().noneMatch(AcquirerConnection::isStranger)) {
+                    && connections.stream().filter(AcquirerConnection::isStranger).count() < most * FLOOD) {
                 connections.stream().anyMatch(AcquirerConnection::closeIfIdle);
             }
             wait(PAUSE_MS);
--- a/src/test/java/dapplequay/net/SidecarTest.java
+++ b/src/test/java/dapplequay/net/SidecarTest.java
@@ -198,6 +198,23 @@
         assertThat(stranger.atEnd()).isTrue();
     }
 
+    /** A young stranger held up each new connection for as long as it takes to come of age. */
+    @Test
+    void oneStrangerDoesNotHoldUpOthersAtTheBound() throws Exception {
+        sockets = 50;               // nine client connections
+        Host host = host((head, seen) -> Host.ok("done"));
+        Sidecar sidecar = sidecar(host.port());
+        long started = System.nanoTime();
+        for (int i = 0; i < 100; i++) {
+            Host.Client once = client(sidecar);
+            once.send(pay(1, 900, ""));
+            assertThat(once.answer().status()).isEqualTo(200);
+            client(sidecar);        // says nothing
+        }
+        // Coming of age takes 50 ms for each of a hundred.
+        assertThat(System.nanoTime() - started).isLessThan(4_000_000_000L);
+    }
+
     @Test
     void whatAHostFindsFaultWithIsTheClientsFault() throws Exception {
         Host host = host((head, seen) -> seen.body().equals("bad")
