--- a/src/main/java/dapplequay/net/AcquirerConnection.java
+++ b/src/main/java/dapplequay/net/AcquirerConnection.java
@@ -179,7 +179,7 @@
 
     /** Writes the answer to the request in hand. Only who claimed the authorisation may call this. */
     void answer(Answers.Answer answer) {
-        boolean last = lastRequest || side.isEnding();
+        boolean last = lastRequest || side.isEnding() || side.isCrowded();
         Deadlines.Deadline stuck = side.deadlines().after(WRITE_US, this::close);
         try {
             socket.getOutputStream().write(answer.bytes(last));
--- a/src/main/java/dapplequay/net/AcquirerSide.java
+++ b/src/main/java/dapplequay/net/AcquirerSide.java
@@ -29,6 +29,7 @@
     private final Conductor conductor;
     private final Deadlines deadlines;
     private final int most;
+    private final int crowd;
     private final ServerSocket listener = new ServerSocket();
     private final Set<AcquirerConnection> connections = new LinkedHashSet<>();
     private final long wholeRequestUs;
@@ -36,12 +37,13 @@
     private volatile boolean ending;
 
     AcquirerSide(InetSocketAddress listen, Setup setup, Facade facade, Conductor conductor,
-                 Deadlines deadlines, int most) throws IOException {
+                 Deadlines deadlines, int most, int crowd) throws IOException {
         this.setup = setup;
         this.facade = facade;
         this.conductor = conductor;
         this.deadlines = deadlines;
         this.most = most;
+        this.crowd = crowd;
         long longestUs = setup.settings().classes().stream().mapToLong(c -> c.deadlineUs()).max().orElse(0);
         wholeRequestUs = Math.max(WHOLE_LEAST_US, Math.min(WHOLE_MOST_US, longestUs));
         callIds = new CallIds(2 * longestUs);
@@ -77,6 +79,14 @@
         return deadlines;
     }
 
+    /**
+     * Whether clients are near the descriptors that they may hold: each answer then ends its connection, as
+     * those who ask once and keep it would leave none for the next request.
+     */
+    synchronized boolean isCrowded() {
+        return connections.size() >= crowd;
+    }
+
     boolean isEnding() {
         return ending;
     }
--- a/src/main/java/dapplequay/net/Sidecar.java
+++ b/src/main/java/dapplequay/net/Sidecar.java
@@ -17,6 +17,8 @@
     private static final int OWN_DESCRIPTORS = 32;
     /** Of the others; of all of them clients hold up to a third, and strangers come on top. */
     private static final double ACQUIRER_SHARE = 0.55;
+    /** Clients hold no more than a third of the descriptors; from this share on there is a crowd. */
+    private static final double CROWD_SHARE = 0.25;
     /** What the process takes without connections, and each of these with its thread and its buffer. */
     private static final double BASE_MB = 75;
     private static final double CONNECTION_MB = 0.11;
@@ -59,7 +61,7 @@
         watch = new Watch(plan.discovery(), table, facade, issuers);
         new WarmUp(setup, deadlines).run();
         acquirers = new AcquirerSide(plan.listen(), setup, facade, conductor, deadlines,
-                mostAcquirers);
+                mostAcquirers, (int) (plan.sockets() * CROWD_SHARE));
         longestDeadlineUs = setup.settings().classes().stream().mapToLong(c -> c.deadlineUs()).max()
                 .orElse(0);
     }
--- a/src/test/java/dapplequay/net/SidecarTest.java
+++ b/src/test/java/dapplequay/net/SidecarTest.java
@@ -198,6 +198,26 @@
         assertThat(stranger.atEnd()).isTrue();
     }
 
+    @Test
+    void inACrowdAnswersEndTheirConnections() throws Exception {
+        sockets = 40;               // ten make a crowd
+        Host host = host((head, seen) -> Host.ok("done"));
+        Sidecar sidecar = sidecar(host.port());
+        Host.Answer answer = null;
+        for (int i = 0; i < 4; i++) {
+            Host.Client once = client(sidecar);
+            once.send(pay(1, 900, ""));
+            answer = once.answer();
+            assertThat(answer.head().closes("HTTP/1.1")).as("alone").isFalse();
+        }
+        sockets = 8;                // two do
+        Sidecar small = sidecar(host.port());
+        client(small);
+        Host.Client last = client(small);
+        last.send(pay(1, 900, ""));
+        assertThat(last.answer().head().closes("HTTP/1.1")).isTrue();
+    }
+
     /** A young stranger held up each new connection for as long as it takes to come of age. */
     @Test
     void oneStrangerDoesNotHoldUpOthersAtTheBound() throws Exception {
