--- a/lab/src/main/java/dapplequay/lab/report/Plots.java
+++ b/lab/src/main/java/dapplequay/lab/report/Plots.java
@@ -149,7 +149,8 @@
 
     /** Latency by percentile, for each variant; the x axis is 1 / (1 - share), so that each decade is a nine. */
     static String percentiles(JsonNode root) {
-        XYChart chart = chart("Latency by percentile, ms", "share that is faster: 10 = 90%, 100 = 99%, 1000 = 99.9%", "");
+        XYChart chart = chart("Latency by percentile, ms",
+                "share that is faster: 10 = 90%, 100 = 99%, 1000 = 99.9%", "");
         chart.getStyler().setXAxisLogarithmic(true);
         chart.getStyler().setYAxisLogarithmic(true);
         JsonNode variants = root.path("variants").isArray() ? root.path("variants") : null;
--- /dev/null
+++ b/lab/src/test/java/dapplequay/lab/ArchitectureTest.java
@@ -0,0 +1,83 @@
+package dapplequay.lab;
+
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.classes;
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.tngtech.archunit.core.domain.JavaClasses;
+import com.tngtech.archunit.core.importer.ClassFileImporter;
+import com.tngtech.archunit.core.importer.ImportOption;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Test;
+
+/** Who may use whom. docs/ARCHITECTURE.md has it in words. */
+class ArchitectureTest {
+    private static final String[] CORE = {"dapplequay", "dapplequay.settings", "dapplequay.facade"};
+    private static JavaClasses all;
+
+    @BeforeAll
+    static void read() {
+        all = new ClassFileImporter().withImportOption(ImportOption.Predefined.DO_NOT_INCLUDE_TESTS)
+                .importPackages("dapplequay");
+        assertThat(all.contain("dapplequay.Balance")).isTrue();
+        assertThat(all.contain("dapplequay.net.Sidecar")).isTrue();
+        assertThat(all.contain("dapplequay.lab.cli.LabMain")).isTrue();
+    }
+
+    @Test
+    void coreKnowsNothingOfSocketsFilesThreadsOrClocks() {
+        noClasses().that().resideInAnyPackage(CORE).should().dependOnClassesThat()
+                .resideInAnyPackage("java.net..", "java.nio.file..", "java.nio.channels..", "java.util.logging..",
+                        "java.time..")
+                .orShould().dependOnClassesThat().haveFullyQualifiedName("java.lang.Thread")
+                .orShould().dependOnClassesThat().haveFullyQualifiedName("java.util.concurrent.Executor")
+                .orShould().callMethod(System.class, "currentTimeMillis")
+                .orShould().callMethod(System.class, "nanoTime").check(all);
+    }
+
+    @Test
+    void coreUsesNoOtherModule() {
+        noClasses().that().resideInAnyPackage(CORE).should().dependOnClassesThat()
+                .resideInAnyPackage("dapplequay.net..", "dapplequay.benchlink..", "dapplequay.cli..",
+                        "dapplequay.lab..").check(all);
+    }
+
+    @Test
+    void theNetworkSeesTheFacadeAndNotTheModule() {
+        noClasses().that().resideInAPackage("dapplequay.net..").should().dependOnClassesThat()
+                .haveFullyQualifiedName("dapplequay.Balance")
+                .orShould().dependOnClassesThat().haveFullyQualifiedName("dapplequay.BalancerApi$Actions").check(all);
+    }
+
+    @Test
+    void theLaboratorySeesNothingOfTheSidecar() {
+        noClasses().that().resideInAPackage("dapplequay.lab..").should().dependOnClassesThat()
+                .resideInAnyPackage("dapplequay", "dapplequay.settings..", "dapplequay.facade..", "dapplequay.net..",
+                        "dapplequay.benchlink..", "dapplequay.cli..").check(all);
+    }
+
+    @Test
+    void theHostModelRunsInAnyTime() {
+        noClasses().that().resideInAPackage("dapplequay.lab.model..").should().dependOnClassesThat()
+                .resideInAnyPackage("java.net..", "java.nio..", "java.io..", "java.time..", "dapplequay.lab.loop..",
+                        "dapplequay.lab.fleet..")
+                .orShould().dependOnClassesThat().haveFullyQualifiedName("java.lang.Thread")
+                .orShould().callMethod(System.class, "currentTimeMillis")
+                .orShould().callMethod(System.class, "nanoTime").check(all);
+    }
+
+    @Test
+    void theLaboratorysRoomsLieOneWay() {
+        classes().that().resideInAPackage("dapplequay.lab.model..").should().onlyBeAccessed()
+                .byAnyPackage("dapplequay.lab.model..", "dapplequay.lab.fleet..", "dapplequay.lab.experiment..")
+                .check(all);
+        noClasses().that().resideInAPackage("dapplequay.lab.fleet..").should().dependOnClassesThat()
+                .resideInAnyPackage("dapplequay.lab.load..", "dapplequay.lab.experiment..", "dapplequay.lab.report..")
+                .check(all);
+        noClasses().that().resideInAPackage("dapplequay.lab.load..").should().dependOnClassesThat()
+                .resideInAnyPackage("dapplequay.lab.fleet..", "dapplequay.lab.experiment..", "dapplequay.lab.report..")
+                .check(all);
+        noClasses().that().resideInAPackage("dapplequay.lab.experiment..").should().dependOnClassesThat()
+                .resideInAnyPackage("dapplequay.lab.report..", "dapplequay.lab.cli..").check(all);
+    }
+}
--- /dev/null
+++ b/lab/src/test/java/dapplequay/lab/experiment/ScriptedSidecar.java
@@ -0,0 +1,134 @@
+package dapplequay.lab.experiment;
+
+import dapplequay.lab.fleet.Fleet;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/** A sidecar of a few lines, as good or as bad as its script: what a judge is to be tried on. */
+final class ScriptedSidecar implements AutoCloseable {
+    /** What it does with one request; null: nothing is answered. */
+    interface Script {
+        String answer(ScriptedSidecar self, String request, int number) throws Exception;
+    }
+
+    private final Fleet fleet;
+    private final Script script;
+    private final ServerSocket listener = new ServerSocket(0, 200, InetAddress.getLoopbackAddress());
+    private final AtomicInteger requests = new AtomicInteger();
+    /** The list as last heard. */
+    volatile String list = "";
+
+    ScriptedSidecar(Fleet fleet, Script script) throws IOException {
+        this.fleet = fleet;
+        this.script = script;
+        thread(this::poll);
+        thread(() -> {
+            while (true) {
+                Socket socket = listener.accept();
+                thread(() -> serve(socket));
+            }
+        });
+    }
+
+    InetSocketAddress address() {
+        return (InetSocketAddress) listener.getLocalSocketAddress();
+    }
+
+    private interface Work {
+        void run() throws Exception;
+    }
+
+    private static void thread(Work work) {
+        Thread thread = new Thread(() -> {
+            try {
+                work.run();
+            } catch (Exception e) {
+                // The far end is gone, as every test ends.
+            }
+        });
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    private void poll() throws Exception {
+        int colon = fleet.discoveryAt(0).lastIndexOf(':');
+        InetSocketAddress discovery = new InetSocketAddress(fleet.discoveryAt(0).substring(0, colon),
+                Integer.parseInt(fleet.discoveryAt(0).substring(colon + 1)));
+        while (!listener.isClosed()) {
+            String answer = exchange(discovery, "GET /v1/servers HTTP/1.1\r\n\r\n");
+            list = answer.substring(answer.indexOf("\r\n\r\n"));
+            Thread.sleep(20);
+        }
+    }
+
+    private void serve(Socket socket) throws Exception {
+        BufferedReader in = new BufferedReader(
+                new InputStreamReader(socket.getInputStream(), StandardCharsets.ISO_8859_1));
+        for (String request = read(in); request != null; request = read(in)) {
+            String answer = script.answer(this, request, requests.getAndIncrement());
+            if (answer != null) {
+                socket.getOutputStream().write(answer.getBytes(StandardCharsets.ISO_8859_1));
+            }
+        }
+    }
+
+    /** Head and body of one message, or null at the end. */
+    private static String read(BufferedReader in) throws IOException {
+        StringBuilder text = new StringBuilder();
+        int length = 0;
+        for (String line = in.readLine(); line != null; line = in.readLine()) {
+            text.append(line).append("\r\n");
+            if (line.toLowerCase(java.util.Locale.ROOT).startsWith("content-length:")) {
+                length = Integer.parseInt(line.substring(15).trim());
+            }
+            if (line.isEmpty()) {
+                for (int i = 0; i < length; i++) {
+                    text.append((char) in.read());
+                }
+                return text.toString();
+            }
+        }
+        return null;
+    }
+
+    /** Sends the request to this host, waits, and gives its answer as it came. */
+    String ask(int host, String request) throws IOException {
+        String text = fleet.endpoints(0).get(host);
+        int colon = text.lastIndexOf(':');
+        return exchange(new InetSocketAddress(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1))),
+                request);
+    }
+
+    CompletableFuture<String> askMeanwhile(int host, String request) {
+        CompletableFuture<String> answer = new CompletableFuture<>();
+        thread(() -> answer.complete(ask(host, request)));
+        return answer;
+    }
+
+    private static String exchange(InetSocketAddress to, String request) throws IOException {
+        try (Socket socket = new Socket()) {
+            socket.connect(to, 5000);
+            socket.setSoTimeout(10_000);
+            socket.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
+            return read(new BufferedReader(
+                    new InputStreamReader(socket.getInputStream(), StandardCharsets.ISO_8859_1)));
+        }
+    }
+
+    static String refusal(String more) {
+        return "HTTP/1.1 503 No\r\nContent-Length: 0\r\n" + more + "\r\n";
+    }
+
+    @Override
+    public void close() throws IOException {
+        listener.close();
+    }
+}
