--- /dev/null
+++ b/experiments/wide.sh
@@ -0,0 +1,32 @@
+#!/bin/sh
+# Plays one fault after the other on 40 hosts and 60 sidecars: experiments/wide.sh DIR [KIND...]
+# Prints a line for each; the reports are below DIR.
+cd "$(dirname "$0")/.." || exit 1
+out=$1
+shift
+mkdir -p "$out"
+kinds=${*:-"calm silent errors late_reports heavy slow refuse hang reset_before reset_within reset_after
+silent_connection cut garbled overlong unasked drain replace stop restart list_stale list_empty list_odd_zone list_slow
+list_down"}
+for kind in $kinds; do
+    case "$kind" in
+        calm) more='share = 0' ;;
+        late_reports) more='share = 1' ;;
+        slow) more='share = 1
+amount = 1.8' ;;
+        heavy) more='share = 1
+requests = 0.02' ;;
+        reset_* | cut | garbled | overlong | unasked | silent_connection) more='share = 1
+requests = 0.05' ;;
+        list_*) more='' ;;
+        *) more='share = 0.15' ;;
+    esac
+    # A calm run still needs a fault that does nothing: no host slower than it is.
+    named=$kind
+    [ "$kind" = calm ] && named=slow && more='amount = 1'
+    awk -v kind="$named" -v more="$more" '{ gsub(/@KIND@/, kind); gsub(/@MORE@/, more); print }' \
+        experiments/wide.toml.in > "$out/wide-$kind.toml"
+    ./dapplequay lab run "$out/wide-$kind.toml" --out "$out/$kind" > "$out/$kind.txt" 2> "$out/$kind.err"
+    echo "$kind status $?: $(awk '/^(worth in time|late|refused|failed|no answer|lost|doubled|rules broken|latency ms p99)/ \
+        { printf "%s; ", $0 }' "$out/$kind.txt" | tr -s ' ')"
+done
--- a/lab/src/main/java/dapplequay/lab/experiment/Judge.java
+++ b/lab/src/main/java/dapplequay/lab/experiment/Judge.java
@@ -388,7 +388,7 @@
                 memory.broken("n" + life.sidecar + " held " + life.mostMemoryKb / 1024 + " MB");
             }
             most = Math.max(most, life.mostMemoryKb / 1024.0);
-            cpu += life.cpuUs;
+            cpu += Math.max(0, life.cpuUs - life.startCpuUs);
         }
         verdict.figure("sidecar_memory_mb", most);
         verdict.figure("sidecar_cpu_us_per_request", cpu / Math.max(1, run.result().scheduled()));
--- a/lab/src/main/java/dapplequay/lab/experiment/Lives.java
+++ b/lab/src/main/java/dapplequay/lab/experiment/Lives.java
@@ -26,6 +26,8 @@
         public long endUs = Long.MAX_VALUE;
         public End end = End.NONE;
         public long cpuUs;
+        /** Of that, what its start took. */
+        public long startCpuUs;
         public long mostMemoryKb;
 
         public Life(int sidecar, long startUs) {
--- a/lab/src/main/java/dapplequay/lab/experiment/Sidecars.java
+++ b/lab/src/main/java/dapplequay/lab/experiment/Sidecars.java
@@ -190,6 +190,7 @@
             Thread.sleep(POLL_MS);
         }
         child.life.readyUs = Loop.nowUs();
+        child.life.startCpuUs = cpuUs(child.process);
     }
 
     private static boolean isHealthy(InetSocketAddress address) {
@@ -219,12 +220,16 @@
                     }
                     continue;
                 }
-                life.cpuUs = child.process.info().totalCpuDuration().orElse(Duration.ZERO).toNanos() / 1000;
+                life.cpuUs = cpuUs(child.process);
                 life.mostMemoryKb = Math.max(life.mostMemoryKb, residentKb(child.process.pid()));
             }
         }
     }
 
+    private static long cpuUs(Process process) {
+        return process.info().totalCpuDuration().orElse(Duration.ZERO).toNanos() / 1000;
+    }
+
     /** The kernel's own high-water mark of resident memory; 0 where it does not tell. */
     private static long residentKb(long pid) {
         try {
