--- a/lab/src/main/java/dapplequay/lab/experiment/Runner.java
+++ b/lab/src/main/java/dapplequay/lab/experiment/Runner.java
@@ -87,6 +87,7 @@
         LoadResult result = generator.await();
         teller.interrupt();
         if (sidecars != null) {
+            sidecars.awaitWaves();
             sidecars.close();
         }
         fleet.close();
--- a/lab/src/main/java/dapplequay/lab/experiment/Sidecars.java
+++ b/lab/src/main/java/dapplequay/lab/experiment/Sidecars.java
@@ -15,9 +15,12 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import java.util.logging.Level;
 import java.util.logging.Logger;
 
@@ -42,6 +45,7 @@
         thread.setDaemon(true);
         return thread;
     });
+    private final List<Future<?>> waves = new ArrayList<>();
     private volatile boolean ending;
 
     private final class Child {
@@ -100,7 +104,18 @@
     void play(List<Wave.Step> steps, long startUs) {
         for (Wave.Step step : steps) {
             long wait = Math.max(0, startUs + step.atUs() - Loop.nowUs());
-            hands.schedule(() -> act(step), wait, TimeUnit.MICROSECONDS);
+            waves.add(hands.schedule(() -> act(step), wait, TimeUnit.MICROSECONDS));
+        }
+    }
+
+    /** Waits until what the waves took down is up again; a wave that reaches past the load is played out. */
+    void awaitWaves() throws InterruptedException {
+        for (Future<?> wave : waves) {
+            try {
+                wave.get(READY_WITHIN_US, TimeUnit.MICROSECONDS);
+            } catch (ExecutionException | TimeoutException e) {
+                LOG.log(Level.SEVERE, "wave not played", e);
+            }
         }
     }
 
--- /dev/null
+++ b/lab/src/test/java/dapplequay/lab/http/FramerTest.java
@@ -0,0 +1,78 @@
+package dapplequay.lab.http;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class FramerTest {
+    private static ByteBuffer bytes(String text) {
+        return ByteBuffer.wrap(text.replace("|", "\r\n").getBytes(StandardCharsets.ISO_8859_1));
+    }
+
+    private static List<Message> all(Framer framer, String text) throws BadHttp {
+        framer.append(bytes(text));
+        List<Message> messages = new ArrayList<>();
+        for (Message next = framer.next(); next != null; next = framer.next()) {
+            messages.add(next);
+        }
+        return messages;
+    }
+
+    @Test
+    void messagesAreCutWhereverTheBytesAreCut() throws BadHttp {
+        String text = "POST /a?w=5&x=y HTTP/1.1|Content-Length: 3|X-Call-Id: 9||abcGET /b HTTP/1.1||";
+        byte[] whole = bytes(text).array();
+        for (int cut = 1; cut < whole.length; cut++) {
+            Framer framer = new Framer(false);
+            List<Message> messages = new ArrayList<>();
+            for (int[] part : new int[][] {{0, cut}, {cut, whole.length - cut}}) {
+                framer.append(ByteBuffer.wrap(whole, part[0], part[1]));
+                for (Message next = framer.next(); next != null; next = framer.next()) {
+                    messages.add(next);
+                }
+            }
+            assertThat(messages).hasSize(2);
+            assertThat(messages.get(0).bodyText()).isEqualTo("abc");
+            assertThat(messages.get(0).query("w")).isEqualTo("5");
+            assertThat(messages.get(0).header("x-call-id")).isEqualTo("9");
+            assertThat(messages.get(1).target()).isEqualTo("/b");
+            assertThat(framer.isWithin()).isFalse();
+        }
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '#', value = {
+        "HTTP/1.1 200 OK|Content-Length: 2||ok# 200# ok",
+        "HTTP/1.1 204 No Content||# 204# ''",
+        "HTTP/1.1 200 OK|Transfer-Encoding: chunked||2|ok|3;x=1|abc|0||# 200# okabc",
+        "HTTP/1.0 503 No|Content-Length: 0||# 503# ''"})
+    void answersAreReadWithTheirBodies(String text, int status, String body) throws BadHttp {
+        List<Message> messages = all(new Framer(true), text);
+        assertThat(messages).hasSize(1);
+        assertThat(messages.get(0).status()).isEqualTo(status);
+        assertThat(messages.get(0).bodyText()).isEqualTo(body);
+    }
+
+    @Test
+    void anAnswerWithoutLengthEndsWithItsConnection() throws BadHttp {
+        Framer framer = new Framer(true);
+        assertThat(all(framer, "HTTP/1.1 200 OK||some")).isEmpty();
+        assertThat(framer.atEnd().bodyText()).isEqualTo("some");
+        assertThat(new Framer(true).atEnd()).isNull();
+    }
+
+    @ParameterizedTest
+    @CsvSource({"no http||", "HTTP/2 200 OK||", "HTTP/1.1 20 OK||", "HTTP/1.1 200 OK|Content-Length: -1||",
+        "HTTP/1.1 200 OK|Content-Length: x||", "HTTP/1.1 200 OK|nothing||",
+        "HTTP/1.1 200 OK|Transfer-Encoding: chunked||zz|ok|"})
+    void otherBytesAreNoAnswer(String text) {
+        assertThatThrownBy(() -> all(new Framer(true), text)).isInstanceOf(BadHttp.class);
+    }
+}
