--- a/lab/src/main/java/dapplequay/lab/cli/LabMain.java
+++ b/lab/src/main/java/dapplequay/lab/cli/LabMain.java
@@ -19,6 +19,7 @@
                    ./dapplequay lab run FILE.toml --out DIR [--seed N] [--repeat N]
                    ./dapplequay lab compare DIR DIR [--out DIR]
                    ./dapplequay lab merge DIR DIR... --out DIR
+                   ./dapplequay lab null [--threads N]
                    ./dapplequay lab check FILE.toml
             """;
 
@@ -29,6 +30,7 @@
             @SubCommand(name = "run", impl = RunCommand.class),
             @SubCommand(name = "compare", impl = CompareCommand.class),
             @SubCommand(name = "merge", impl = MergeCommand.class),
+            @SubCommand(name = "null", impl = NullCommand.class),
             @SubCommand(name = "check", impl = CheckCommand.class)})
     private Command command;
 
--- a/lab/src/main/java/dapplequay/lab/experiment/Judge.java
+++ b/lab/src/main/java/dapplequay/lab/experiment/Judge.java
@@ -180,7 +180,7 @@
             return false;
         }
         if (life.end == Lives.End.KILLED || life.end == Lives.End.CRASHED) {
-            return one.endUs < life.endUs && one.endUs < life.toldUs + (life.toldUs == 0 ? Long.MAX_VALUE : 0);
+            return one.endUs < (life.toldUs > 0 ? life.toldUs : life.endUs);
         }
         return life.toldUs == 0 || one.sentUs <= life.toldUs + LATE_AFTER_TERM_US;
     }
--- /dev/null
+++ b/lab/src/main/java/dapplequay/lab/load/NullServer.java
@@ -0,0 +1,107 @@
+package dapplequay.lab.load;
+
+import dapplequay.lab.http.BadHttp;
+import dapplequay.lab.http.Wire;
+import dapplequay.lab.loop.Loop;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.SocketChannel;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.logging.Level;
+import java.util.logging.Logger;
+
+/** Answers every request at once with the same few bytes: what a generator is measured against. */
+public final class NullServer implements AutoCloseable {
+    private static final Logger LOG = Logger.getLogger(NullServer.class.getName());
+    private static final byte[] ANSWER =
+            "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok".getBytes(StandardCharsets.US_ASCII);
+    private static final int BACKLOG = 1024;
+
+    private final ServerSocketChannel listener = ServerSocketChannel.open();
+    private final Loop accepting = new Loop("null-accept");
+    private final List<Loop> loops = new ArrayList<>();
+    private int accepted;
+
+    public NullServer(int threads) throws IOException {
+        listener.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), BACKLOG);
+        for (int i = 0; i < Math.max(1, threads); i++) {
+            loops.add(new Loop("null-" + i));
+        }
+        accepting.post(this::listen);
+    }
+
+    public InetSocketAddress address() throws IOException {
+        return (InetSocketAddress) listener.getLocalAddress();
+    }
+
+    private void listen() {
+        try {
+            accepting.register(listener, SelectionKey.OP_ACCEPT, new Loop.Handler() {
+                @Override
+                public void ready(SelectionKey key) throws IOException {
+                    for (SocketChannel channel = listener.accept(); channel != null; channel = listener.accept()) {
+                        channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
+                        serve(channel, loops.get(accepted++ % loops.size()));
+                    }
+                }
+
+                @Override
+                public void broken(IOException why) {
+                    LOG.log(Level.FINE, "accept failed: {0}", why.toString());
+                }
+            });
+        } catch (IOException e) {
+            LOG.log(Level.SEVERE, "not listening", e);
+        }
+    }
+
+    private static void serve(SocketChannel channel, Loop loop) {
+        loop.post(() -> {
+            try {
+                new Connection(channel).register(loop, SelectionKey.OP_READ);
+            } catch (IOException e) {
+                LOG.log(Level.FINE, "connection was gone at once", e);
+            }
+        });
+    }
+
+    private static final class Connection extends Wire {
+        Connection(SocketChannel channel) {
+            super(channel, false);
+        }
+
+        @Override
+        protected void received() throws IOException {
+            try {
+                while (!isClosed() && framer.next() != null) {
+                    write(ANSWER);
+                }
+            } catch (BadHttp e) {
+                close();
+            }
+        }
+
+        @Override
+        protected void peerEnded() {
+            close();
+        }
+
+        @Override
+        protected void gone() {
+            // Nothing is kept of a connection.
+        }
+    }
+
+    @Override
+    public void close() throws IOException {
+        listener.close();
+        accepting.close();
+        loops.forEach(Loop::close);
+    }
+}
