--- /dev/null
+++ b/core/src/main/java/dapplequay/lifecycle/ReloadPlan.java
@@ -0,0 +1,32 @@
+package dapplequay.lifecycle;
+
+import java.util.Map;
+import java.util.SortedSet;
+import java.util.TreeSet;
+
+/**
+ * What goes over from one configuration to another: the names of the instances that come, go, change and stay
+ * as they are. It is made as a whole before anything is touched.
+ */
+public record ReloadPlan(SortedSet<String> added, SortedSet<String> removed, SortedSet<String> changed,
+                         SortedSet<String> untouched) {
+    /** The difference of two configurations by name; two of one name are the same where they are equal. */
+    public static <T> ReloadPlan between(Map<String, T> before, Map<String, T> after) {
+        SortedSet<String> added = new TreeSet<>(after.keySet());
+        added.removeAll(before.keySet());
+        SortedSet<String> removed = new TreeSet<>(before.keySet());
+        removed.removeAll(after.keySet());
+        SortedSet<String> changed = new TreeSet<>();
+        SortedSet<String> untouched = new TreeSet<>();
+        before.forEach((name, value) -> {
+            if (after.containsKey(name)) {
+                (value.equals(after.get(name)) ? untouched : changed).add(name);
+            }
+        });
+        return new ReloadPlan(added, removed, changed, untouched);
+    }
+
+    public boolean isEmpty() {
+        return added.isEmpty() && removed.isEmpty() && changed.isEmpty();
+    }
+}
