--- a/lab/src/main/java/dapplequay/lab/fleet/HostFaults.java
+++ b/lab/src/main/java/dapplequay/lab/fleet/HostFaults.java
@@ -26,12 +26,13 @@
     }
 
     /**
-     * Whether this fault hits a request. The draw is made from the request's name and not from a generator, so
-     * that the same requests are hit whatever came before and whichever host they go to.
+     * Whether this fault hits what has this name. The draw is made from the name and not from a generator, so that
+     * what came before changes nothing. What a request costs is named by the request, and so is the same at every
+     * host; what befalls a connection is named by request and host, as another attempt is another matter.
      */
-    boolean hits(FaultSpec.Kind kind, String request) {
+    boolean hits(FaultSpec.Kind kind, String name) {
         FaultSpec fault = on.get(kind);
-        return fault != null && unit(request + kind.name()) < fault.partOfRequests();
+        return fault != null && unit(name + kind.name()) < fault.partOfRequests();
     }
 
     /** Evenly spread over 0 to 1, by name alone. */
