--- a/lab/src/main/java/dapplequay/lab/fleet/HostServer.java
+++ b/lab/src/main/java/dapplequay/lab/fleet/HostServer.java
@@ -499,7 +499,7 @@
                 body = body + "x".repeat(2 * MAX_BODY);
             }
             byte[] whole = bytes(200, body, "", false);
-            if (faults.hits(Kind.CUT, visit.call + uid) || faults.hits(Kind.RESET_WITHIN, visit.call)) {
+            if (faults.hits(Kind.CUT, visit.call + uid) || faults.hits(Kind.RESET_WITHIN, visit.call + uid)) {
                 visit.did = FleetLog.Did.BROKEN;
                 boolean resets = faults.hits(Kind.RESET_WITHIN, visit.call + uid);
                 send(Arrays.copyOf(whole, whole.length - body.length() / 2), resets ? End.RESET : End.CLOSE);
--- a/lab/src/test/java/dapplequay/lab/ArchitectureTest.java
+++ b/lab/src/test/java/dapplequay/lab/ArchitectureTest.java
@@ -13,7 +13,7 @@
 /** Who may use whom. docs/ARCHITECTURE.md has it in words. */
 class ArchitectureTest {
     private static final String[] CORE = {"dapplequay", "dapplequay.settings", "dapplequay.facade",
-        "dapplequay.lifecycle"};
+        "dapplequay.lifecycle", "dapplequay.state"};
     private static JavaClasses all;
 
     @BeforeAll
--- /dev/null
+++ b/sidecar/src/main/java/dapplequay/snapshot/Disk.java
@@ -0,0 +1,56 @@
+package dapplequay.snapshot;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
+import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.nio.file.StandardOpenOption;
+
+/** The steps of keeping a file, one at a time, so that a test can end the world between any two of them. */
+class Disk {
+    /** The file's bytes, or null where there is none; IOException where it is longer than {@code most}. */
+    byte[] read(Path file, long most) throws IOException {
+        try {
+            if (Files.size(file) > most) {
+                throw new IOException("oversized: " + Files.size(file) + " bytes");
+            }
+            return Files.readAllBytes(file);
+        } catch (NoSuchFileException e) {
+            return null;
+        }
+    }
+
+    void create(Path file) throws IOException {
+        Files.deleteIfExists(file);
+        Files.createFile(file);
+    }
+
+    void write(Path file, byte[] bytes) throws IOException {
+        try (FileChannel out = FileChannel.open(file, StandardOpenOption.WRITE)) {
+            ByteBuffer left = ByteBuffer.wrap(bytes);
+            while (left.hasRemaining()) {
+                out.write(left);
+            }
+        }
+    }
+
+    void sync(Path file) throws IOException {
+        try (FileChannel out = FileChannel.open(file, StandardOpenOption.WRITE)) {
+            out.force(true);
+        }
+    }
+
+    void rename(Path from, Path to) throws IOException {
+        Files.move(from, to, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+    }
+
+    /** The rename itself is on the disk only once its folder is. */
+    void syncFolder(Path folder) throws IOException {
+        try (FileChannel in = FileChannel.open(folder, StandardOpenOption.READ)) {
+            in.force(true);
+        }
+    }
+}
--- /dev/null
+++ b/sidecar/src/test/java/dapplequay/snapshot/SnapshotFileTest.java
@@ -0,0 +1,133 @@
+package dapplequay.snapshot;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import dapplequay.state.Snapshot;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Arrays;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class SnapshotFileTest {
+    private static final Snapshot OLD = new Snapshot(1, "old".getBytes(StandardCharsets.UTF_8));
+    private static final Snapshot NEW = new Snapshot(2, "new and longer".getBytes(StandardCharsets.UTF_8));
+
+    @TempDir
+    private Path folder;
+
+    /** The end of the world: nothing after it happens. */
+    private static final class Ended extends RuntimeException {
+        private static final long serialVersionUID = 1;
+    }
+
+    /** A disk on which the world ends at one step: before it, or in the middle of a write. */
+    private static final class Mortal extends Disk {
+        private final int last;
+        private int step;
+
+        Mortal(int last) {
+            this.last = last;
+        }
+
+        private void step() {
+            if (step++ == last) {
+                throw new Ended();
+            }
+        }
+
+        @Override
+        void create(Path file) throws IOException {
+            step();
+            super.create(file);
+        }
+
+        @Override
+        void write(Path file, byte[] bytes) throws IOException {
+            step();
+            if (step == last) {
+                super.write(file, Arrays.copyOf(bytes, bytes.length / 2));
+                throw new Ended();
+            }
+            super.write(file, bytes);
+            step();
+        }
+
+        @Override
+        void sync(Path file) throws IOException {
+            step();
+            super.sync(file);
+        }
+
+        @Override
+        void rename(Path from, Path to) throws IOException {
+            step();
+            super.rename(from, to);
+        }
+
+        @Override
+        void syncFolder(Path of) throws IOException {
+            step();
+            super.syncFolder(of);
+        }
+    }
+
+    @Test
+    void theLastOneWrittenIsTheOneRead() throws IOException {
+        SnapshotFile file = new SnapshotFile(folder, "n1");
+        assertThat(file.read()).isNull();
+        file.write(OLD);
+        file.write(NEW);
+        assertThat(file.read()).isEqualTo(NEW);
+        assertThat(new SnapshotFile(folder, "n2").read()).as("another instance has its own").isNull();
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {0, 1, 2, 3, 4, 5, 6})
+    void whereverAWriteEndsThereIsTheOldOneOrTheNewOne(int step) throws IOException {
+        new SnapshotFile(folder, "n1").write(OLD);
+        boolean ended = false;
+        try {
+            new SnapshotFile(folder, "n1", new Mortal(step)).write(NEW);
+        } catch (Ended e) {
+            ended = true;
+        }
+        assertThat(ended).isEqualTo(step < 6);
+        Snapshot found = new SnapshotFile(folder, "n1").read();
+        assertThat(found).isIn(OLD, NEW);
+        assertThat(folder.resolve("n1.list.bad")).doesNotExist();
+        new SnapshotFile(folder, "n1").write(NEW);
+        assertThat(new SnapshotFile(folder, "n1").read()).as("and the next write goes well").isEqualTo(NEW);
+    }
+
+    @ParameterizedTest
+    @CsvSource({"torn", "''", "DQSNAPxxxxxxxxxxxxxxxxxxxxxxxxxxx"})
+    void whatCantBeReadIsKeptAsideAndStopsNothing(String text) throws IOException {
+        Files.writeString(folder.resolve("n1.list"), text);
+        SnapshotFile file = new SnapshotFile(folder, "n1");
+        assertThat(file.read()).isNull();
+        assertThat(folder.resolve("n1.list.bad")).hasContent(text);
+        assertThat(folder.resolve("n1.list")).doesNotExist();
+        file.write(NEW);
+        assertThat(file.read()).isEqualTo(NEW);
+    }
+
+    @Test
+    void aMissingFolderIsAFailedWriteAndNoMore() {
+        SnapshotFile file = new SnapshotFile(folder.resolve("gone"), "n1");
+        assertThat(file.read()).isNull();
+        assertThatThrownBy(() -> file.write(OLD)).isInstanceOf(IOException.class);
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"", "../n1", "a/b", ".hidden", "a b"})
+    void aNameThatLeavesTheFolderIsRefused(String name) {
+        assertThatThrownBy(() -> new SnapshotFile(folder, name)).isInstanceOf(IllegalArgumentException.class);
+    }
+}
