--- a/lab/src/main/java/dapplequay/lab/cli/FleetCommand.java
+++ b/lab/src/main/java/dapplequay/lab/cli/FleetCommand.java
@@ -36,6 +36,7 @@
             }
         }, "ending"));
         try (Fleet fleet = new Fleet(parsed.fleet(), seed)) {
+            fleet.log().keepCountsAlone();
             fleet.play(FaultScript.draw(parsed.fleet(), parsed.faults(), seed), Loop.nowUs());
             System.out.println(firstLine(fleet));
             System.out.flush();
--- a/lab/src/main/java/dapplequay/lab/fleet/FleetLog.java
+++ b/lab/src/main/java/dapplequay/lab/fleet/FleetLog.java
@@ -76,6 +76,7 @@
     private final Counts[] counts;
     private long listCalls;
     private long listLines;
+    private boolean keeps = true;
 
     public FleetLog(int hosts) {
         counts = new Counts[hosts];
@@ -84,12 +85,24 @@
         }
     }
 
+    /** Keeps counts alone from now on: for a fleet that runs for days and that nobody judges. */
+    public synchronized void keepCountsAlone() {
+        keeps = false;
+        visits.clear();
+        told.clear();
+        samples.clear();
+    }
+
     public synchronized void add(Visit visit) {
-        visits.add(visit);
+        if (keeps) {
+            visits.add(visit);
+        }
     }
 
     public synchronized void add(Told news) {
-        told.add(news);
+        if (keeps) {
+            told.add(news);
+        }
     }
 
     public synchronized void add(Start start) {
@@ -101,7 +114,9 @@
     }
 
     public synchronized void add(Sample sample) {
-        samples.add(sample);
+        if (keeps) {
+            samples.add(sample);
+        }
     }
 
     synchronized void listCall(int lines) {
--- a/lab/src/main/java/dapplequay/lab/fleet/HostServer.java
+++ b/lab/src/main/java/dapplequay/lab/fleet/HostServer.java
@@ -231,7 +231,10 @@
             case STOP -> restart(nowUs);
             case REFUSE, HANG -> {
                 stopListening();
-                listen(BACKLOG);
+                // One that has fallen over meanwhile stays down.
+                if (up) {
+                    listen(BACKLOG);
+                }
             }
             case DRAIN -> draining = false;
             case REPLACE -> {
--- a/lab/src/test/java/dapplequay/lab/fleet/FleetTest.java
+++ b/lab/src/test/java/dapplequay/lab/fleet/FleetTest.java
@@ -131,6 +131,17 @@
         }
     }
 
+    @Test
+    void aFleetThatNobodyJudgesKeepsNoLineForEachRequest() throws Exception {
+        try (Fleet fleet = new Fleet(spec(""), 1); Socket socket = connect(fleet.endpoints(0).get(0))) {
+            ask(socket, "a1");
+            fleet.log().keepCountsAlone();
+            ask(socket, "a2");
+            assertThat(fleet.log().visits()).isEmpty();
+            assertThat(fleet.log().counts(0).handshakes).isEqualTo(1);
+        }
+    }
+
     @Test
     void rubbishEndsOneConnectionAlone() throws Exception {
         try (Fleet fleet = new Fleet(spec(""), 1); Socket bad = connect(fleet.endpoints(0).get(0));
