--- a/lab/src/main/java/dapplequay/lab/cli/LoadCommand.java
+++ b/lab/src/main/java/dapplequay/lab/cli/LoadCommand.java
@@ -6,6 +6,7 @@
 import dapplequay.lab.load.LoadResult;
 import dapplequay.lab.load.Profile;
 import dapplequay.lab.load.Schedule;
+import dapplequay.lab.load.WarmUp;
 import dapplequay.lab.loop.Loop;
 import dapplequay.lab.report.ReportHtml;
 import dapplequay.lab.report.ReportJson;
@@ -51,7 +52,9 @@
             throw new CmdLineException(new CmdLineParser(this), "--connections-max must be 1 or more");
         }
         Schedule schedule = Schedule.draw(load, 1, seed);
-        Generator generator = new Generator(load, schedule, List.of(address()), connectionsMax);
+        InetSocketAddress to = address();
+        WarmUp.run();
+        Generator generator = new Generator(load, schedule, List.of(to), connectionsMax);
         generator.start(Loop.nowUs() + LEAD_US);
         LoadResult result = generator.await();
         ObjectNode report = ReportJson.load(result);
--- a/lab/src/main/java/dapplequay/lab/experiment/Runner.java
+++ b/lab/src/main/java/dapplequay/lab/experiment/Runner.java
@@ -6,6 +6,7 @@
 import dapplequay.lab.load.LoadResult;
 import dapplequay.lab.load.Profile;
 import dapplequay.lab.load.Schedule;
+import dapplequay.lab.load.WarmUp;
 import dapplequay.lab.loop.Loop;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -38,6 +39,7 @@
 
     /** All runs, in order. */
     public List<Done> run(int repeats) throws IOException, InterruptedException {
+        WarmUp.run();
         List<Done> done = new ArrayList<>();
         for (int repeat = 0; repeat < repeats; repeat++) {
             for (Variant variant : spec.variants()) {
--- a/lab/src/main/java/dapplequay/lab/loop/Loop.java
+++ b/lab/src/main/java/dapplequay/lab/loop/Loop.java
@@ -185,7 +185,7 @@
         if (!tasks.isEmpty() || left <= 0) {
             selector.selectNow();
         } else if (left >= FINE_US) {
-            selector.select((left - 1000) / 1000 + 1);
+            selector.select(Math.max(1, (left - 500) / 1000));
         } else if (selector.selectNow() == 0) {
             LockSupport.parkNanos(Math.min(NAP_NANOS, left * 1000));
         }
