Reports of a load show it over time; sent counts requests whose later try was written

Need: the page of lab load had percentiles alone; in a wave of restarts 2,059 were told as sent and 2,082 as answered, as only first tries counted.

--- a/lab/src/main/java/dapplequay/lab/load/LoadResult.java
+++ b/lab/src/main/java/dapplequay/lab/load/LoadResult.java
@@ -36,8 +36,8 @@
         for (List<Try> all : tries) {
             Try first = all.get(0);
             Try last = all.get(all.size() - 1);
+            written += all.stream().anyMatch(one -> one.sentUs > 0) ? 1 : 0;
             if (first.sentUs > 0) {
-                written++;
                 sendLag.recordValue(clamp(first.sentUs - first.dueUs));
             }
             if (last.isAnswered()) {
--- a/lab/src/main/java/dapplequay/lab/report/ReportHtml.java
+++ b/lab/src/main/java/dapplequay/lab/report/ReportHtml.java
@@ -66,7 +66,8 @@
         }
         if (root.path("kind").asText().equals("load")) {
             body.append(latencies(List.of(root), node -> "load")).append(outcomes(root));
-            body.append("<div class=plots>").append(drawn(Plots::percentiles, root)).append("</div>");
+            body.append("<div class=plots>").append(drawn(Plots::percentiles, root))
+                    .append(drawn(Plots::latency, root)).append(drawn(Plots::outcomes, root)).append("</div>");
             return body.toString();
         }
         List<JsonNode> variants = new ArrayList<>();
--- a/lab/src/main/java/dapplequay/lab/report/ReportJson.java
+++ b/lab/src/main/java/dapplequay/lab/report/ReportJson.java
@@ -34,6 +34,7 @@
         ObjectNode root = JSON.createObjectNode();
         root.put("version", VERSION).put("kind", "load");
         add(root, List.of(result));
+        overTime(root, new Series(result, null));
         return root;
     }
 
@@ -90,11 +91,7 @@
             }
         }
         Series series = new Series(run.result(), run.log());
-        ObjectNode overTime = node.putObject("over_time");
-        overTime.put("bucket_s", Series.BUCKET_S);
-        lists(overTime.putObject("latency_ms"), series.latencyMs);
-        lists(overTime.putObject("outcomes_per_s"), series.outcomes);
-        lists(overTime.putObject("held_by_host"), series.held);
+        overTime(node, series);
         ArrayNode hosts = node.putArray("hosts");
         for (int i = 0; i < series.visits.length; i++) {
             hosts.addObject().put("host", i)
@@ -107,6 +104,14 @@
         return node;
     }
 
+    private static void overTime(ObjectNode node, Series series) {
+        ObjectNode overTime = node.putObject("over_time");
+        overTime.put("bucket_s", Series.BUCKET_S);
+        lists(overTime.putObject("latency_ms"), series.latencyMs);
+        lists(overTime.putObject("outcomes_per_s"), series.outcomes);
+        lists(overTime.putObject("held_by_host"), series.held);
+    }
+
     private static void lists(ObjectNode node, Map<String, List<Double>> lists) {
         lists.forEach((name, values) -> {
             ArrayNode array = node.putArray(name);
--- a/lab/src/test/java/dapplequay/lab/cli/LabMainTest.java
+++ b/lab/src/test/java/dapplequay/lab/cli/LabMainTest.java
@@ -56,6 +56,7 @@
         assertThat(report.path("behind").asBoolean()).isTrue();
         assertThat(report.path("scheduled").asLong()).isEqualTo(50);
         assertThat(report.path("answered").asLong()).isZero();
+        assertThat(report.path("over_time").path("latency_ms").has("p90")).isTrue();
         assertThat(folder.resolve("report.html")).exists();
         assertThat(folder.resolve("latency.hlog")).exists();
     }
