Laboratory: one accept for three listeners, the log copied once, dead parts gone

Need: reading the whole change again, hosts, discovery and the null server each had the same accept loop; the judge copied the lists of visits and of news anew at every look, for each visit to a cold host among others; every answer drew its faults from a name put together anew. Change: Loop.accept serves all three; the judge takes its lists from the log once; the name and the run line of the sidecars are made once; one maker of histograms; a flag that chose between two methods of discovery, and fields and parameters that nothing read, are gone.

--- a/lab/src/main/java/dapplequay/lab/cli/MergeCommand.java
+++ b/lab/src/main/java/dapplequay/lab/cli/MergeCommand.java
@@ -1,6 +1,7 @@
 package dapplequay.lab.cli;
 
 import dapplequay.lab.load.HistogramLogs;
+import dapplequay.lab.load.LoadResult;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -25,7 +26,7 @@
         }
         List<Histogram> merged = HistogramLogs.merge(logs);
         HistogramLogs.write(merged, Path.of(out).resolve("latency.hlog"));
-        Histogram all = new Histogram(3_600_000_000L, 3);
+        Histogram all = LoadResult.histogram();
         merged.forEach(all::add);
         System.out.printf(Locale.ROOT, "answered %d, latency ms p50 %.2f, p90 %.2f, p99 %.2f, p99.9 %.2f, max %.2f%n",
                 all.getTotalCount(), all.getValueAtPercentile(50) / 1e3, all.getValueAtPercentile(90) / 1e3,
--- a/lab/src/main/java/dapplequay/lab/experiment/Judge.java
+++ b/lab/src/main/java/dapplequay/lab/experiment/Judge.java
@@ -33,12 +33,17 @@
 
     private final Run run;
     private final Verdict verdict = new Verdict();
+    /** Taken from the log once, as it copies them at each call. */
+    private final List<Visit> allVisits;
+    private final List<FleetLog.Told> allTold;
     private final Map<String, List<Visit>> byCall = new HashMap<>();
     private final Map<String, Try> tryOfCall = new HashMap<>();
 
     private Judge(Run run) {
         this.run = run;
-        for (Visit visit : run.log().visits()) {
+        allVisits = run.log().visits();
+        allTold = run.log().told();
+        for (Visit visit : allVisits) {
             byCall.computeIfAbsent(visit.call, c -> new ArrayList<>()).add(visit);
         }
         byCall.values().forEach(visits -> visits.sort(Comparator.comparingLong(visit -> visit.firstByteUs)));
@@ -128,7 +133,7 @@
         long probes = 0;
         long mostHandshakes = 0;
         long mostConnections = 0;
-        for (Visit visit : run.log().visits()) {
+        for (Visit visit : allVisits) {
             asked += visit.askedUs;
             crossing += run.fleet().hosts().get(visit.host).zone() == visit.fromZone ? 0 : 1;
         }
@@ -141,7 +146,7 @@
             mostConnections = Math.max(mostConnections, counts.mostConnections);
         }
         double all = Math.max(1, run.result().scheduled());
-        int visits = run.log().visits().size();
+        int visits = allVisits.size();
         verdict.figure("visits_per_request", visits / all);
         verdict.figure("cross_zone", visits == 0 ? 0 : (double) crossing / visits);
         verdict.figure("wasted_work", asked == 0 ? 0 : wasted / asked);
@@ -220,7 +225,7 @@
     private void repeats() {
         Verdict.Rule rule = verdict.rule("repeat", "what may have run is repeated only where its class allows it");
         Map<String, List<Visit>> byKey = new HashMap<>();
-        for (Visit visit : run.log().visits()) {
+        for (Visit visit : allVisits) {
             if (visit.key != null) {
                 byKey.computeIfAbsent(visit.key, k -> new ArrayList<>()).add(visit);
             }
@@ -237,8 +242,9 @@
         }
         for (Map.Entry<String, List<Visit>> entry : byCall.entrySet()) {
             Try one = tryOfCall.get(entry.getKey());
-            if (one != null && run.load().services().get(one.arrival.service()).repeats().equals("fragile")) {
-                repeated(run.load().services().get(one.arrival.service()), entry.getKey(), entry.getValue(), rule);
+            Profile.Service service = one == null ? null : run.load().services().get(one.arrival.service());
+            if (service != null && service.repeats().equals("fragile")) {
+                repeated(service, entry.getKey(), entry.getValue(), rule);
             }
         }
         verdict.figure("doubled", doubled);
@@ -310,11 +316,11 @@
     private void drains() {
         Verdict.Rule rule = verdict.rule("drain", "no new work to a draining or gone host after the grace");
         Map<String, List<FleetLog.Told>> told = new HashMap<>();
-        for (FleetLog.Told news : run.log().told()) {
+        for (FleetLog.Told news : allTold) {
             told.computeIfAbsent(news.view() + " " + news.uid(), k -> new ArrayList<>()).add(news);
         }
         long grace = run.sidecars().drainGraceUs() + CLOCK_SLACK_US;
-        for (Visit visit : run.log().visits()) {
+        for (Visit visit : allVisits) {
             Try one = tryOfCall.get(visit.call);
             if (one == null) {
                 continue;
@@ -349,7 +355,7 @@
             ColdBudget budget = new ColdBudget(spec);
             double knowing = 0;
             double all = 0;
-            for (Visit visit : run.log().visits()) {
+            for (Visit visit : allVisits) {
                 if (visit.host == start.host() && visit.uid.equals(start.uid()) && visit.atUs >= start.atUs()) {
                     budget.sent(visit.atUs - start.atUs(), visit.askedUs);
                     all += visit.askedUs;
@@ -366,7 +372,7 @@
 
     private boolean wasToldOf(FleetLog.Start start, Visit visit) {
         Try one = tryOfCall.get(visit.call);
-        for (FleetLog.Told news : run.log().told()) {
+        for (FleetLog.Told news : allTold) {
             if (one != null && news.view() == one.arrival.target() && news.uid().equals(start.uid())
                     && news.bootMs() >= start.atUs() / 1000 - 1 && news.atUs() <= visit.firstByteUs) {
                 return true;
--- a/lab/src/main/java/dapplequay/lab/experiment/Sidecars.java
+++ b/lab/src/main/java/dapplequay/lab/experiment/Sidecars.java
@@ -38,6 +38,7 @@
     private final Path root;
     private final Path folder;
     private final long seed;
+    private final String command;
     private final Lives lives = new Lives();
     private final List<Child> children = new ArrayList<>();
     private final ScheduledExecutorService hands = Executors.newScheduledThreadPool(8, task -> {
@@ -71,6 +72,7 @@
         this.root = root;
         this.folder = Files.createDirectories(folder);
         this.seed = seed;
+        command = variant.command() != null ? variant.command() : runLine(root);
         for (int i = 0; i < spec.sidecars().count(); i++) {
             children.add(new Child(i, freeAddress(i)));
         }
@@ -164,7 +166,6 @@
         Files.writeString(config, SidecarConfig.json(spec, load, child.place, listen,
                 fleet.discoveryAt(child.place), seed * 7919 + child.place * 101L + child.starts,
                 fleet.known(child.place)));
-        String command = variant.command() != null ? variant.command() : runLine(root);
         StringBuilder line = new StringBuilder("ulimit -n ").append(spec.sidecars().sockets()).append("; ")
                 .append(command);
         variant.flags().forEach(flag -> line.append(' ').append(flag));
--- a/lab/src/main/java/dapplequay/lab/fleet/Discovery.java
+++ b/lab/src/main/java/dapplequay/lab/fleet/Discovery.java
@@ -16,15 +16,12 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
-import java.util.logging.Level;
-import java.util.logging.Logger;
 
 /**
  * The discovery service on sockets, one listener for each view. It is one service for all: it takes calls in
  * turn, each for a stated time, and turns away those that would wait too long.
  */
 final class Discovery {
-    private static final Logger LOG = Logger.getLogger(Discovery.class.getName());
     private static final long LONGEST_WATCH_MS = 60_000;
 
     private final FleetSpec fleet;
@@ -57,32 +54,14 @@
             listener.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), ports[view]), 128);
             ports[view] = ((InetSocketAddress) listener.getLocalAddress()).getPort();
             listeners[view] = listener;
-            loop.post(() -> acceptFrom(listener, at));
+            loop.post(() -> loop.accept(listener, channel -> accepted(channel, at)));
         }
     }
 
-    private void acceptFrom(ServerSocketChannel listener, int view) {
-        try {
-            loop.register(listener, SelectionKey.OP_ACCEPT, new Loop.Handler() {
-                @Override
-                public void ready(SelectionKey key) throws IOException {
-                    SocketChannel channel = listener.accept();
-                    if (channel != null) {
-                        channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
-                        Call call = new Call(channel, view);
-                        calls.add(call);
-                        call.register(loop, SelectionKey.OP_READ);
-                    }
-                }
-
-                @Override
-                public void broken(IOException why) {
-                    LOG.log(Level.FINE, "accept failed: {0}", why.toString());
-                }
-            });
-        } catch (IOException e) {
-            LOG.log(Level.FINE, "listener was closed again: {0}", e.toString());
-        }
+    private void accepted(SocketChannel channel, int view) throws IOException {
+        Call call = new Call(channel, view);
+        calls.add(call);
+        call.register(loop, SelectionKey.OP_READ);
     }
 
     String address(int view) {
@@ -94,16 +73,13 @@
         return new String(ListState.json(list.whole(), fleet.viewZones().get(view)), StandardCharsets.UTF_8);
     }
 
-    /** The list shows this after its delay; at once where {@code now}. */
-    void change(ListState.Entry entry, boolean now) {
-        if (now) {
-            publish(entry);
-        } else {
-            loop.at(Loop.nowUs() + fleet.listDelayUs(), () -> publish(entry));
-        }
+    /** The list shows this after its delay. */
+    void change(ListState.Entry entry) {
+        loop.at(Loop.nowUs() + fleet.listDelayUs(), () -> publish(entry));
     }
 
-    private void publish(ListState.Entry entry) {
+    /** The list shows this now, unless it is stale. */
+    void publish(ListState.Entry entry) {
         if (stale) {
             heldBack.add(entry);
             return;
--- a/lab/src/main/java/dapplequay/lab/fleet/Fleet.java
+++ b/lab/src/main/java/dapplequay/lab/fleet/Fleet.java
@@ -39,7 +39,7 @@
             int at = i;
             loops.get(i % count).call(() -> start(host, now));
             hosts.add(host);
-            listLoop.call(() -> discovery.change(entry(at, host, "SERVING", 0), true));
+            listLoop.call(() -> discovery.publish(entry(at, host, "SERVING", 0)));
         }
     }
 
@@ -153,7 +153,7 @@
     }
 
     private void list(ListState.Entry entry) {
-        listLoop.post(() -> discovery.change(entry, false));
+        listLoop.post(() -> discovery.change(entry));
     }
 
     /** Ends all of it; what it saw stays in its log. A second call does nothing. */
--- a/lab/src/main/java/dapplequay/lab/fleet/HostServer.java
+++ b/lab/src/main/java/dapplequay/lab/fleet/HostServer.java
@@ -64,8 +64,8 @@
     private double doneBefore;
     private double wastedBefore;
 
-    /** A request in the model, the connection that waits for it, and its line in the log. */
-    private record Pending(Connection from, Message request, FleetLog.Visit visit) { }
+    /** A request in the model: the connection that waits for it, and its line in the log. */
+    private record Pending(Connection from, FleetLog.Visit visit) { }
 
     HostServer(FleetSpec fleet, int place, InetAddress address, Loop loop, FleetLog log,
                UniformRandomProvider random) {
@@ -125,31 +125,11 @@
             ports[zone] = ((InetSocketAddress) listener.getLocalAddress()).getPort();
             listeners[zone] = listener;
             if (backlog == BACKLOG) {
-                loop.post(() -> acceptFrom(listener, callerZone));
+                loop.post(() -> loop.accept(listener, channel -> accepted(channel, callerZone)));
             }
         }
     }
 
-    private void acceptFrom(ServerSocketChannel listener, int callerZone) {
-        try {
-            loop.register(listener, SelectionKey.OP_ACCEPT, new Loop.Handler() {
-                @Override
-                public void ready(SelectionKey key) throws IOException {
-                    for (SocketChannel channel = listener.accept(); channel != null; channel = listener.accept()) {
-                        accepted(channel, callerZone);
-                    }
-                }
-
-                @Override
-                public void broken(IOException why) {
-                    LOG.log(Level.FINE, "accept failed: {0}", why.toString());
-                }
-            });
-        } catch (IOException e) {
-            LOG.log(Level.FINE, "listener was closed again: {0}", e.toString());
-        }
-    }
-
     private void stopListening() {
         for (ServerSocketChannel listener : listeners) {
             closeQuietly(listener);
@@ -183,7 +163,6 @@
     }
 
     private void accepted(SocketChannel channel, int callerZone) throws IOException {
-        channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
         Connection connection = new Connection(channel, callerZone);
         if (model.connect(Loop.nowUs(), ended)) {
             connection.counted = true;
@@ -437,7 +416,7 @@
             FleetLog.Visit visit = new FleetLog.Visit(name, key, place, uid, host.pod(), callerZone, first, whole,
                     work(request, key == null ? name : key));
             log.add(visit);
-            work(request, visit);
+            begin(visit);
         }
 
         private double work(Message request, String name) {
@@ -447,7 +426,7 @@
             return faults.hits(Kind.HEAVY, name) ? work * faults.amount(Kind.HEAVY, 1) : work;
         }
 
-        private void work(Message request, FleetLog.Visit visit) {
+        private void begin(FleetLog.Visit visit) {
             if (faults.hits(Kind.RESET_BEFORE, visit.call + uid)) {
                 visit.did = FleetLog.Did.RESET_UNSEEN;
                 reset();
@@ -469,7 +448,7 @@
             switch (admission) {
                 case WORKING, WAITING -> {
                     requestInModel = id;
-                    pending.put(id, new Pending(this, request, visit));
+                    pending.put(id, new Pending(this, visit));
                 }
                 case FULL -> {
                     visit.did = FleetLog.Did.TURNED_AWAY;
@@ -496,22 +475,23 @@
         }
 
         void answerServed(FleetLog.Visit visit) {
+            String here = visit.call + uid;
             String body = visit.call + " " + Long.toHexString(visit.nonce) + " " + uid + "\n";
-            if (faults.hits(Kind.OVERLONG, visit.call + uid)) {
+            if (faults.hits(Kind.OVERLONG, here)) {
                 visit.did = FleetLog.Did.BROKEN;
                 body = body + "x".repeat(2 * MAX_BODY);
             }
             byte[] whole = bytes(200, body, "", false);
-            if (faults.hits(Kind.CUT, visit.call + uid) || faults.hits(Kind.RESET_WITHIN, visit.call + uid)) {
+            boolean resets = faults.hits(Kind.RESET_WITHIN, here);
+            if (resets || faults.hits(Kind.CUT, here)) {
                 visit.did = FleetLog.Did.BROKEN;
-                boolean resets = faults.hits(Kind.RESET_WITHIN, visit.call + uid);
                 send(Arrays.copyOf(whole, whole.length - body.length() / 2), resets ? End.RESET : End.CLOSE);
-            } else if (faults.hits(Kind.GARBLED, visit.call + uid)) {
+            } else if (faults.hits(Kind.GARBLED, here)) {
                 visit.did = FleetLog.Did.BROKEN;
                 send("\u0016\u0003 no such thing \u0000\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1), End.KEEP);
-            } else if (faults.hits(Kind.RESET_AFTER, visit.call + uid)) {
+            } else if (faults.hits(Kind.RESET_AFTER, here)) {
                 send(whole, End.RESET);
-            } else if (faults.hits(Kind.UNASKED, visit.call + uid)) {
+            } else if (faults.hits(Kind.UNASKED, here)) {
                 send((new String(whole, StandardCharsets.UTF_8) + "HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\nunasked")
                         .getBytes(StandardCharsets.UTF_8), End.KEEP);
             } else {
--- a/lab/src/main/java/dapplequay/lab/load/LoadResult.java
+++ b/lab/src/main/java/dapplequay/lab/load/LoadResult.java
@@ -17,8 +17,8 @@
     private final Schedule schedule;
     private final List<List<Try>> tries;
     private final long startUs;
-    private final Histogram latency = new Histogram(HIGHEST_US, 3);
-    private final Histogram sendLag = new Histogram(HIGHEST_US, 3);
+    private final Histogram latency = histogram();
+    private final Histogram sendLag = histogram();
     private final Map<String, Long> outcomes = new TreeMap<>();
     private final long sent;
     private final long answered;
@@ -50,6 +50,11 @@
         answered = whole;
     }
 
+    /** An empty histogram of microseconds, as all of the laboratory's are. */
+    public static Histogram histogram() {
+        return new Histogram(HIGHEST_US, 3);
+    }
+
     private static long clamp(long us) {
         return Math.max(0, Math.min(HIGHEST_US, us));
     }
@@ -133,7 +138,7 @@
             }
         }
         firsts.sort(java.util.Comparator.comparingLong(t -> t.sentUs));
-        Histogram seen = new Histogram(HIGHEST_US, 3);
+        Histogram seen = histogram();
         long free = 0;
         for (Try one : firsts) {
             if (one.sentUs >= free) {
@@ -154,7 +159,7 @@
             }
             int second = (int) (all.get(0).arrival.dueUs() / 1_000_000);
             while (seconds.size() <= second) {
-                Histogram next = new Histogram(HIGHEST_US, 3);
+                Histogram next = histogram();
                 next.setStartTimeStamp(startUs / 1000 + seconds.size() * 1000L);
                 next.setEndTimeStamp(startUs / 1000 + (seconds.size() + 1) * 1000L);
                 seconds.add(next);
--- a/lab/src/main/java/dapplequay/lab/load/NullServer.java
+++ b/lab/src/main/java/dapplequay/lab/load/NullServer.java
@@ -6,7 +6,6 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.StandardSocketOptions;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
@@ -33,34 +32,14 @@
         for (int i = 0; i < Math.max(1, threads); i++) {
             loops.add(new Loop("null-" + i));
         }
-        accepting.post(this::listen);
+        accepting.post(() -> accepting.accept(listener,
+                channel -> serve(channel, loops.get(accepted++ % loops.size()))));
     }
 
     public InetSocketAddress address() throws IOException {
         return (InetSocketAddress) listener.getLocalAddress();
     }
 
-    private void listen() {
-        try {
-            accepting.register(listener, SelectionKey.OP_ACCEPT, new Loop.Handler() {
-                @Override
-                public void ready(SelectionKey key) throws IOException {
-                    for (SocketChannel channel = listener.accept(); channel != null; channel = listener.accept()) {
-                        channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
-                        serve(channel, loops.get(accepted++ % loops.size()));
-                    }
-                }
-
-                @Override
-                public void broken(IOException why) {
-                    LOG.log(Level.FINE, "accept failed: {0}", why.toString());
-                }
-            });
-        } catch (IOException e) {
-            LOG.log(Level.SEVERE, "not listening", e);
-        }
-    }
-
     private static void serve(SocketChannel channel, Loop loop) {
         loop.post(() -> {
             try {
--- a/lab/src/main/java/dapplequay/lab/load/Trace.java
+++ b/lab/src/main/java/dapplequay/lab/load/Trace.java
@@ -50,12 +50,12 @@
                 throw new BadFile(file, i + 1, "due_ms", "runs backwards: " + words[0]);
             }
             last = due;
-            int service = find(profile.services().stream().map(Profile.Service::name).toList(), words[1]);
+            int service = profile.services().stream().map(Profile.Service::name).toList().indexOf(words[1]);
             if (service < 0 && !profile.services().isEmpty()) {
                 throw new BadFile(file, i + 1, "class", "is none of the profile's: " + words[1]);
             }
             int tenant = words[2].equals("-") ? -1
-                    : find(profile.tenants().stream().map(Profile.Tenant::name).toList(), words[2]);
+                    : profile.tenants().stream().map(Profile.Tenant::name).toList().indexOf(words[2]);
             if (tenant < 0 && !words[2].equals("-") && !profile.tenants().isEmpty()) {
                 throw new BadFile(file, i + 1, "tenant", "is none of the profile's: " + words[2]);
             }
@@ -66,10 +66,6 @@
         return lines;
     }
 
-    private static int find(List<String> names, String name) {
-        return names.indexOf(name);
-    }
-
     private static long us(String file, int line, String what, String text) {
         try {
             double ms = Double.parseDouble(text);
--- a/lab/src/main/java/dapplequay/lab/loop/Loop.java
+++ b/lab/src/main/java/dapplequay/lab/loop/Loop.java
@@ -2,10 +2,13 @@
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.net.StandardSocketOptions;
 import java.nio.channels.CancelledKeyException;
 import java.nio.channels.SelectableChannel;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.Selector;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.SocketChannel;
 import java.time.Instant;
 import java.time.temporal.ChronoUnit;
 import java.util.Iterator;
@@ -35,6 +38,11 @@
         void broken(IOException why);
     }
 
+    /** Takes a connection that a listener has accepted. */
+    public interface Acceptor {
+        void accepted(SocketChannel channel) throws IOException;
+    }
+
     /** Something to be done at a time, unless it is cancelled before. */
     public static final class Timer {
         private final long atUs;
@@ -115,6 +123,28 @@
         return channel.register(selector, interest, handler);
     }
 
+    /** Serves what comes to a listener: each connection is handed over as soon as it is accepted. */
+    public void accept(ServerSocketChannel listener, Acceptor acceptor) {
+        try {
+            register(listener, SelectionKey.OP_ACCEPT, new Handler() {
+                @Override
+                public void ready(SelectionKey key) throws IOException {
+                    for (SocketChannel channel = listener.accept(); channel != null; channel = listener.accept()) {
+                        channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
+                        acceptor.accepted(channel);
+                    }
+                }
+
+                @Override
+                public void broken(IOException why) {
+                    LOG.log(Level.FINE, "accept failed: {0}", why.toString());
+                }
+            });
+        } catch (IOException e) {
+            LOG.log(Level.FINE, "listener was closed again: {0}", e.toString());
+        }
+    }
+
     /**
      * Lets go of sockets that were closed in this turn: until then their ports stay taken. On the loop's thread
      * only, from a task or a timer.
--- a/lab/src/main/java/dapplequay/lab/report/Plots.java
+++ b/lab/src/main/java/dapplequay/lab/report/Plots.java
@@ -36,7 +36,7 @@
 
     /** Latency over time. A bucket without answers is left out: nothing is not 0 ms. */
     static String latency(JsonNode run) {
-        XYChart chart = chart("Latency by time due, ms", "s", "");
+        XYChart chart = chart("Latency by time due, ms", "s");
         chart.getStyler().setYAxisLogarithmic(true);
         JsonNode over = run.path("over_time");
         double least = Double.MAX_VALUE;
@@ -70,7 +70,7 @@
 
     /** Answers by what they were, stacked: the top line is all that was due. */
     static String outcomes(JsonNode run) {
-        XYChart chart = chart("Outcomes by time due, requests a second", "s", "");
+        XYChart chart = chart("Outcomes by time due, requests a second", "s");
         chart.getStyler().setDefaultSeriesRenderStyle(XYSeries.XYSeriesRenderStyle.Area);
         chart.getStyler().setYAxisMin(0.0);
         JsonNode over = run.path("over_time");
@@ -102,7 +102,7 @@
     }
 
     static String held(JsonNode run) {
-        XYChart chart = chart("Requests held by a host", "s", "");
+        XYChart chart = chart("Requests held by a host", "s");
         chart.getStyler().setYAxisMin(0.0);
         JsonNode over = run.path("over_time");
         for (Iterator<Map.Entry<String, JsonNode>> it = over.path("held_by_host").fields(); it.hasNext();) {
@@ -140,7 +140,7 @@
         if (count == 0) {
             return "";
         }
-        XYChart chart = chart("Faults", "s", "");
+        XYChart chart = chart("Faults", "s");
         chart.getStyler().setYAxisTicksVisible(false);
         chart.getStyler().setYAxisMin(0.0);
         chart.getStyler().setYAxisMax((double) count + 1);
@@ -165,7 +165,7 @@
     /** Latency by percentile, for each variant; the x axis is 1 / (1 - share), so that each decade is a nine. */
     static String percentiles(JsonNode root) {
         XYChart chart = chart("Latency by percentile, ms",
-                "share that is faster: 10 = 90%, 100 = 99%, 1000 = 99.9%", "");
+                "share that is faster: 10 = 90%, 100 = 99%, 1000 = 99.9%");
         chart.getStyler().setXAxisLogarithmic(true);
         chart.getStyler().setYAxisLogarithmic(true);
         JsonNode variants = root.path("variants").isArray() ? root.path("variants") : null;
@@ -195,9 +195,8 @@
         return Math.max(0.01, latency.path(name).asDouble());
     }
 
-    private static XYChart chart(String title, String x, String y) {
-        XYChart chart = new XYChartBuilder().width(WIDTH).height(HEIGHT).title(title).xAxisTitle(x).yAxisTitle(y)
-                .build();
+    private static XYChart chart(String title, String x) {
+        XYChart chart = new XYChartBuilder().width(WIDTH).height(HEIGHT).title(title).xAxisTitle(x).build();
         style(chart.getStyler());
         return chart;
     }
--- a/lab/src/main/java/dapplequay/lab/report/ReportJson.java
+++ b/lab/src/main/java/dapplequay/lab/report/ReportJson.java
@@ -121,9 +121,9 @@
 
     /** What every report has: counts, latencies and outcomes, of all these runs together. */
     private static void add(ObjectNode node, List<LoadResult> results) {
-        Histogram latency = new Histogram(3_600_000_000L, 3);
-        Histogram lag = new Histogram(3_600_000_000L, 3);
-        Histogram closed = new Histogram(3_600_000_000L, 3);
+        Histogram latency = LoadResult.histogram();
+        Histogram lag = LoadResult.histogram();
+        Histogram closed = LoadResult.histogram();
         Map<String, Long> outcomes = new TreeMap<>();
         List<String> why = new ArrayList<>();
         for (LoadResult result : results) {
--- a/lab/src/main/java/dapplequay/lab/report/Series.java
+++ b/lab/src/main/java/dapplequay/lab/report/Series.java
@@ -13,7 +13,6 @@
 final class Series {
     static final double BUCKET_S = 0.5;
 
-    final List<Double> times = new ArrayList<>();
     final Map<String, List<Double>> latencyMs = new TreeMap<>();
     final Map<String, List<Double>> outcomes = new TreeMap<>();
     /** Held over all hosts: the median, the ninth decile and the most. */
@@ -24,9 +23,6 @@
     Series(LoadResult result, FleetLog log) {
         long last = result.schedule().arrivals().stream().mapToLong(a -> a.dueUs()).max().orElse(0);
         int buckets = (int) (last / 1e6 / BUCKET_S) + 1;
-        for (int i = 0; i < buckets; i++) {
-            times.add(i * BUCKET_S);
-        }
         outcomes(result, buckets);
         visits = new long[log == null ? 0 : log.hosts()];
         if (log != null) {
