Sets widen with their own load, lost zones are left as a whole, cold hosts share a budget

At fault: coldShare() as a share of the heads' sends. Change: a set past TH_v everywhere, by half or more of its own doing, takes in the next ready host in order, up to three buddies a request held, and gives it up after 2 s without need. core.membership.ZoneLoss holds a zone for lost after four attempts in a row that met nobody; it is then tried once a second and the next zone's hosts lead the set. A cold host may get any request's first attempt, one at a time, at a pace that follows from the cold rule divided by the senders that exist; its figure is divided by its warmth. Queues are kept shorter where much is late (ADMIT_MIN 0.7 to 0.4).

--- a/core/src/main/java/dapplequay/Balance.java
+++ b/core/src/main/java/dapplequay/Balance.java
@@ -1,6 +1,10 @@
 // Interface: BalancerApi.java (the events that come in, the actions that go out, the values of both).
 package dapplequay;
 
+import dapplequay.membership.AskPace;
+import dapplequay.membership.Scatter;
+import dapplequay.membership.ZoneLoss;
+import dapplequay.worth.TenantMix;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Comparator;
@@ -9,6 +13,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
+import java.util.stream.IntStream;
 
 /**
  * Every decision of one balancer: buddy-set load sharing after Shin and Chang. A small buddy set in a fixed
@@ -18,11 +23,15 @@
  */
 public final class Balance implements BalancerApi {
     // ---- settings; a load figure is the time, us, that a request sent now is thought to take ----
-    // The aim, us, that the times below were fitted to: where the shortest aim is shorter, work, reports and
-    // troubles pass faster too, and these times, unshrunk, would pass servers over for far too long.
+    // The aim, us, that the times below were fitted to: with a shorter one, work, reports and troubles pass faster.
     private static final double FITTED_AIM_US = 600_000;
     /** Buddies; the paper finds 10 to 15 enough at any fleet size, and each buddy may cost a connection. */
     private static final int SET_SIZE = 12;
+    // A set that is past TH_v everywhere, by this share or more of its own doing, is too small for its traffic: the
+    // next in order joins it, up to so many buddies a request held, and leaves after this, us, without need.
+    private static final int SET_PER_HELD = 3;
+    private static final double OWN_SHARE = 0.5;
+    private static final long SHRINK_US = 2_000_000;
     /** Buddies of other zones at least, where there are other zones, so that an overloaded zone can spill. */
     private static final int FOREIGN_BUDDIES = 6;
     /** Thresholds as shares of the aim: past TH_v in this sense, long-tailed work begins to miss it. */
@@ -30,26 +39,23 @@
     private static final double AIM_TH_F = 0.14;
     private static final double AIM_TH_V = 0.18;
     // A send is refused whose figure is past a share of its aim: this over the share of recent answers that
-    // came too late, within the bounds below. Figures are old and servers turn away what they cannot hold, so
-    // while next to nothing is late the figure alone is no reason to refuse; where much is, queues are too
-    // long everywhere.
+    // came too late, within the bounds below: figures are old, and alone no reason to refuse.
     private static final double ADMIT_LOSS = 0.12;
-    private static final double ADMIT_MIN = 0.7;
+    private static final double ADMIT_MIN = 0.4;
     private static final double ADMIT_MAX = 3;
     /** Weight of the newest answer in the share that came too late: about the last half dozen. */
     private static final double LATE_GAIN = 0.15;
     /** What an answer past its aim counts in it: the queue was too long, or only the request heavy. */
     private static final double LATE_ANSWER = 0.5;
-    // Balancers spread their thresholds between these multiples, by number: with one threshold for all, those
-    // that share a server see the same late figure and turn away, and back, together.
+    // Balancers spread their thresholds, by number: with one for all, those that share a server see the same late
+    // figure and turn away, and back, together.
     private static final double SPREAD_LOW = 0.7;
-    private static final double SPREAD_HIGH = 1.3;
+    private static final double SPREAD_WIDTH = 0.6;
     /** What a report tells fades with this time constant, us, towards what its zone's buddies mostly held, */
     private static final double FADE_US = 8_000_000;
     /** which fades towards nothing with this one, us: a queue nobody feeds is worked off. */
     private static final double ZONE_FADE_US = 3_000_000;
-    // Time constant, us, of the mean of what a server is told to hold for others: each report is old and far
-    // from the mean. By time and not by count, as a server that is sent little would keep a bad name.
+    // Time constant, us, of the mean of what a server holds for others: one sent little would keep a bad name by count.
     private static final double OTHERS_US = 3_000_000;
     /** A request of a greater share of its worth may ask a server anew that nothing would be sent to. */
     private static final double ASKING_WORTH = 0.5;
@@ -58,20 +64,20 @@
     /** The same for a buddy new to the set: soon, as its first figures come only with a send. */
     private static final long NEW_FLAG_US = 300_000;
     // A refusal or time-out brings no report, so it stands for one: a figure of this share of the aim, for so
-    // long, us, doubled for each further one (an answer takes one back) up to so many times; the flag timer
-    // likewise.
+    // long, us, doubled, as the flag timer, for each further one (an answer takes one back) up to so many times.
     private static final double HOLD_SHARE = 1.2;
     private static final long HOLD_US = 300_000;
-    /** The same after a time-out, which costs far more to repeat than a refusal. */
+    // After a time-out, which costs far more to repeat.
     private static final long TIMEOUT_HOLD_US = 1_000_000;
     private static final int LOST = 3;
     private static final int HOLD_DOUBLINGS = 3;
-    // A failing server is passed over for so long, us, doubled at each further failure up to the second.
+    // A failing server is passed over for so long, us, doubled at each further failure up to the second; a lost
+    // zone is tried as often.
     private static final long SHUN_FIRST_US = 1_000_000;
     private static final long SHUN_MAX_US = 8_000_000;
     // Whether a server fails more than the others is weighed as odds, in logarithms: where it stands when
     // nothing speaks against it, what a failure adds at most and what an answer takes away. A failing one
-    // fails a third of its requests or more; where all fail now and then, one failure is no reason.
+    // fails a third or more; where all fail now and then, one failure is no reason.
     private static final double DOUBT_NONE = -3.5;
     private static final double DOUBT_ADD = 3;
     private static final double DOUBT_TAKE = 0.9;
@@ -79,12 +85,10 @@
     /** Weight of the newest outcome in the share that fails at sound servers, and the least it counts. */
     private static final double COMMON_GAIN = 0.01;
     private static final double COMMON_MIN = 0.002;
-    // A trial's leg is out for this share of the aim, where another server may take the request after it: one
-    // at a server that has vanished is then still served in time.
+    // A trial's leg is out for this share of the aim, where another server may still take the request in time.
     private static final double TRIAL_SHARE = 0.5;
     // A server is silent once legs are out and none has been answered for this share of the aim (twice that
-    // with one leg) and so many times as long as its answers are usually apart; it is tried again after this,
-    // us. Such a machine may be back at any moment, and gone again: what is out there is lost.
+    // with one leg) and so many times as long as its answers are usually apart; it is tried again after this, us.
     private static final double SILENT_SHARE = 0.5;
     private static final double SILENT_GAPS = 5;
     private static final long SILENT_US = 300_000;
@@ -93,19 +97,16 @@
     private static final long WATCH_TOKEN = 2;
     /** A trial ends by itself after this, us: where nothing repeatable comes by, it would never end. */
     private static final long TRIAL_US = 10_000_000;
+    /** Buddies kept in lost zones: to try, one after the other, whether they are back. */
+    private static final int LOST_BUDDIES = 2;
     /** From this share of the aim on, a figure loses more than an exponential answer time would. */
     private static final double SURE_SHARE = 0.5;
     /** Weight of the newest request in the running means of worth and aim: about the last thirty. */
     private static final double MIX_GAIN = 0.03;
-    /** Weight of the newest request in the mix of tenants: about the last sixteen. */
-    private static final double TENANT_GAIN = 0.06;
-    /** A tenant so many times further into its share than the rest sends beyond it: theirs is rarely full. */
-    private static final double OVER_SHARE = 1.4;
     /** Weight of the newest answer in a server's pace, and the set's pace as that many answers beside it. */
     private static final double PACE_GAIN = 0.15;
     private static final double PACE_PRIOR = 0.5;
-    // A server's own pace fades with this, us, where no answer renews it: one slow answer, as at a cold start
-    // of this very process, would else keep sends away, and with them the answers that could mend it.
+    // A server's own pace fades with this, us: one slow answer would else keep sends, and its mending, away.
     private static final double PACE_FADE_US = 8_000_000;
     /** Share of the cold budget that is used: the rest is for chance, handshakes and ill-spread heads. */
     private static final double COLD_MARGIN = 0.4;
@@ -116,13 +117,8 @@
     private static final double MAX_HELD = 10_000;
     /** A shorter time than this, us, is not worth an attempt: a network turn and the shortest work. */
     private static final long MIN_ATTEMPT_US = 2_000;
-    /** Share of ask_within over which the balancers spread their first question: leaves room for failures. */
-    private static final double ASK_SPREAD = 0.5;
-    /** First pause after a failed question to discovery, us; doubles up to the spread. */
-    private static final long ASK_BACKOFF_US = 1_000_000;
     /** At least this long between two log lines, us. */
     private static final long LOG_GAP_US = 1_000_000;
-    private static final double GOLDEN = 0.6180339887498949;
     private static final long ASK_TOKEN = 1;
 
     /** What is known of one server. */
@@ -155,7 +151,7 @@
         boolean trial;            // failed, and not yet proved sound again
         double doubt = DOUBT_NONE;
         int badRun;               // refusals and time-outs, less the answers since
-        double coldCredit;
+        long coldUntil;           // while cold: nothing more before
 
         Server(String host) {
             this.host = host;
@@ -191,6 +187,9 @@
     private final Map<String, Server> servers = new HashMap<>();   // looked up only, never walked
     final List<Server> listed = new ArrayList<>();                 // the same servers, in the order met
     private List<Server> buddies = List.of();
+    private int setSize = SET_SIZE;
+    private long grownAt;
+    private int readyCount = 1;
     private final Map<Long, Held> held = new LinkedHashMap<>();
     private final long[] longestLeft;                              // per class: the try that clients grant
     private final boolean someRepeatable;
@@ -201,8 +200,9 @@
     private final double[] zoneHeld;                               // usually held a unit of size, by zone
     private final long[] zoneAt;
     private final long[] triedAt;
-    private final double[] zoneScratch = new double[SET_SIZE];
-    private final double[] tenantMix;                              // share of each in recent requests
+    private final ZoneLoss zoneLoss;
+    private final AskPace askPace;
+    private final TenantMix tenants;
     private double meanHint;
     private double meanAim;
     private double meanWorth;
@@ -212,10 +212,9 @@
     private double commonFailures;
     private boolean watching;
     private boolean following;
-    private int askFailures;
     private long nextLogAt;
 
-    /** Throws IllegalArgumentException, naming the setting, where one makes no sense. */
+    /** IllegalArgumentException, naming the setting, where one makes no sense. */
     public Balance(Settings settings, long seed, Actions actions) {
         this.settings = settings;
         this.actions = actions;
@@ -236,15 +235,16 @@
         }
         someRepeatable = repeatable;
         haste = Math.min(1, shortest / FITTED_AIM_US);
-        // A guess, until answers tell: with none all figures are 0, and the head gets all of the first burst.
         setTook = AIM_TH_U * shortest;
-        spread = SPREAD_LOW + (SPREAD_HIGH - SPREAD_LOW) * unit(mix(settings.position() + 1L));
+        spread = SPREAD_LOW + SPREAD_WIDTH * Scatter.unit(Scatter.mix(settings.position() + 1L));
         lateShare = new double[settings.zones().size()];
         fullShare = new double[settings.zones().size()];
         zoneHeld = new double[settings.zones().size()];
         triedAt = new long[settings.zones().size()];
         zoneAt = new long[settings.zones().size()];
-        tenantMix = settings.tenants().stream().mapToDouble(Tenant::share).toArray();
+        zoneLoss = new ZoneLoss(settings.zones().size(), hasty(SHUN_FIRST_US));
+        askPace = new AskPace(settings.discovery().askWithinUs(), Scatter.fraction(settings.position()), random);
+        tenants = new TenantMix(settings.tenants(), settings.overShareWorth());
         longestLeft = new long[settings.classes().size()];
     }
 
@@ -264,19 +264,17 @@
     public void fleet(long now, ListKind kind, List<FleetEntry> entries) {
         if (kind == ListKind.FAILED) {
             following = false;
-            long spread = askSpread();
-            long pause = Math.min(ASK_BACKOFF_US << Math.min(askFailures++, 10), Math.max(1, spread));
-            actions.timer(pause / 2 + random.nextLong(pause / 2 + 1), ASK_TOKEN);
+            actions.timer(askPace.failedUs(), ASK_TOKEN);
             return;
         }
         if (kind == ListKind.RESTORED) {
             if (settings.discovery().onRequest()) {
                 // All instances start together and discovery does not grow with them: ask one after another.
-                actions.timer(1 + (long) (askSpread() * fraction(settings.position())), ASK_TOKEN);
+                actions.timer(askPace.firstUs(), ASK_TOKEN);
             }
         } else {
             following = true;
-            askFailures = 0;
+            askPace.answered();
         }
         boolean changed = kind != ListKind.DELTA;
         if (changed) {
@@ -294,10 +292,6 @@
         }
     }
 
-    private long askSpread() {
-        return (long) (settings.discovery().askWithinUs() * ASK_SPREAD);
-    }
-
     private boolean note(long now, FleetEntry e) {
         Server s = servers.get(e.host());
         if (s == null) {
@@ -333,42 +327,41 @@
         s.doubt = DOUBT_NONE;
         s.badRun = 0;
         s.holdUntil = 0;
-        s.coldCredit = 0;
+        s.coldUntil = 0;
+        zoneLoss.started(s.zone);
         clearFlag(now, s);
     }
 
     /** Fills the buddy set from the ready servers. Runs when the list changes, never for a request. */
     private void formSet(long now) {
-        double total = 0;
         List<Server> local = new ArrayList<>();
         List<Server> foreign = new ArrayList<>();
-        for (Server s : listed) {
-            if (s.ready) {
-                total += Math.max(0, s.weight);
-                (s.zone == settings.zone() ? local : foreign).add(s);
-            }
-        }
+        int home = homeZone();
+        listed.stream().filter(s -> s.ready).forEach(s -> (s.zone == home ? local : foreign).add(s));
+        double total = listed.stream().filter(s -> s.ready).mapToDouble(s -> Math.max(0, s.weight)).sum();
         int ready = local.size() + foreign.size();
+        readyCount = Math.max(1, ready);
         for (Server s : listed) {
             s.size = total > 0 ? Math.max(0.05, s.weight * ready / total) : 1;
             if (Double.isNaN(s.orderKey)) {
                 // The paper permutes orders so that those who share a head do not share a second choice too.
                 long own = s.host.hashCode() * 31L + settings.position() * 0x9E3779B97F4AL;
-                s.orderKey = -Math.log(unit(mix(own)));
+                s.orderKey = -Math.log(Scatter.unit(Scatter.mix(own)));
             }
         }
         Comparator<Server> permuted = Comparator.comparingDouble((Server s) -> s.orderKey / s.size)
                 .thenComparing((Server s) -> s.host);
         Server head = headOf(local.isEmpty() ? foreign : local);
         local.sort(permuted);
-        foreign.sort(permuted);
-        int kept = Math.max(SET_SIZE - foreign.size(), SET_SIZE - FOREIGN_BUDDIES);
-        List<Server> set = new ArrayList<>(SET_SIZE);
+        foreign.sort(Comparator.comparing((Server s) -> zoneLoss.isLost(s.zone)).thenComparing(permuted));
+        boolean allLost = foreign.stream().allMatch(s -> zoneLoss.isLost(s.zone));
+        int kept = setSize - Math.min(foreign.size(), allLost ? LOST_BUDDIES : FOREIGN_BUDDIES);
+        List<Server> set = new ArrayList<>(setSize);
         if (head != null) {
             set.add(head);
         }
         for (List<Server> from : List.of(local, foreign)) {
-            int room = from == local ? kept : SET_SIZE;
+            int room = from == local ? kept : setSize;
             for (Server s : from) {
                 if (s != head && set.size() < room) {
                     set.add(s);
@@ -376,8 +369,8 @@
             }
         }
         for (Server s : set) {
-            if (!s.buddy) {
-                s.flag = false;       // a new buddy starts clear
+            if (!s.buddy) {           // a new buddy starts clear
+                s.flag = false;
                 s.flagSetAt = now + hasty(NEW_FLAG_US) / 2 + random.nextLong(hasty(NEW_FLAG_US));
             }
         }
@@ -386,35 +379,39 @@
         buddies = set;
     }
 
+    /** The own zone; while that is lost, the next one with ready servers that is not. */
+    private int homeZone() {
+        int zones = settings.zones().size();
+        return IntStream.range(0, zones).map(i -> (settings.zone() + i) % zones).filter(z -> !zoneLoss.isLost(z)
+                && listed.stream().anyMatch(s -> s.ready && s.zone == z)).findFirst().orElse(settings.zone());
+    }
+
+    /** Takes the next ready server in order into the set; null where none is left or the set is wide enough. */
+    private Server takeIn(long now) {
+        double own = buddies.stream().mapToDouble(s -> s.own).sum();
+        if (buddies.size() < setSize || setSize >= SET_PER_HELD * held.size()
+                || own < OWN_SHARE * buddies.stream().mapToDouble(s -> held(now, s)).sum()) {
+            return null;
+        }
+        List<Server> before = buddies;
+        setSize++;
+        grownAt = now;
+        formSet(now);
+        return buddies.stream().filter(s -> !before.contains(s)).findFirst().orElse(null);
+    }
+
     /** Rotation by balancer number, on a ring on which each server holds an arc as long as its weight. */
     private Server headOf(List<Server> ring) {
         List<Server> order = new ArrayList<>(ring);
-        order.sort(Comparator.comparingLong((Server s) -> mix(s.host.hashCode())).thenComparing(s -> s.host));
+        order.sort(Comparator.comparingLong((Server s) -> Scatter.mix(s.host.hashCode())).thenComparing(s -> s.host));
         double arc = order.stream().mapToDouble(s -> s.size).sum();
-        double point = fraction(settings.position()) * arc;
-        for (Server s : order) {
-            point -= s.size;
-            if (point < 0) {
-                return s;
-            }
+        double point = Scatter.fraction(settings.position()) * arc;
+        Server at = null;
+        for (int i = 0; i < order.size() && point >= 0; i++) {
+            at = order.get(i);
+            point -= at.size;
         }
-        return order.isEmpty() ? null : order.get(order.size() - 1);
-    }
-
-    /** Golden-ratio steps spread any run of balancer numbers evenly, and each zone's share of them too. */
-    private static double fraction(int position) {
-        double f = position * GOLDEN;
-        return f - Math.floor(f);
-    }
-
-    private static long mix(long x) {
-        x = (x ^ (x >>> 30)) * 0xBF58476D1CE4E5B9L;
-        x = (x ^ (x >>> 27)) * 0x94D049BB133111EBL;
-        return x ^ (x >>> 31);
-    }
-
-    private static double unit(long bits) {
-        return ((bits >>> 11) + 0.5) / (1L << 53);
+        return at;
     }
 
     // ---- requests ----
@@ -432,7 +429,7 @@
         }
         meanAim += (meanAim == 0 ? 1 : MIX_GAIN) * (type.aimUs() - meanAim);
         meanWorth += (meanWorth == 0 ? 1 : MIX_GAIN) * (type.importance() - meanWorth);
-        double worthShare = (elapsed >= type.aimUs() ? type.lateWorth() : 1) * tenantWorth(r.tenant());
+        double worthShare = (elapsed >= type.aimUs() ? type.lateWorth() : 1) * tenants.worth(r.tenant());
         double load = 1;
         if (r.costHintUs() > 0) {
             meanHint += (meanHint == 0 ? 1 : MIX_GAIN) * (r.costHintUs() - meanHint);
@@ -443,22 +440,6 @@
         proceed(now, h);
     }
 
-    // What a request of this tenant is worth on average, as part of its class's worth. Usage across all
-    // balancers is unknown, but a burst shows in the mix at each: the tenant is deeper into its share.
-    private double tenantWorth(int tenant) {
-        if (tenant < 0 || tenantMix.length < 2) {
-            return 1;
-        }
-        for (int t = 0; t < tenantMix.length; t++) {
-            tenantMix[t] += TENANT_GAIN * ((t == tenant ? 1 : 0) - tenantMix[t]);
-        }
-        double share = settings.tenants().get(tenant).share();
-        double rest = Math.max(0.01, 1 - tenantMix[tenant]) / Math.max(0.01, 1 - share);
-        double into = tenantMix[tenant] / Math.max(0.01, share) / rest;
-        double within = Math.min(1, OVER_SHARE / into);
-        return within + (1 - within) * settings.overShareWorth();
-    }
-
     /** Sends the request on if anything may take it, and answers it otherwise. */
     private void proceed(long now, Held h) {
         Server s = h.usefulUntil - now < MIN_ATTEMPT_US ? null : pick(now, h);
@@ -470,13 +451,17 @@
     /** The mechanism's rule, and what departs from it where it would send into a queue that is too long. */
     private Server pick(long now, Held h) {
         double limit = spread * AIM_TH_V * h.type.aimUs() * h.worthShare;
+        for (Server s : buddies) {
+            if (zoneLoss.isLost(s.zone) && usable(now, h, s)) {
+                return s;             // now and then, else nobody would learn that its zone is back
+            }
+        }
         Server head = null;
         Server least = null;
         Server unasked = null;
         double leastFigure = 0;
-        for (int i = 0; i < buddies.size(); i++) {
-            Server s = buddies.get(i);
-            if (!usable(now, h, s, i == 0) || head != null && !worthDiverting(now, h, s, head)) {
+        for (Server s : buddies) {
+            if (!usable(now, h, s) || head != null && !worthDiverting(now, h, s, head)) {
                 continue;
             }
             double figure = figure(now, s, h.load);
@@ -498,6 +483,10 @@
         if (head == null) {
             return lastResort(now, h);
         }
+        Server joined = h.attempts.isEmpty() ? takeIn(now) : null;
+        if (joined != null && usable(now, h, joined) && figure(now, joined, h.load) < leastFigure) {
+            least = joined;
+        }
         // Past TH_v everywhere the head would take it, and heads that many share would be swamped: the least
         // figure takes it; where even that is late, nobody does: better refused early than failed late.
         // One that nothing was sent to for an aim, and nothing heard of, is asked first: figures that keep
@@ -516,7 +505,7 @@
     /** Acts when every buddy is failing, on trial or cold: the first in order that the rules allow. */
     private Server lastResort(long now, Held h) {
         return buddies.stream().filter(s -> maySend(now, h, s) && !h.attempts.contains(s)
-                && (coldShare(now, s) >= 1 || s.own == 0)).findFirst().orElse(null);
+                && (warmth(now, s) >= 1 || s.own == 0)).findFirst().orElse(null);
     }
 
     /** Crossing zones has a price: a diversion crosses only if that saves more worth than it costs. */
@@ -537,39 +526,33 @@
         return Math.min(1, Math.max(Math.exp(-1 / shareOfAim), shareOfAim - SURE_SHARE));
     }
 
-    private boolean usable(long now, Held h, Server s, boolean first) {
-        if (!maySend(now, h, s) || h.attempts.contains(s) || now < s.shunUntil) {
+    private boolean usable(long now, Held h, Server s) {
+        if (!maySend(now, h, s) || h.attempts.contains(s) || now < s.shunUntil
+                || zoneLoss.isLost(s.zone) && (!zoneLoss.mayTry(now, s.zone) || !h.attempts.isEmpty())) {
             return false;
         }
         boolean risky = someRepeatable && h.type.semantics() == Semantics.FRAGILE;
         if (s.trial && now < s.shunUntil + hasty(TRIAL_US) && (s.own > 0 || risky)) {
             return false;             // a suspect is tried by what can be repeated, one at a time
         }
-        double share = coldShare(now, s);
-        if (share >= 1) {
-            return true;
-        }
-        // A cold server gets no diversions and no further attempts, and of its own heads' sends a rising
-        // share.
-        if (!first || !h.attempts.isEmpty()) {
-            return false;
-        }
-        s.coldCredit = Math.min(1 + share, s.coldCredit + share);
-        if (s.coldCredit < 1 || s.own > 0) {
-            return false;
-        }
-        s.coldCredit -= 1;
-        return true;
+        return warmth(now, s) >= 1 || h.attempts.isEmpty() && s.own == 0 && now >= s.coldUntil;
     }
 
-    // The share of its heads' ordinary sends that a server may get: all balancers use the same, from its age.
-    private double coldShare(long now, Server s) {
+    /** The share of its capacity that a server has at the least: from its age, as it starts cold. */
+    private double warmth(long now, Server s) {
         ColdStart cold = settings.coldStart();
-        if (s.startedUs <= 0 || now - s.startedUs >= cold.warmUpUs()) {
-            return 1;
-        }
-        double warmth = cold.from() + (1 - cold.from()) * Math.max(0, now - s.startedUs) / cold.warmUpUs();
-        return Math.min(1, COLD_MARGIN * cold.tipMultiple() * warmth);
+        double age = s.startedUs <= 0 ? 1 : (double) Math.max(0, now - s.startedUs) / cold.warmUpUs();
+        return Math.min(1, cold.from() + (1 - cold.from()) * age);
+    }
+
+    /**
+     * The pause after a send to a cold server. All balancers together may send it so many times what it can do
+     * at present; each that has it in its set, some balancers x set size / servers, takes an equal share.
+     */
+    private long coldPause(long now, Server s) {
+        double senders = Math.max(1, (double) settings.balancers() * buddies.size() / readyCount);
+        return (long) (pace(now, s) / s.size * senders
+                / (COLD_MARGIN * settings.coldStart().tipMultiple() * warmth(now, s)));
     }
 
     /** Requests held, as last reported, with own sends and answers since added and taken off. */
@@ -585,6 +568,7 @@
 
     /** The lower median of what a zone's buddies told of late: one loaded head must not condemn its zone. */
     private void noteZone(long now, int zone) {
+        double[] zoneScratch = new double[buddies.size()];
         int known = 0;
         for (Server s : buddies) {
             if (s.zone == zone && !Double.isNaN(s.reported) && now - s.reportAt < ZONE_FADE_US * haste) {
@@ -614,7 +598,7 @@
     // The paper's cumulative execution time: what the server holds, with {@code more}, times the pace it
     // shows.
     private double figure(long now, Server s, double more) {
-        double time = (held(now, s) + more) / s.size * pace(now, s);
+        double time = (held(now, s) + more) / s.size * pace(now, s) / warmth(now, s);
         if (s.own > 0) {
             // No outcome for so long while own requests are out: a hanging server sends no report to say so.
             time = Math.max(time, now - s.silentSince);
@@ -679,6 +663,10 @@
             h.firstMayHaveRunAt = now;
         }
         s.silentSince = s.own++ == 0 ? now : s.silentSince;
+        zoneLoss.sent(now, s.zone);
+        if (warmth(now, s) < 1) {
+            s.coldUntil = now + coldPause(now, s);
+        }
         long timeout = h.usefulUntil - now;
         if (s.trial && buddies.stream().anyMatch(o -> o != s && !o.trial && maySend(now, h, o))) {
             timeout = Math.min(timeout, (long) (TRIAL_SHARE * h.type.aimUs()));
@@ -724,6 +712,11 @@
             s.silentSince = now;
             // Far longer than what the server shows with others: this leg or its connection was lost.
             boolean queued = outcome == Outcome.TIMEOUT && !silent && tookUs < LOST * figure(now, s, 1);
+            if ((outcome != Outcome.TIMEOUT || silent)
+                    && zoneLoss.ended(s.zone, silent || outcome == Outcome.CONNECT_FAILED)) {
+                log(now, "zone " + (zoneLoss.isLost(s.zone) ? "lost: " : "back: ") + settings.zones().get(s.zone));
+                formSet(now);
+            }
             judge(now, s, outcome, silent, queued);
             noteReport(now, s, report);
             triedAt[s.zone] = now;
@@ -795,7 +788,7 @@
             case ERROR, RESET, CONNECT_FAILED -> {
                 double odds = FAILING_SHARE / Math.max(COMMON_MIN, commonFailures);
                 s.doubt += Math.min(DOUBT_ADD, Math.max(0, Math.log(odds)));
-                noteCommon(1);
+                noteCommon(zoneLoss.isLost(s.zone) ? 0 : 1);
                 if (s.doubt >= 0) {
                     clearFlag(now, s);
                     shun(now, s, outcome.name());
@@ -843,12 +836,17 @@
             sparedAsSilent(now, s);
             for (Held h : held.values()) {
                 if (h.out == 1 && h.cut < h.attempts.size() && h.attempts.get(h.attempts.size() - 1) == s
-                        && buddies.stream().anyMatch(o -> !o.trial && usable(now, h, o, false))) {
+                        && buddies.stream().anyMatch(o -> !o.trial && usable(now, h, o))) {
                     h.cut = h.attempts.size();
                     actions.cancel(h.request.id(), h.cut - 1);
                 }
             }
         }
+        if (setSize > SET_SIZE && now - grownAt > SHRINK_US * haste) {
+            setSize--;
+            grownAt = now;
+            formSet(now);
+        }
         watching = !held.isEmpty();
         watchOn(watching);
     }
--- /dev/null
+++ b/core/src/main/java/dapplequay/membership/Scatter.java
@@ -0,0 +1,26 @@
+package dapplequay.membership;
+
+/** Fixed numbers that lie evenly or at random, the same at every instance and at every start. */
+public final class Scatter {
+    private static final double GOLDEN = 0.6180339887498949;
+
+    private Scatter() { }
+
+    /** From 0 up to 1: golden-ratio steps spread any run of numbers evenly, and each part of the run too. */
+    public static double fraction(int position) {
+        double f = position * GOLDEN;
+        return f - Math.floor(f);
+    }
+
+    /** Bits that show nothing of the order of what they were made of. */
+    public static long mix(long x) {
+        x = (x ^ (x >>> 30)) * 0xBF58476D1CE4E5B9L;
+        x = (x ^ (x >>> 27)) * 0x94D049BB133111EBL;
+        return x ^ (x >>> 31);
+    }
+
+    /** Above 0 and below 1, evenly. */
+    public static double unit(long bits) {
+        return ((bits >>> 11) + 0.5) / (1L << 53);
+    }
+}
--- a/sidecar/src/main/java/dapplequay/net/Conductor.java
+++ b/sidecar/src/main/java/dapplequay/net/Conductor.java
@@ -35,8 +35,10 @@
             out.put(authorisation.id, leg);
             issuers.send(leg);
         } else if (decision instanceof Decision.Refuse refuse && authorisation.claim()) {
+            LOG.log(Level.FINE, "refused {0}", authorisation.id);
             authorisation.from.answer(Answers.refusal(refuse.pauseUs()));
         } else if (decision instanceof Decision.Fail && authorisation.claim()) {
+            LOG.log(Level.FINE, "failed {0}", authorisation.id);
             authorisation.from.answer(Answers.failure(authorisation.failureStatus()));
         }
     }
@@ -45,6 +47,8 @@
     void legEnded(Leg leg, LegEnd end, HostLoad load, Head head, byte[] body) {
         Authorisation authorisation = leg.authorisation;
         out.remove(authorisation.id, leg);
+        LOG.log(Level.FINE, "leg {0} {1} {2} {3} {4}", new Object[] {leg.order.host(), end,
+            Long.toString(issuers.now() - leg.startUs), Long.toString(leg.idleUs()), Long.toString(authorisation.id)});
         guarded(authorisation, () -> {
             // What the request itself is at fault for, another host would find too.
             boolean serves = (end == LegEnd.SERVED || end == LegEnd.NOT_ACCEPTED) && authorisation.claim();
