One new buddy at a time, asks shared by all senders, a process's own lateness is no host's

Change: an instance asks as many times more seldom as there are senders, 1.3 s at most; the set takes in the next buddy once the last has answered; a connect that failed late counts for no zone; an answer's time counts from its write; lost hosts fill two places of the set, no more; the hosts of a zone that is back count as cold; the warm-up walks 1,200 rounds. The cold budget is a class of its own.

--- a/core/src/main/java/dapplequay/Balance.java
+++ b/core/src/main/java/dapplequay/Balance.java
@@ -1,6 +1,7 @@
 // Interface: BalancerApi.java (the events that come in, the actions that go out, the values of both).
 package dapplequay;
 
+import dapplequay.limits.ColdBudget;
 import dapplequay.membership.AskPace;
 import dapplequay.membership.Scatter;
 import dapplequay.membership.ZoneLoss;
@@ -108,8 +109,6 @@
     private static final double PACE_PRIOR = 0.5;
     // A server's own pace fades with this, us: one slow answer would else keep sends, and its mending, away.
     private static final double PACE_FADE_US = 8_000_000;
-    /** Share of the cold budget that is used: the rest is for chance, handshakes and ill-spread heads. */
-    private static final double COLD_MARGIN = 0.4;
     /** Bounds on what a cost hint may make of a request, in requests of the mean: hints can be rough. */
     private static final double MIN_LOAD = 0.3;
     private static final double MAX_LOAD = 4;
@@ -189,6 +188,7 @@
     private List<Server> buddies = List.of();
     private int setSize = SET_SIZE;
     private long grownAt;
+    private Server lastJoined;
     private int readyCount = 1;
     private final Map<Long, Held> held = new LinkedHashMap<>();
     private final long[] longestLeft;                              // per class: the try that clients grant
@@ -202,6 +202,7 @@
     private final long[] triedAt;
     private final ZoneLoss zoneLoss;
     private final AskPace askPace;
+    private final ColdBudget cold;
     private final TenantMix tenants;
     private double meanHint;
     private double meanAim;
@@ -243,6 +244,7 @@
         triedAt = new long[settings.zones().size()];
         zoneAt = new long[settings.zones().size()];
         zoneLoss = new ZoneLoss(settings.zones().size(), hasty(SHUN_FIRST_US));
+        cold = new ColdBudget(settings.coldStart());
         askPace = new AskPace(settings.discovery().askWithinUs(), Scatter.fraction(settings.position()), random);
         tenants = new TenantMix(settings.tenants(), settings.overShareWorth());
         longestLeft = new long[settings.classes().size()];
@@ -354,8 +356,9 @@
         Server head = headOf(local.isEmpty() ? foreign : local);
         local.sort(permuted);
         foreign.sort(Comparator.comparing((Server s) -> zoneLoss.isLost(s.zone)).thenComparing(permuted));
-        boolean allLost = foreign.stream().allMatch(s -> zoneLoss.isLost(s.zone));
-        int kept = setSize - Math.min(foreign.size(), allLost ? LOST_BUDDIES : FOREIGN_BUDDIES);
+        int reachable = (int) foreign.stream().filter(s -> !zoneLoss.isLost(s.zone)).count();
+        foreign.subList(Math.min(foreign.size(), reachable + LOST_BUDDIES), foreign.size()).clear();
+        int kept = setSize - Math.min(foreign.size(), FOREIGN_BUDDIES);
         List<Server> set = new ArrayList<>(setSize);
         if (head != null) {
             set.add(head);
@@ -389,7 +392,9 @@
     /** Takes the next ready server in order into the set; null where none is left or the set is wide enough. */
     private Server takeIn(long now) {
         double own = buddies.stream().mapToDouble(s -> s.own).sum();
-        if (buddies.size() < setSize || setSize >= SET_PER_HELD * held.size()
+        // Each answers before the next: where this process itself is late, new connections would make it later.
+        if (lastJoined != null && lastJoined.own > 0 && lastJoined.answeredAt < grownAt
+                || buddies.size() < setSize || setSize >= SET_PER_HELD * held.size()
                 || own < OWN_SHARE * buddies.stream().mapToDouble(s -> held(now, s)).sum()) {
             return null;
         }
@@ -397,7 +402,8 @@
         setSize++;
         grownAt = now;
         formSet(now);
-        return buddies.stream().filter(s -> !before.contains(s)).findFirst().orElse(null);
+        lastJoined = buddies.stream().filter(s -> !before.contains(s)).findFirst().orElse(null);
+        return lastJoined;
     }
 
     /** Rotation by balancer number, on a ring on which each server holds an arc as long as its weight. */
@@ -475,7 +481,8 @@
                 least = s;
                 leastFigure = figure;
             }
-            if (s.own == 0 && now - Math.max(s.silentSince, s.reportAt) > h.type.aimUs() && now >= s.holdUntil
+            double askEvery = Math.min(senders() * h.type.aimUs(), hasty(FLAG_TIMER_US));
+            if (s.own == 0 && now - Math.max(s.silentSince, s.reportAt) > askEvery && now >= s.holdUntil
                     && (unasked == null || s.silentSince < unasked.silentSince)) {
                 unasked = s;
             }
@@ -489,8 +496,8 @@
         }
         // Past TH_v everywhere the head would take it, and heads that many share would be swamped: the least
         // figure takes it; where even that is late, nobody does: better refused early than failed late.
-        // One that nothing was sent to for an aim, and nothing heard of, is asked first: figures that keep
-        // all sends away from everywhere would never be corrected, and the refusals never end.
+        // One that nobody has sent to for an aim is asked first: figures that keep all sends away from everywhere
+        // would never be corrected, and the refusals never end.
         return inTime(now, h, least) ? least : h.worthShare > ASKING_WORTH ? unasked : null;
     }
 
@@ -505,7 +512,7 @@
     /** Acts when every buddy is failing, on trial or cold: the first in order that the rules allow. */
     private Server lastResort(long now, Held h) {
         return buddies.stream().filter(s -> maySend(now, h, s) && !h.attempts.contains(s)
-                && (warmth(now, s) >= 1 || s.own == 0)).findFirst().orElse(null);
+                && (cold.warmth(now, s.startedUs) >= 1 || s.own == 0)).findFirst().orElse(null);
     }
 
     /** Crossing zones has a price: a diversion crosses only if that saves more worth than it costs. */
@@ -535,24 +542,12 @@
         if (s.trial && now < s.shunUntil + hasty(TRIAL_US) && (s.own > 0 || risky)) {
             return false;             // a suspect is tried by what can be repeated, one at a time
         }
-        return warmth(now, s) >= 1 || h.attempts.isEmpty() && s.own == 0 && now >= s.coldUntil;
+        return cold.warmth(now, s.startedUs) >= 1 || h.attempts.isEmpty() && s.own == 0 && now >= s.coldUntil;
     }
 
-    /** The share of its capacity that a server has at the least: from its age, as it starts cold. */
-    private double warmth(long now, Server s) {
-        ColdStart cold = settings.coldStart();
-        double age = s.startedUs <= 0 ? 1 : (double) Math.max(0, now - s.startedUs) / cold.warmUpUs();
-        return Math.min(1, cold.from() + (1 - cold.from()) * age);
-    }
-
-    /**
-     * The pause after a send to a cold server. All balancers together may send it so many times what it can do
-     * at present; each that has it in its set, some balancers x set size / servers, takes an equal share.
-     */
-    private long coldPause(long now, Server s) {
-        double senders = Math.max(1, (double) settings.balancers() * buddies.size() / readyCount);
-        return (long) (pace(now, s) / s.size * senders
-                / (COLD_MARGIN * settings.coldStart().tipMultiple() * warmth(now, s)));
+    /** How many balancers have a server in their sets: what each alone may do now and then, so many do. */
+    private double senders() {
+        return Math.max(1, (double) settings.balancers() * buddies.size() / readyCount);
     }
 
     /** Requests held, as last reported, with own sends and answers since added and taken off. */
@@ -598,7 +593,7 @@
     // The paper's cumulative execution time: what the server holds, with {@code more}, times the pace it
     // shows.
     private double figure(long now, Server s, double more) {
-        double time = (held(now, s) + more) / s.size * pace(now, s) / warmth(now, s);
+        double time = (held(now, s) + more) / s.size * pace(now, s) / cold.warmth(now, s.startedUs);
         if (s.own > 0) {
             // No outcome for so long while own requests are out: a hanging server sends no report to say so.
             time = Math.max(time, now - s.silentSince);
@@ -612,7 +607,6 @@
         return (own * s.took + PACE_PRIOR * setTook) / (own * s.heldSeen + PACE_PRIOR * setHeld);
     }
 
-    // Only from answers that tell what was held: a time-out with an unknown queue would make any server slow.
     private void notePace(long now, Server s, double heldPerSize, double took) {
         s.pacedAt = now;
         s.heldSeen += PACE_GAIN * (heldPerSize - s.heldSeen);
@@ -664,8 +658,8 @@
         }
         s.silentSince = s.own++ == 0 ? now : s.silentSince;
         zoneLoss.sent(now, s.zone);
-        if (warmth(now, s) < 1) {
-            s.coldUntil = now + coldPause(now, s);
+        if (cold.warmth(now, s.startedUs) < 1) {
+            s.coldUntil = now + cold.pauseUs(pace(now, s) / s.size, senders(), cold.warmth(now, s.startedUs));
         }
         long timeout = h.usefulUntil - now;
         if (s.trial && buddies.stream().anyMatch(o -> o != s && !o.trial && maySend(now, h, o))) {
@@ -712,8 +706,13 @@
             s.silentSince = now;
             // Far longer than what the server shows with others: this leg or its connection was lost.
             boolean queued = outcome == Outcome.TIMEOUT && !silent && tookUs < LOST * figure(now, s, 1);
-            if ((outcome != Outcome.TIMEOUT || silent)
-                    && zoneLoss.ended(s.zone, silent || outcome == Outcome.CONNECT_FAILED)) {
+            // A connect that failed late may be this process's own lateness; one that was refused is not.
+            boolean nobody = silent || outcome == Outcome.CONNECT_FAILED && tookUs < TRIAL_SHARE * meanAim;
+            boolean met = outcome != Outcome.CONNECT_FAILED && outcome != Outcome.TIMEOUT;
+            if ((nobody || met) && zoneLoss.ended(s.zone, nobody)) {
+                // What is back has started anew, long before the list says so.
+                listed.stream().filter(o -> o.zone == s.zone && !zoneLoss.isLost(s.zone))
+                        .forEach(o -> o.startedUs = now);
                 log(now, "zone " + (zoneLoss.isLost(s.zone) ? "lost: " : "back: ") + settings.zones().get(s.zone));
                 formSet(now);
             }
--- a/sidecar/src/main/java/dapplequay/net/Conductor.java
+++ b/sidecar/src/main/java/dapplequay/net/Conductor.java
@@ -54,7 +54,7 @@
             boolean serves = (end == LegEnd.SERVED || end == LegEnd.NOT_ACCEPTED) && authorisation.claim();
             authorisation.lastLegTimedOut(end == LegEnd.TIMED_OUT);
             Decision next = facade.report(authorisation.id, leg.order.leg(), leg.order.host(), end,
-                    issuers.now() - leg.startUs, authorisation.isOver(), load);
+                    leg.tookUs(end, issuers.now()), authorisation.isOver(), load);
             if (serves) {
                 authorisation.from.answer(end == LegEnd.SERVED ? Answers.served(head, body)
                         : Answers.plain(400, "not accepted"));
--- a/sidecar/src/main/java/dapplequay/net/IssuerConnection.java
+++ b/sidecar/src/main/java/dapplequay/net/IssuerConnection.java
@@ -61,7 +61,7 @@
         } catch (IOException e) {
             LOG.log(Level.FINE, "leg could not be written to {0}: {1}", new Object[] {route.endpoint(), e});
         } finally {
-            now.writeEnded(whole);
+            now.writeEnded(whole, side.now());
             if (!whole) {
                 close();
             }
@@ -97,7 +97,7 @@
             ready = route.equals(side.routeOf(first.order.host())) || !first.answered(LegEnd.NOT_SENT);
         } finally {
             if (!ready) {
-                first.writeEnded(false);
+                first.writeEnded(false, side.now());
             }
         }
         if (ready) {
--- a/sidecar/src/main/java/dapplequay/net/IssuerSide.java
+++ b/sidecar/src/main/java/dapplequay/net/IssuerSide.java
@@ -104,7 +104,7 @@
         } catch (OutOfMemoryError e) {
             // No thread to be had; the leg never ran, and the module decides what to do instead.
             LOG.log(Level.SEVERE, "no thread for a connection", e);
-            leg.writeEnded(false);
+            leg.writeEnded(false, now());
             ended(connection);
         }
     }
--- a/sidecar/src/main/java/dapplequay/net/Leg.java
+++ b/sidecar/src/main/java/dapplequay/net/Leg.java
@@ -13,6 +13,7 @@
     private LegEnd end;
     private boolean writing = true;      // until told otherwise: what is not known is not "never ran"
     private boolean written;
+    private long writtenAtUs;
     private IssuerConnection connection;
     private Deadlines.Deadline deadline;
 
@@ -43,9 +44,10 @@
     }
 
     /** The last byte is with the system, or the write has failed before it. */
-    synchronized void writeEnded(boolean whole) {
+    synchronized void writeEnded(boolean whole, long nowUs) {
         writing = false;
         written = whole;
+        writtenAtUs = whole ? nowUs : 0;
         notifyAll();
     }
 
@@ -67,6 +69,14 @@
         }
     }
 
+    /**
+     * How long the leg has taken, microseconds. Of an answer only what came after the write: what this process needs
+     * to begin a leg, much in its first second, says nothing of the host's pace.
+     */
+    synchronized long tookUs(LegEnd how, long nowUs) {
+        return nowUs - (how == LegEnd.SERVED && written ? writtenAtUs : startUs);
+    }
+
     synchronized boolean isWriting() {
         return writing;
     }
--- a/sidecar/src/main/java/dapplequay/net/WarmUp.java
+++ b/sidecar/src/main/java/dapplequay/net/WarmUp.java
@@ -24,7 +24,7 @@
 final class WarmUp {
     private static final Logger LOG = Logger.getLogger(WarmUp.class.getName());
     /** Enough for the compiler to have taken up what each request runs through. */
-    private static final int ROUNDS = 400;
+    private static final int ROUNDS = 1_200;
     /** Clients wait meanwhile. */
     private static final long LONGEST_US = 1_000_000;
     private static final int HOSTS = 9;
