Spare idle connections end after half a second; asks by the root of the senders

Each instance kept all that its busiest moment had opened for 0.7 of the hosts' idle time (IssuerSide.answered), and hosts hold a bounded number for all instances together. Change: the last idle connection to a host stays as before; one beside it ends after half a second without use. Tests: fleets of 14 and 100 instances on 60 to 400 hosts in passed-in time (cold budget, first choices, questions to discovery, drains), and the spare connection on sockets.

--- a/core/src/main/java/dapplequay/Balance.java
+++ b/core/src/main/java/dapplequay/Balance.java
@@ -481,7 +481,7 @@
                 least = s;
                 leastFigure = figure;
             }
-            double askEvery = Math.min(senders() * h.type.aimUs(), hasty(FLAG_TIMER_US));
+            double askEvery = Math.sqrt(senders()) * h.type.aimUs();
             if (s.own == 0 && now - Math.max(s.silentSince, s.reportAt) > askEvery && now >= s.holdUntil
                     && (unasked == null || s.silentSince < unasked.silentSince)) {
                 unasked = s;
--- /dev/null
+++ b/core/src/test/java/dapplequay/LargerFleetTest.java
@@ -0,0 +1,186 @@
+package dapplequay;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import dapplequay.BalancerApi.ColdStart;
+import dapplequay.BalancerApi.FleetEntry;
+import dapplequay.BalancerApi.HostState;
+import dapplequay.BalancerApi.ListKind;
+import dapplequay.BalancerApi.LoadReport;
+import dapplequay.BalancerApi.Outcome;
+import dapplequay.Bench.Done;
+import dapplequay.limits.ColdBudget;
+import dapplequay.membership.AskPace;
+import dapplequay.membership.Scatter;
+import dapplequay.membership.ZoneLoss;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** What many instances do together: each is a module of its own, and they share nothing but these counters. */
+class LargerFleetTest {
+    private static final long STEP_US = 5_000;
+    private static final long SERVICE_US = 40_000;
+    /** As the settings of the tests say. */
+    private static final double COLDEST = 0.15;
+
+    private record Out(Bench at, Done send, long sentAt, long endsAt) { }
+
+    private static List<Bench> instances(int count) {
+        List<Bench> all = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            Bench.Setup setup = new Bench.Setup();
+            setup.position = i;
+            setup.balancers = count;
+            all.add(new Bench(setup));
+        }
+        return all;
+    }
+
+    /** Hosts a0, a2 ... in zone 0 and b1, b3 ... in zone 1; every second one of each started at {@code coldSince}. */
+    private static List<FleetEntry> hosts(int count, long coldSince) {
+        List<FleetEntry> all = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            all.add(Bench.host((i % 2 == 0 ? "a" : "b") + i, i % 2, HostState.READY, i % 4 < 2 ? 0 : coldSince));
+        }
+        return all;
+    }
+
+    private static boolean isCold(String host) {
+        return Integer.parseInt(host.substring(1)) % 4 >= 2;
+    }
+
+    /** All that each sends while half of the hosts are cold and the others loaded, for 3 s. */
+    @ParameterizedTest
+    @CsvSource({"14, 60", "100, 60", "14, 100", "100, 400"})
+    void coldHostsGetLessThanTheirBudgetFromAllTogether(int instances, int hosts) {
+        List<Bench> all = instances(instances);
+        long start = all.get(0).now;
+        all.forEach(b -> b.module.fleet(start, ListKind.RESTORED, hosts(hosts, start)));
+        Map<String, Integer> cold = new TreeMap<>();
+        PriorityQueue<Out> out = new PriorityQueue<>(Comparator.comparingLong(Out::endsAt));
+        Map<String, Long> freeAt = new HashMap<>();
+        Map<String, Integer> holds = new HashMap<>();
+        for (long t = 0; t < 3_000_000; t += STEP_US) {
+            long now = start + t;
+            while (!out.isEmpty() && out.peek().endsAt() <= now) {
+                Out ended = out.remove();
+                String host = ended.send().host();
+                int held = holds.merge(host, -1, Integer::sum) + 1;
+                ended.at().now = now;
+                ended.at().module.outcome(now, ended.send().id(), 0, host, Outcome.OK, now - ended.sentAt(), true,
+                        new LoadReport(held, held));
+            }
+            for (Bench b : all) {
+                b.now = now;
+                Done send = b.request(Bench.SAFE);
+                if (send.host() == null) {
+                    continue;
+                }
+                long service = isCold(send.host()) ? (long) (SERVICE_US / COLDEST) : SERVICE_US;
+                long endsAt = Math.max(now, freeAt.getOrDefault(send.host(), 0L)) + service;
+                freeAt.put(send.host(), endsAt);
+                holds.merge(send.host(), 1, Integer::sum);
+                out.add(new Out(b, send, now, endsAt));
+                if (isCold(send.host())) {
+                    cold.merge(send.host(), 1, Integer::sum);
+                }
+            }
+        }
+        // 3 times what it can do meanwhile: its capacity grows over 20 s from the coldest on, evenly.
+        double warmth = COLDEST + (1 - COLDEST) * 1.5 / 20;
+        double budget = 3 * warmth * 3_000_000 / SERVICE_US;
+        assertThat(cold).as("they are used").isNotEmpty();
+        assertThat(cold.values()).allSatisfy(sends -> assertThat((double) sends).isLessThan(budget));
+    }
+
+    @ParameterizedTest
+    @CsvSource({"14, 60", "100, 60", "100, 400"})
+    void firstChoicesAreSpreadOverTheHomeZone(int instances, int hosts) {
+        Set<String> heads = new HashSet<>();
+        for (Bench b : instances(instances)) {
+            b.module.fleet(b.now, ListKind.RESTORED, hosts(hosts, 0));
+            heads.add(b.request(Bench.SAFE).host());
+        }
+        assertThat(heads).hasSizeGreaterThanOrEqualTo(Math.min(instances, hosts / 2) * 3 / 5);
+    }
+
+    /** After a mass restart, and again when the first questions of all have failed. */
+    @ParameterizedTest
+    @CsvSource({"14", "100", "1000"})
+    void questionsToDiscoveryAreSpread(int instances) {
+        int[] first = new int[51];
+        int[] second = new int[80];
+        for (int i = 0; i < instances; i++) {
+            AskPace pace = new AskPace(10_000_000, Scatter.fraction(i), new SplittableRandom(i));
+            long asked = pace.firstUs();
+            first[(int) (asked / 100_000)]++;
+            second[(int) ((asked + pace.failedUs()) / 100_000)]++;
+        }
+        int even = instances / 50 + 1;
+        assertThat(first).satisfies(counts -> assertThat(max(counts)).isLessThanOrEqualTo(even + 1));
+        assertThat(max(second)).isLessThanOrEqualTo(2 * even + 3);
+    }
+
+    private static int max(int[] counts) {
+        return Arrays.stream(counts).max().orElseThrow();
+    }
+
+    @Test
+    void drainedHostsGetNothingMoreFromAnyInstance() {
+        List<Bench> all = instances(14);
+        all.forEach(b -> b.module.fleet(b.now, ListKind.RESTORED, hosts(60, 0)));
+        for (Bench b : all) {
+            List<FleetEntry> draining = new ArrayList<>();
+            for (int i = 0; i < 60; i += 3) {
+                draining.add(Bench.host(i % 2 == 0 ? "a" + i : "b" + i, i % 2, HostState.DRAINING, 0));
+            }
+            b.module.fleet(b.now, ListKind.DELTA, draining);
+            for (int i = 0; i < 300; i++) {
+                Done send = b.pass(2_000).request(Bench.SAFE);
+                if (send.host() != null) {
+                    assertThat(Integer.parseInt(send.host().substring(1)) % 3).as(send.host()).isNotZero();
+                }
+            }
+        }
+    }
+
+    @Test
+    void pauseOfAColdHostGrowsWithItsSendersAndEndsWithItsAge() {
+        ColdBudget budget = new ColdBudget(new ColdStart(0.25, 8_000_000, 3, 3_000_000));
+        assertThat(budget.warmth(5, 0)).isEqualTo(1);
+        assertThat(budget.warmth(1_000, 1_000)).isEqualTo(0.25);
+        assertThat(budget.warmth(4_001_000, 1_000)).isEqualTo(0.625);
+        assertThat(budget.warmth(9_000_000, 1_000)).isEqualTo(1);
+        assertThat(budget.pauseUs(30_000, 1, 0.25)).isBetween(99_990L, 100_010L);
+        assertThat(budget.pauseUs(30_000, 14, 0.25)).isBetween(1_399_900L, 1_400_100L);
+    }
+
+    @Test
+    void aZoneIsLostByFourInARowAndBackByOneAnswer() {
+        ZoneLoss loss = new ZoneLoss(2, 500_000);
+        for (int i = 0; i < 3; i++) {
+            assertThat(loss.ended(1, true)).isFalse();
+        }
+        assertThat(loss.ended(1, true)).isTrue();
+        assertThat(loss.isLost(1)).isTrue();
+        assertThat(loss.isLost(0)).isFalse();
+        loss.sent(1_000_000, 1);
+        assertThat(loss.mayTry(1_499_999, 1)).isFalse();
+        assertThat(loss.mayTry(1_500_000, 1)).isTrue();
+        assertThat(loss.ended(1, false)).isTrue();
+        loss.started(0);
+        assertThat(loss.isLost(1)).isFalse();
+    }
+}
--- a/sidecar/src/main/java/dapplequay/net/IssuerSide.java
+++ b/sidecar/src/main/java/dapplequay/net/IssuerSide.java
@@ -23,6 +23,13 @@
      */
     private static final long REST_US = 3_000;
 
+    /**
+     * A spare connection, one beside another idle one, is kept so long. Hosts hold a bounded number for all instances
+     * together: what each keeps from its busiest moment, others are turned away for, after a handshake that the host
+     * has to work for. The last used is used first, so that those which no peak of this time needed run out.
+     */
+    static final long SPARE_US = 500_000;
+
     private final RoutingTable table;
     private final Deadlines deadlines;
     private final long connectTimeoutUs;
@@ -155,8 +162,10 @@
         // Where the list has changed meanwhile, the next leg goes to another process.
         if (stays && connection.route.equals(table.routeOf(leg.order.host()))) {
             synchronized (this) {
-                connection.idle(now(), deadlines.after(idleUs, () -> retire(connection)));
-                idle.computeIfAbsent(connection.route, e -> new ArrayDeque<>()).addLast(connection);
+                Deque<IssuerConnection> ready = idle.computeIfAbsent(connection.route, e -> new ArrayDeque<>());
+                long stayUs = ready.isEmpty() ? idleUs : Math.min(idleUs, SPARE_US);
+                connection.idle(now(), deadlines.after(stayUs, () -> retire(connection)));
+                ready.addLast(connection);
             }
         } else {
             connection.close();
--- a/sidecar/src/test/java/dapplequay/net/IssuerSideTest.java
+++ b/sidecar/src/test/java/dapplequay/net/IssuerSideTest.java
@@ -66,6 +66,29 @@
         }
     }
 
+    /** Each instance kept what its busiest moment had opened; hosts at their cap turned all others away. */
+    @Test
+    void spareConnectionIsClosedSoonAndTheLastOneStays() throws Exception {
+        RoutingTable table = new RoutingTable();
+        BlockingQueue<LegEnd> ends = new LinkedBlockingQueue<>();
+        AtomicLong now = new AtomicLong(1_000_000);
+        Deadlines deadlines = new Deadlines(now::get);
+        try (Host host = new Host((head, seen) -> Host.ok("done"))) {
+            list(table, host.port(), "SERVING");
+            IssuerSide side = side(table, deadlines, ends);
+            List<Socket> used = new ArrayList<>();
+            for (long pauseUs : new long[] {0, 0, IssuerSide.SPARE_US + 1, 0}) {
+                now.addAndGet(pauseUs);
+                deadlines.sweep();
+                side.send(leg(side));
+                assertThat(ends.poll(Host.PATIENCE_S, TimeUnit.SECONDS)).isEqualTo(LegEnd.SERVED);
+                used.add(host.next().socket());
+            }
+            assertThat(used.get(2)).isIn(used.get(0), used.get(1));
+            assertThat(used.get(3)).as("the spare one is gone, the other rests").isNotIn(used.get(0), used.get(1));
+        }
+    }
+
     /** The connecting thread reads the clock between the pick and the connect: there the drain is told. */
     @Test
     void legThatWaitedForItsConnectIsNotSentToAHostThatDrainsMeanwhile() throws Exception {
