Senders counted once a set; no text put together for a log that is off

Change, without another behaviour: the number of senders is worked out when the set is formed and not for each buddy of each request; the sums over the set when it may widen come after the cheap checks; a send works out its host's warmth once; a leg's line is put together only where FINE is logged; a leg derives whether it was written from when.

--- a/core/src/main/java/dapplequay/Balance.java
+++ b/core/src/main/java/dapplequay/Balance.java
@@ -189,7 +189,7 @@
     private int setSize = SET_SIZE;
     private long grownAt;
     private Server lastJoined;
-    private int readyCount = 1;
+    private double senders = 1;   // how many have a server in their sets: what each does now and then, so many do
     private final Map<Long, Held> held = new LinkedHashMap<>();
     private final long[] longestLeft;                              // per class: the try that clients grant
     private final boolean someRepeatable;
@@ -334,7 +334,7 @@
         clearFlag(now, s);
     }
 
-    /** Fills the buddy set from the ready servers. Runs when the list changes, never for a request. */
+    /** Fills the buddy set from the ready servers, when the list, a zone's loss or the set's size changes. */
     private void formSet(long now) {
         List<Server> local = new ArrayList<>();
         List<Server> foreign = new ArrayList<>();
@@ -342,7 +342,6 @@
         listed.stream().filter(s -> s.ready).forEach(s -> (s.zone == home ? local : foreign).add(s));
         double total = listed.stream().filter(s -> s.ready).mapToDouble(s -> Math.max(0, s.weight)).sum();
         int ready = local.size() + foreign.size();
-        readyCount = Math.max(1, ready);
         for (Server s : listed) {
             s.size = total > 0 ? Math.max(0.05, s.weight * ready / total) : 1;
             if (Double.isNaN(s.orderKey)) {
@@ -380,6 +379,7 @@
         buddies.forEach(s -> s.buddy = false);
         set.forEach(s -> s.buddy = true);
         buddies = set;
+        senders = Math.max(1, (double) settings.balancers() * set.size() / Math.max(1, ready));
     }
 
     /** The own zone; while that is lost, the next one with ready servers that is not. */
@@ -391,11 +391,11 @@
 
     /** Takes the next ready server in order into the set; null where none is left or the set is wide enough. */
     private Server takeIn(long now) {
-        double own = buddies.stream().mapToDouble(s -> s.own).sum();
         // Each answers before the next: where this process itself is late, new connections would make it later.
         if (lastJoined != null && lastJoined.own > 0 && lastJoined.answeredAt < grownAt
                 || buddies.size() < setSize || setSize >= SET_PER_HELD * held.size()
-                || own < OWN_SHARE * buddies.stream().mapToDouble(s -> held(now, s)).sum()) {
+                || buddies.stream().mapToDouble(s -> s.own).sum()
+                        < OWN_SHARE * buddies.stream().mapToDouble(s -> held(now, s)).sum()) {
             return null;
         }
         List<Server> before = buddies;
@@ -466,6 +466,7 @@
         Server least = null;
         Server unasked = null;
         double leastFigure = 0;
+        double askEvery = Math.sqrt(senders) * h.type.aimUs();
         for (Server s : buddies) {
             if (!usable(now, h, s) || head != null && !worthDiverting(now, h, s, head)) {
                 continue;
@@ -481,7 +482,6 @@
                 least = s;
                 leastFigure = figure;
             }
-            double askEvery = Math.sqrt(senders()) * h.type.aimUs();
             if (s.own == 0 && now - Math.max(s.silentSince, s.reportAt) > askEvery && now >= s.holdUntil
                     && (unasked == null || s.silentSince < unasked.silentSince)) {
                 unasked = s;
@@ -496,7 +496,7 @@
         }
         // Past TH_v everywhere the head would take it, and heads that many share would be swamped: the least
         // figure takes it; where even that is late, nobody does: better refused early than failed late.
-        // One that nobody has sent to for an aim is asked first: figures that keep all sends away from everywhere
+        // One not asked and not heard of for so long is asked first: figures that keep all sends away from everywhere
         // would never be corrected, and the refusals never end.
         return inTime(now, h, least) ? least : h.worthShare > ASKING_WORTH ? unasked : null;
     }
@@ -545,11 +545,6 @@
         return cold.warmth(now, s.startedUs) >= 1 || h.attempts.isEmpty() && s.own == 0 && now >= s.coldUntil;
     }
 
-    /** How many balancers have a server in their sets: what each alone may do now and then, so many do. */
-    private double senders() {
-        return Math.max(1, (double) settings.balancers() * buddies.size() / readyCount);
-    }
-
     /** Requests held, as last reported, with own sends and answers since added and taken off. */
     private double held(long now, Server s) {
         int z = s.zone;
@@ -658,8 +653,9 @@
         }
         s.silentSince = s.own++ == 0 ? now : s.silentSince;
         zoneLoss.sent(now, s.zone);
-        if (cold.warmth(now, s.startedUs) < 1) {
-            s.coldUntil = now + cold.pauseUs(pace(now, s) / s.size, senders(), cold.warmth(now, s.startedUs));
+        double warmth = cold.warmth(now, s.startedUs);
+        if (warmth < 1) {
+            s.coldUntil = now + cold.pauseUs(pace(now, s) / s.size, senders, warmth);
         }
         long timeout = h.usefulUntil - now;
         if (s.trial && buddies.stream().anyMatch(o -> o != s && !o.trial && maySend(now, h, o))) {
--- a/sidecar/src/main/java/dapplequay/net/Conductor.java
+++ b/sidecar/src/main/java/dapplequay/net/Conductor.java
@@ -35,10 +35,10 @@
             out.put(authorisation.id, leg);
             issuers.send(leg);
         } else if (decision instanceof Decision.Refuse refuse && authorisation.claim()) {
-            LOG.log(Level.FINE, "refused {0}", authorisation.id);
+            LOG.fine(() -> "refused " + authorisation.id);
             authorisation.from.answer(Answers.refusal(refuse.pauseUs()));
         } else if (decision instanceof Decision.Fail && authorisation.claim()) {
-            LOG.log(Level.FINE, "failed {0}", authorisation.id);
+            LOG.fine(() -> "failed " + authorisation.id);
             authorisation.from.answer(Answers.failure(authorisation.failureStatus()));
         }
     }
@@ -47,8 +47,10 @@
     void legEnded(Leg leg, LegEnd end, HostLoad load, Head head, byte[] body) {
         Authorisation authorisation = leg.authorisation;
         out.remove(authorisation.id, leg);
-        LOG.log(Level.FINE, "leg {0} {1} {2} {3} {4}", new Object[] {leg.order.host(), end,
-            Long.toString(issuers.now() - leg.startUs), Long.toString(leg.idleUs()), Long.toString(authorisation.id)});
+        if (LOG.isLoggable(Level.FINE)) {       // once a leg: nothing is put together for nobody
+            LOG.fine("leg " + leg.order.host() + ' ' + end + ' ' + (issuers.now() - leg.startUs) + ' ' + leg.idleUs()
+                    + ' ' + authorisation.id);
+        }
         guarded(authorisation, () -> {
             // What the request itself is at fault for, another host would find too.
             boolean serves = (end == LegEnd.SERVED || end == LegEnd.NOT_ACCEPTED) && authorisation.claim();
--- a/sidecar/src/main/java/dapplequay/net/Leg.java
+++ b/sidecar/src/main/java/dapplequay/net/Leg.java
@@ -12,8 +12,7 @@
     private long idleUs = -1;
     private LegEnd end;
     private boolean writing = true;      // until told otherwise: what is not known is not "never ran"
-    private boolean written;
-    private long writtenAtUs;
+    private long writtenAtUs = -1;       // -1: not written whole
     private IssuerConnection connection;
     private Deadlines.Deadline deadline;
 
@@ -46,8 +45,7 @@
     /** The last byte is with the system, or the write has failed before it. */
     synchronized void writeEnded(boolean whole, long nowUs) {
         writing = false;
-        written = whole;
-        writtenAtUs = whole ? nowUs : 0;
+        writtenAtUs = whole ? nowUs : -1;
         notifyAll();
     }
 
@@ -74,7 +72,11 @@
      * to begin a leg, much in its first second, says nothing of the host's pace.
      */
     synchronized long tookUs(LegEnd how, long nowUs) {
-        return nowUs - (how == LegEnd.SERVED && written ? writtenAtUs : startUs);
+        return nowUs - (how == LegEnd.SERVED && isWritten() ? writtenAtUs : startUs);
+    }
+
+    private boolean isWritten() {
+        return writtenAtUs >= 0;
     }
 
     synchronized boolean isWriting() {
@@ -100,8 +102,8 @@
      */
     synchronized LegEnd broken() {
         Waits.whileTrue(this, () -> writing);
-        if (end == null || (end == LegEnd.TIMED_OUT || end == LegEnd.SILENT) && !written) {
-            end = written ? LegEnd.RESET : LegEnd.NOT_CONNECTED;
+        if (end == null || (end == LegEnd.TIMED_OUT || end == LegEnd.SILENT) && !isWritten()) {
+            end = isWritten() ? LegEnd.RESET : LegEnd.NOT_CONNECTED;
         }
         return end;
     }
