--- a/core/src/main/java/dapplequay/Balance.java
+++ b/core/src/main/java/dapplequay/Balance.java
@@ -323,13 +323,10 @@
 
     private void restart(long now, Server s) {
         s.reported = Double.NaN;
-        s.strikes = 0;
-        s.shunUntil = 0;
+        s.strikes = s.badRun = 0;
+        s.shunUntil = s.holdUntil = s.coldUntil = 0;
         s.trial = false;
         s.doubt = DOUBT_NONE;
-        s.badRun = 0;
-        s.holdUntil = 0;
-        s.coldUntil = 0;
         zoneLoss.started(s.zone);
         clearFlag(now, s);
     }
@@ -870,6 +867,11 @@
         }
     }
 
+    @Override
+    public int passedOver() {
+        return (int) listed.stream().filter(s -> s.draining || s.ready && (s.trial || zoneLoss.isLost(s.zone))).count();
+    }
+
     @Override
     public void gone(long now, long id) {
         held.remove(id);
--- a/core/src/main/java/dapplequay/BalancerApi.java
+++ b/core/src/main/java/dapplequay/BalancerApi.java
@@ -100,6 +100,9 @@
 
     void timer(long now, long token);
 
+    /** How many listed servers get no ordinary traffic at present: they drain, failed, or their zone is lost. */
+    int passedOver();
+
     void probed(long now, String host, Outcome outcome, long tookUs, LoadReport report);
 
     // ---- actions out ----
--- a/core/src/main/java/dapplequay/facade/Facade.java
+++ b/core/src/main/java/dapplequay/facade/Facade.java
@@ -88,6 +88,11 @@
         module.gone(clock.getAsLong(), id);
     }
 
+    /** How many listed hosts get no ordinary traffic at present. */
+    public synchronized int passedOver() {
+        return module.passedOver();
+    }
+
     /** IllegalArgumentException, and no change, where a line names a zone that the settings do not. */
     public synchronized void news(ListNews news) {
         List<FleetEntry> entries = new ArrayList<>(news.lines().size());
--- a/sidecar/src/main/java/dapplequay/cli/Config.java
+++ b/sidecar/src/main/java/dapplequay/cli/Config.java
@@ -22,7 +22,10 @@
     static Sidecar.Plan read(Path file, Map<String, String> environment) {
         Map<?, ?> fields = fields(file);
         String place = file.toString();
+        String management = environment.get("EDGE_MANAGEMENT");
+        boolean managed = fields.get("management") != null || management != null && !management.isEmpty();
         return new Sidecar.Plan(address(place, fields, "listen", environment.get("EDGE_LISTEN")),
+                managed ? address(place, fields, "management", management) : null,
                 address(place, fields, "discovery", environment.get("EDGE_DISCOVERY")), seed(place, fields),
                 limit(place, fields, "sockets", SOCKETS), limit(place, fields, "memory_mb", MEMORY_MB),
                 fields.get("known"),
--- a/sidecar/src/main/java/dapplequay/cli/Main.java
+++ b/sidecar/src/main/java/dapplequay/cli/Main.java
@@ -105,8 +105,10 @@
             Logger log = Logger.getLogger(Main.class.getName());
             try {
                 sidecar.discoveryAt(Config.discovery(file(environment)));
+                sidecar.configurationRead(true);
                 log.info("configuration read again; all but discovery takes a restart");
             } catch (RuntimeException e) {
+                sidecar.configurationRead(false);
                 log.log(Level.WARNING, "configuration kept as it was: {0}", e.getMessage());
             }
         }
--- a/sidecar/src/main/java/dapplequay/http/Buffer.java
+++ b/sidecar/src/main/java/dapplequay/http/Buffer.java
@@ -1,4 +1,4 @@
-package dapplequay.net;
+package dapplequay.http;
 
 import java.io.IOException;
 import java.io.InputStream;
--- a/sidecar/src/main/java/dapplequay/http/Head.java
+++ b/sidecar/src/main/java/dapplequay/http/Head.java
@@ -1,4 +1,4 @@
-package dapplequay.net;
+package dapplequay.http;
 
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -9,21 +9,21 @@
  * The head of a message, strictly read: what two parsers could understand differently is refused, as a
  * difference about where a message ends would mix up the answers of two clients.
  */
-final class Head {
+public final class Head {
     private static final int MAX_FIELDS = 100;
 
     /** Method, target, version of a request; version, status, reason of a response. */
-    final String[] start;
-    final List<Field> fields = new ArrayList<>();
+    public final String[] start;
+    public final List<Field> fields = new ArrayList<>();
 
-    record Field(String name, String value) { }
+    public record Field(String name, String value) { }
 
     private Head(String[] start) {
         this.start = start;
     }
 
     /** {@code text}: all lines of the head, without the empty one that ends it. */
-    static Head request(byte[] text) throws BadMessage {
+    public static Head request(byte[] text) throws BadMessage {
         String[] lines = lines(text);
         String[] start = lines[0].split(" ", -1);
         if (start.length != 3 || !isToken(start[0]) || !isTarget(start[1])) {
@@ -35,7 +35,7 @@
         return new Head(start).readFields(lines);
     }
 
-    static Head response(byte[] text) throws BadMessage {
+    public static Head response(byte[] text) throws BadMessage {
         String[] lines = lines(text);
         String[] start = lines[0].split(" ", 3);
         if (start.length < 2 || !isVersion(start[0]) || !start[1].matches("[1-5][0-9][0-9]")) {
@@ -65,7 +65,7 @@
     }
 
     /** The value of the one field of this name, or null; where there are several, they must agree. */
-    String get(String name) throws BadMessage {
+    public String get(String name) throws BadMessage {
         String found = null;
         for (Field field : fields) {
             if (field.name().equalsIgnoreCase(name)) {
@@ -79,7 +79,7 @@
     }
 
     /** Whether a field that holds a list of words names this one. */
-    boolean lists(String name, String word) {
+    public boolean lists(String name, String word) {
         for (Field field : fields) {
             if (field.name().equalsIgnoreCase(name)) {
                 for (String part : field.value().split(",")) {
@@ -93,13 +93,13 @@
     }
 
     /** Whether the connection ends after this message. */
-    boolean closes(String version) {
+    public boolean closes(String version) {
         return lists("Connection", "close")
                 || version.equals("HTTP/1.0") && !lists("Connection", "keep-alive");
     }
 
     /** Adds the fields that concern the message and not this one connection, less those named. */
-    void passOn(StringBuilder out, List<String> without) {
+    public void passOn(StringBuilder out, List<String> without) {
         for (Field field : fields) {
             String name = field.name().toLowerCase(Locale.ROOT);
             if (!without.contains(name) && !HOP_BY_HOP.contains(name) && !lists("Connection", name)) {
--- a/sidecar/src/main/java/dapplequay/http/MessageReader.java
+++ b/sidecar/src/main/java/dapplequay/http/MessageReader.java
@@ -1,4 +1,4 @@
-package dapplequay.net;
+package dapplequay.http;
 
 import java.io.ByteArrayOutputStream;
 import java.io.EOFException;
@@ -7,43 +7,43 @@
 import java.nio.charset.StandardCharsets;
 
 /** Reads one side's messages off a connection, as far as the limits allow. */
-final class MessageReader {
-    static final int MAX_HEAD = 8 * 1024;
-    static final int MAX_BODY = 64 * 1024;
+public final class MessageReader {
+    public static final int MAX_HEAD = 8 * 1024;
+    public static final int MAX_BODY = 64 * 1024;
     private static final int MAX_CHUNK_LINE = 128;
 
     /** Discovery's list of a large fleet is longer than any body that clients and hosts may send. */
-    static final int MAX_LIST = 4 * 1024 * 1024;
+    public static final int MAX_LIST = 4 * 1024 * 1024;
 
     private final InputStream in;
     private final int maxBody;
     private final Buffer buffer;
 
-    MessageReader(InputStream in) {
+    public MessageReader(InputStream in) {
         this(in, MAX_BODY);
     }
 
-    MessageReader(InputStream in, int maxBody) {
+    public MessageReader(InputStream in, int maxBody) {
         this.in = in;
         this.maxBody = maxBody;
         buffer = new Buffer(MAX_HEAD + maxBody);
     }
 
-    boolean hasBytes() {
+    public boolean hasBytes() {
         return buffer.size() > 0;
     }
 
     /** Waits until there is something to read; false at the end of the stream. */
-    boolean await() throws IOException {
+    public boolean await() throws IOException {
         return buffer.size() > 0 || buffer.fill(in) > 0;
     }
 
-    Head request() throws IOException {
+    public Head request() throws IOException {
         return Head.request(headText());
     }
 
     /** The final response's head: those that only tell of progress are passed over. */
-    Head response() throws IOException {
+    public Head response() throws IOException {
         while (true) {
             Head head = Head.response(headText());
             if (!head.start[1].startsWith("1")) {
@@ -73,7 +73,7 @@
         }
     }
 
-    byte[] requestBody(Head head) throws IOException {
+    public byte[] requestBody(Head head) throws IOException {
         long length = length(head, 400);
         if (head.get("Transfer-Encoding") != null) {
             return chunks(head, length, 400);
@@ -82,7 +82,7 @@
     }
 
     /** Null as the length of an answer that lasts until its connection ends. */
-    byte[] responseBody(Head head) throws IOException {
+    public byte[] responseBody(Head head) throws IOException {
         if (head.start[1].equals("204") || head.start[1].equals("304")) {
             return new byte[0];
         }
@@ -102,7 +102,7 @@
     }
 
     /** Whether only the end of the connection ends this answer's body. */
-    static boolean lastsToTheEnd(Head response) throws BadMessage {
+    public static boolean lastsToTheEnd(Head response) throws BadMessage {
         return response.get("Content-Length") == null && response.get("Transfer-Encoding") == null
                 && !response.start[1].equals("204") && !response.start[1].equals("304");
     }
--- a/sidecar/src/main/java/dapplequay/http/Sockets.java
+++ b/sidecar/src/main/java/dapplequay/http/Sockets.java
@@ -1,15 +1,15 @@
-package dapplequay.net;
+package dapplequay.http;
 
 import java.io.Closeable;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 
 /** Small things about sockets. */
-final class Sockets {
+public final class Sockets {
     private Sockets() { }
 
     /** Closes what may be null or closed already; that it fails then changes nothing for anybody. */
-    static void close(Closeable socket) {
+    public static void close(Closeable socket) {
         if (socket != null) {
             try {
                 socket.close();
@@ -19,7 +19,7 @@
         }
     }
 
-    static String text(InetSocketAddress address) {
+    public static String text(InetSocketAddress address) {
         return address.getAddress().getHostAddress() + ":" + address.getPort();
     }
 }
--- /dev/null
+++ b/sidecar/src/main/java/dapplequay/management/Exposition.java
@@ -0,0 +1,55 @@
+package dapplequay.management;
+
+import dapplequay.management.Counts.End;
+import java.util.Map;
+
+/** The figures as text, in the exposition format that common collectors read. */
+public final class Exposition {
+    static final String TYPE = "text/plain; version=0.0.4; charset=utf-8";
+    private static final String PREFIX = "svc_";
+
+    private final StringBuilder out = new StringBuilder(2048);
+
+    private Exposition() { }
+
+    /** What is known beside the counts, as it stands now. */
+    public record Gauges(int registryEntries, int outOfRotation, long cfgAccepted, long cfgInvalid) { }
+
+    /** All figures at one reading. */
+    public static String text(Counts.Reading counts, Gauges gauges) {
+        Exposition text = new Exposition();
+        text.byClass("fulfilled_total", "Requests served.", counts, End.FULFILLED);
+        text.byClass("throttled_total", "Requests refused; a new try is harmless.", counts, End.THROTTLED);
+        text.byClass("faulted_total", "Requests failed, and those whose client left.", counts, End.FAULTED);
+        text.one("relayed_total", "counter", "Attempts written whole to upstreams.", counts.relayed());
+        text.one("open_requests", "gauge", "Requests taken and not ended.", counts.open());
+        text.one("registry_entries", "gauge", "Upstreams in the list of discovery.", gauges.registryEntries());
+        text.one("out_of_rotation", "gauge", "Listed upstreams that are avoided now.", gauges.outOfRotation());
+        text.one("cfg_accepted_total", "counter", "Configurations taken at SIGHUP.", gauges.cfgAccepted());
+        text.one("cfg_invalid_total", "counter", "Configurations turned down at SIGHUP.", gauges.cfgInvalid());
+        return text.out.toString();
+    }
+
+    private void head(String name, String type, String help) {
+        out.append("# HELP ").append(PREFIX).append(name).append(' ').append(help).append('\n');
+        out.append("# TYPE ").append(PREFIX).append(name).append(' ').append(type).append('\n');
+    }
+
+    private void one(String name, String type, String help, long value) {
+        head(name, type, help);
+        out.append(PREFIX).append(name).append(' ').append(value).append('\n');
+    }
+
+    private void byClass(String name, String help, Counts.Reading counts, End end) {
+        head(name, "counter", help);
+        for (Map.Entry<String, long[]> entry : counts.ended().entrySet()) {
+            out.append(PREFIX).append(name).append("{priority=\"").append(escaped(entry.getKey())).append("\"} ")
+                    .append(entry.getValue()[end.ordinal()]).append('\n');
+        }
+    }
+
+    /** A label's value: backslash, quote and line feed can't stand for themselves. */
+    private static String escaped(String value) {
+        return value.replace("\\", "\\\\").replace("\"", "\\\"").replace("\n", "\\n");
+    }
+}
--- /dev/null
+++ b/sidecar/src/main/java/dapplequay/management/ManagementSide.java
@@ -0,0 +1,239 @@
+package dapplequay.management;
+
+import dapplequay.http.BadMessage;
+import dapplequay.http.Head;
+import dapplequay.http.MessageReader;
+import dapplequay.http.Sockets;
+import dapplequay.time.Deadlines;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.logging.Level;
+import java.util.logging.Logger;
+
+/**
+ * The second address: questions and orders of those who run the sidecar, one call a connection. Its callers are few
+ * and bounded; one that says nothing, or half a call, makes room as soon as another comes.
+ */
+public final class ManagementSide implements Runnable {
+    private static final Logger LOG = Logger.getLogger(ManagementSide.class.getName());
+    /** Callers at once. */
+    private static final int MOST = 16;
+    /** Descriptors that this side needs at the most: its callers, one that is just accepted, the listener. */
+    public static final int DESCRIPTORS = MOST + 2;
+    private static final int BACKLOG = 128;
+    private static final int MAX_BODY = 4 * 1024;
+    /** A call has to come whole, and its answer to be taken, within this. */
+    private static final long CALL_US = 1_500_000;
+    private static final long PAUSE_MS = 20;
+
+    /** What stands behind the address. No call may block for longer than some milliseconds. */
+    public interface Service {
+        /** Whether this process takes clients. */
+        boolean isReady();
+
+        /** The figures, as text. */
+        String figures();
+
+        void drain();
+
+        /** False where the process is ending. */
+        boolean resume();
+    }
+
+    private final ServerSocket listener = new ServerSocket();
+    private final Deadlines deadlines;
+    private final Service service;
+    private final Set<Caller> callers = new LinkedHashSet<>();
+
+    /** Listens from here on; IOException where the address is not to be had. */
+    public ManagementSide(InetSocketAddress address, Deadlines deadlines, Service service) throws IOException {
+        this.deadlines = deadlines;
+        this.service = service;
+        listener.bind(address, BACKLOG);
+    }
+
+    public InetSocketAddress address() {
+        return (InetSocketAddress) listener.getLocalSocketAddress();
+    }
+
+    /** Accepts as long as the process runs. */
+    @Override
+    public void run() {
+        while (!listener.isClosed()) {
+            Socket socket = null;
+            try {
+                awaitRoom();
+                socket = listener.accept();
+                Caller caller = new Caller(socket);
+                synchronized (this) {
+                    callers.add(caller);
+                }
+                start(caller);
+            } catch (IOException | RuntimeException | OutOfMemoryError e) {
+                if (!listener.isClosed()) {
+                    Sockets.close(socket);
+                    LOG.log(Level.SEVERE, "management call could not be accepted: {0}", e.toString());
+                    pause();
+                }
+            } catch (InterruptedException e) {
+                return;
+            }
+        }
+    }
+
+    private void start(Caller caller) {
+        try {
+            Thread thread = new Thread(caller, "management");
+            thread.setDaemon(true);
+            thread.start();
+        } catch (OutOfMemoryError e) {
+            ended(caller);
+            throw e;
+        }
+    }
+
+    /** The oldest that is owed no answer makes room; where all are, their answers are due at once. */
+    private synchronized void awaitRoom() throws InterruptedException {
+        while (callers.size() >= MOST) {
+            Iterator<Caller> oldest = callers.iterator();
+            while (oldest.hasNext()) {
+                Caller caller = oldest.next();
+                if (!caller.busy) {
+                    oldest.remove();
+                    caller.close();
+                    return;
+                }
+            }
+            wait(PAUSE_MS);
+        }
+    }
+
+    private synchronized void ended(Caller caller) {
+        callers.remove(caller);
+        notifyAll();
+    }
+
+    private static void pause() {
+        try {
+            Thread.sleep(PAUSE_MS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** Ends this side: the listener and all callers. */
+    public void close() {
+        Sockets.close(listener);
+        List<Caller> left;
+        synchronized (this) {
+            left = new ArrayList<>(callers);
+        }
+        left.forEach(Caller::close);
+    }
+
+    /** An answer: its status with the reason, further header lines, and the body. */
+    private record Answer(String status, String headers, String body) {
+        static Answer plain(String status, String body) {
+            return new Answer(status, "Content-Type: text/plain\r\n", body + "\n");
+        }
+
+        byte[] bytes(boolean headOnly) {
+            byte[] text = body.getBytes(StandardCharsets.UTF_8);
+            String head = "HTTP/1.1 " + status + "\r\n" + headers + "Content-Length: " + text.length
+                    + "\r\nConnection: close\r\n\r\n";
+            return (headOnly ? head : head + body).getBytes(StandardCharsets.UTF_8);
+        }
+    }
+
+    private Answer answer(Head call) {
+        String path = call.start[1].split("\\?", 2)[0];
+        String method = switch (path) {
+            case "/-/ready", "/-/metrics" -> "GET";
+            case "/-/drain", "/-/resume" -> "PUT";
+            default -> null;
+        };
+        if (method == null) {
+            return Answer.plain("404 Not Found", "no such call");
+        }
+        if (!call.start[0].equals(method) && !(method.equals("GET") && call.start[0].equals("HEAD"))) {
+            return new Answer("405 Method Not Allowed", "Allow: " + (method.equals("GET") ? "GET, HEAD" : method)
+                    + "\r\n", "only " + method + "\n");
+        }
+        switch (path) {
+            case "/-/ready" -> {
+                return service.isReady() ? Answer.plain("200 OK", "ready")
+                        : Answer.plain("503 Service Unavailable", "takes no clients");
+            }
+            case "/-/metrics" -> {
+                return new Answer("200 OK", "Content-Type: " + Exposition.TYPE + "\r\n", service.figures());
+            }
+            case "/-/drain" -> {
+                service.drain();
+                return Answer.plain("200 OK", "draining");
+            }
+            default -> {
+                return service.resume() ? Answer.plain("200 OK", "takes clients")
+                        : Answer.plain("409 Conflict", "ending");
+            }
+        }
+    }
+
+    /** One connection, its one call and the thread that serves it. */
+    private final class Caller implements Runnable {
+        private final Socket socket;
+        /** From the call on that came whole until its answer is written. */
+        private volatile boolean busy;
+
+        Caller(Socket socket) {
+            this.socket = socket;
+        }
+
+        void close() {
+            Sockets.close(socket);
+        }
+
+        @Override
+        public void run() {
+            Deadlines.Deadline late = deadlines.after(CALL_US, this::close);
+            try {
+                socket.setTcpNoDelay(true);
+                socket.getOutputStream().write(call());
+                busy = false;
+                socket.shutdownOutput();
+                // Closing over unread bytes would reset the connection, and take the answer from the caller.
+                byte[] rest = new byte[256];
+                for (int i = 0; i < 64 && socket.getInputStream().read(rest) >= 0; i++) { }
+            } catch (IOException e) {
+                LOG.log(Level.FINE, "management call ended: {0}", e.toString());
+            } catch (RuntimeException e) {
+                LOG.log(Level.SEVERE, "management call failed", e);
+            } finally {
+                deadlines.cancel(late);
+                close();
+                ended(this);
+            }
+        }
+
+        private byte[] call() throws IOException {
+            try {
+                MessageReader reader = new MessageReader(socket.getInputStream(), MAX_BODY);
+                Head head = reader.request();
+                reader.requestBody(head);
+                busy = true;
+                return answer(head).bytes(head.start[0].equals("HEAD"));
+            } catch (BadMessage e) {
+                busy = true;
+                return Answer.plain(e.status == 413 ? "413 Content Too Large" : "400 Bad Request", e.getMessage())
+                        .bytes(false);
+            }
+        }
+    }
+}
--- a/sidecar/src/main/java/dapplequay/net/AcquirerConnection.java
+++ b/sidecar/src/main/java/dapplequay/net/AcquirerConnection.java
@@ -1,5 +1,11 @@
 package dapplequay.net;
 
+import dapplequay.http.BadMessage;
+import dapplequay.http.Head;
+import dapplequay.http.MessageReader;
+import dapplequay.http.Sockets;
+import dapplequay.time.Deadlines;
+import dapplequay.management.Counts.End;
 import java.io.EOFException;
 import java.io.IOException;
 import java.io.InputStream;
@@ -18,6 +24,8 @@
     private static final long IDLE_US = 2_100_000;
     /** A stranger, one that has not asked for anything yet, has at least so long before it makes room. */
     private static final long STRANGER_US = 50_000;
+    /** A connection that has just come is not closed unheard: its first request is on its way. */
+    private static final long FRESH_US = 100_000;
     /** What is still read after the last answer: clients that send without end are not waited for. */
     private static final int DRAINED = 256 * 1024;
     /** A client that does not take its answer must not hold the thread that writes it. */
@@ -153,7 +161,10 @@
             answer(Answers.plain(e.status, e.getMessage()));
         } catch (RuntimeException e) {
             LOG.log(Level.SEVERE, "request could not be handled", e);
-            if (current == null || current.claim()) {
+            if (current == null) {
+                answer(Answers.plain(500, "failed"));
+            } else if (current.claim()) {
+                current.ended(End.FAULTED);
                 answer(Answers.plain(500, "failed"));
             }
         }
@@ -171,7 +182,7 @@
         synchronized (this) {
             asked = true;
         }
-        Authorisation authorisation = new Authorisation(side.nextId(), this, request);
+        Authorisation authorisation = new Authorisation(side.nextId(), this, request, side.counts());
         current = authorisation;
         long leftUs = request.budgetUs() - (side.deadlines().now() - receivedUs);
         side.conductor().begin(authorisation, request.call(leftUs));
@@ -179,7 +190,7 @@
 
     /** Writes the answer to the request in hand. Only who claimed the authorisation may call this. */
     void answer(Answers.Answer answer) {
-        boolean last = lastRequest || side.isEnding() || side.isCrowded();
+        boolean last = lastRequest || side.empties() || side.isCrowded();
         Deadlines.Deadline stuck = side.deadlines().after(WRITE_US, this::close);
         try {
             socket.getOutputStream().write(answer.bytes(last));
@@ -221,6 +232,13 @@
         return state == State.CLOSED;
     }
 
+    /** The same where the sidecar is being emptied: one that has just come is given the time to ask. */
+    synchronized void closeToEmpty() {
+        if (asked || side.deadlines().now() - sinceUs >= FRESH_US) {
+            closeIfIdle();
+        }
+    }
+
     /** Whether nothing has been asked for whole on this connection. */
     synchronized boolean isStranger() {
         return !asked && (state == State.IDLE || state == State.READING);
--- a/sidecar/src/main/java/dapplequay/net/AcquirerRequest.java
+++ b/sidecar/src/main/java/dapplequay/net/AcquirerRequest.java
@@ -2,6 +2,9 @@
 
 import dapplequay.BalancerApi.Semantics;
 import dapplequay.facade.Call;
+import dapplequay.http.BadMessage;
+import dapplequay.http.Head;
+import dapplequay.http.Sockets;
 import dapplequay.settings.SettingsReader.Setup;
 import java.io.ByteArrayOutputStream;
 import java.net.InetSocketAddress;
@@ -9,12 +12,13 @@
 import java.util.List;
 
 /** A request of the acquirer's, checked against the settings: what is wrong with it, no issuer host sees. */
-record AcquirerRequest(Head head, byte[] body, int serviceClass, int tenant, long budgetUs) {
+record AcquirerRequest(Head head, byte[] body, String className, int serviceClass, int tenant, long budgetUs) {
     private static final List<String> REPLACED = List.of("host", "x-budget-ms");
 
     static AcquirerRequest check(Head head, byte[] body, Setup setup) throws BadMessage {
         String path = head.start[1].split("\\?", 2)[0];
-        Integer serviceClass = setup.classes().get(path.substring(1).split("/", 2)[0]);
+        String className = path.substring(1).split("/", 2)[0];
+        Integer serviceClass = setup.classes().get(className);
         if (serviceClass == null) {
             throw new BadMessage(404, "unknown class");
         }
@@ -37,7 +41,7 @@
         // No client waits for longer than its class grants: a greater figure would hold a leg for good, and
         // make all others look like later tries to the module.
         long longestUs = setup.settings().classes().get(serviceClass).deadlineUs();
-        return new AcquirerRequest(head, body, serviceClass, tenant(head, setup),
+        return new AcquirerRequest(head, body, className, serviceClass, tenant(head, setup),
                 Math.min(Long.parseLong(budget) * 1000, longestUs));
     }
 
--- a/sidecar/src/main/java/dapplequay/net/AcquirerSide.java
+++ b/sidecar/src/main/java/dapplequay/net/AcquirerSide.java
@@ -1,7 +1,10 @@
 package dapplequay.net;
 
 import dapplequay.facade.Facade;
+import dapplequay.http.Sockets;
+import dapplequay.management.Counts;
 import dapplequay.settings.SettingsReader.Setup;
+import dapplequay.time.Deadlines;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -34,14 +37,18 @@
     private final Set<AcquirerConnection> connections = new LinkedHashSet<>();
     private final long wholeRequestUs;
     private final CallIds callIds;
-    private volatile boolean ending;
+    private final Counts counts;
+    private final Lifetime lifetime;
 
     AcquirerSide(InetSocketAddress listen, Setup setup, Facade facade, Conductor conductor,
-                 Deadlines deadlines, int most, int crowd) throws IOException {
+                 Deadlines deadlines, Counts counts, Lifetime lifetime, int most, int crowd)
+            throws IOException {
         this.setup = setup;
         this.facade = facade;
         this.conductor = conductor;
         this.deadlines = deadlines;
+        this.counts = counts;
+        this.lifetime = lifetime;
         this.most = most;
         this.crowd = crowd;
         long longestUs = setup.settings().classes().stream().mapToLong(c -> c.deadlineUs()).max().orElse(0);
@@ -87,12 +94,17 @@
         return connections.size() >= crowd;
     }
 
-    boolean isEnding() {
-        return ending;
+    Counts counts() {
+        return counts;
+    }
+
+    /** Whether each answer is its connection's last, as the sidecar is being emptied. */
+    boolean empties() {
+        return lifetime.empties();
     }
 
     Answers.Answer health() {
-        return ending ? Answers.plain(503, "ending") : Answers.plain(200, "ok");
+        return lifetime.wantsClients() ? Answers.plain(200, "ok") : Answers.plain(503, "takes no clients");
     }
 
     /** Accepts until the listener is closed; whatever else goes wrong, the next connection is tried. */
@@ -159,22 +171,29 @@
         notifyAll();
     }
 
+    /** While the sidecar is being emptied, idle connections are closed each turn. */
+    void turn() {
+        if (!lifetime.empties()) {
+            return;
+        }
+        List<AcquirerConnection> left;
+        synchronized (this) {
+            left = new ArrayList<>(connections);
+        }
+        left.forEach(AcquirerConnection::closeToEmpty);
+        lifetime.holds(left.size());
+    }
+
     /**
-     * Ends in order: idle connections are closed, what is held is answered and its connection closed after.
-     * The listener stays open meanwhile, as what the system has accepted counts as taken.
+     * Waits until nothing is held any more, or until that time; then the listener is closed. It stays open meanwhile,
+     * as what the system has accepted counts as taken.
      */
-    void end(long untilUs) throws InterruptedException {
-        ending = true;
+    void awaitEmpty(long untilUs) throws InterruptedException {
         while (deadlines.now() < untilUs) {
-            List<AcquirerConnection> left;
-            synchronized (this) {
-                left = new ArrayList<>(connections);
-            }
-            if (left.isEmpty()) {
-                break;
-            }
-            left.forEach(AcquirerConnection::closeIfIdle);
             synchronized (this) {
+                if (lifetime.empties() && connections.isEmpty()) {
+                    break;
+                }
                 wait(PAUSE_MS);
             }
         }
--- a/sidecar/src/main/java/dapplequay/net/Answers.java
+++ b/sidecar/src/main/java/dapplequay/net/Answers.java
@@ -1,5 +1,6 @@
 package dapplequay.net;
 
+import dapplequay.http.Head;
 import java.math.BigDecimal;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
--- a/sidecar/src/main/java/dapplequay/net/Authorisation.java
+++ b/sidecar/src/main/java/dapplequay/net/Authorisation.java
@@ -1,18 +1,29 @@
 package dapplequay.net;
 
+import dapplequay.management.Counts;
+
 /** One request of the acquirer's, until its one answer. Whoever claims it first answers it, or drops it. */
 final class Authorisation {
     final long id;
     final AcquirerConnection from;
     final AcquirerRequest request;
+    private final Counts counts;
     private boolean over;
     private boolean timedOut;
     private Leg leg;
 
-    Authorisation(long id, AcquirerConnection from, AcquirerRequest request) {
+    /** Counts as taken from here on. */
+    Authorisation(long id, AcquirerConnection from, AcquirerRequest request, Counts counts) {
         this.id = id;
         this.from = from;
         this.request = request;
+        this.counts = counts;
+        counts.taken();
+    }
+
+    /** Only who claimed it calls this, once. */
+    void ended(Counts.End how) {
+        counts.ended(request.className(), how);
     }
 
     /** True for one caller alone: that one answers. */
--- a/sidecar/src/main/java/dapplequay/net/Conductor.java
+++ b/sidecar/src/main/java/dapplequay/net/Conductor.java
@@ -5,6 +5,8 @@
 import dapplequay.facade.Facade;
 import dapplequay.facade.HostLoad;
 import dapplequay.facade.LegEnd;
+import dapplequay.http.Head;
+import dapplequay.management.Counts.End;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
@@ -36,13 +38,19 @@
             issuers.send(leg);
         } else if (decision instanceof Decision.Refuse refuse && authorisation.claim()) {
             LOG.fine(() -> "refused " + authorisation.id);
-            authorisation.from.answer(Answers.refusal(refuse.pauseUs()));
+            finish(authorisation, End.THROTTLED, Answers.refusal(refuse.pauseUs()));
         } else if (decision instanceof Decision.Fail && authorisation.claim()) {
             LOG.fine(() -> "failed " + authorisation.id);
-            authorisation.from.answer(Answers.failure(authorisation.failureStatus()));
+            finish(authorisation, End.FAULTED, Answers.failure(authorisation.failureStatus()));
         }
     }
 
+    /** The one answer, by who claimed it; it is counted before the client can see it. */
+    private static void finish(Authorisation authorisation, End how, Answers.Answer answer) {
+        authorisation.ended(how);
+        authorisation.from.answer(answer);
+    }
+
     /** A leg has ended; {@code load}, {@code head} and {@code body} are there only if it was answered. */
     void legEnded(Leg leg, LegEnd end, HostLoad load, Head head, byte[] body) {
         Authorisation authorisation = leg.authorisation;
@@ -58,8 +66,11 @@
             Decision next = facade.report(authorisation.id, leg.order.leg(), leg.order.host(), end,
                     leg.tookUs(end, issuers.now()), authorisation.isOver(), load);
             if (serves) {
-                authorisation.from.answer(end == LegEnd.SERVED ? Answers.served(head, body)
-                        : Answers.plain(400, "not accepted"));
+                if (end == LegEnd.SERVED) {
+                    finish(authorisation, End.FULFILLED, Answers.served(head, body));
+                } else {
+                    finish(authorisation, End.FAULTED, Answers.plain(400, "not accepted"));
+                }
             } else {
                 carryOut(authorisation, next);
             }
@@ -79,6 +90,7 @@
     /** The client is gone: nothing is owed, and the leg that is out is given up. */
     void clientLeft(Authorisation authorisation) {
         if (authorisation.claim()) {
+            authorisation.ended(End.FAULTED);
             facade.clientGone(authorisation.id);
             Leg leg = authorisation.leg();
             if (leg != null) {
@@ -94,7 +106,7 @@
         } catch (RuntimeException e) {
             LOG.log(Level.SEVERE, "authorisation failed", e);
             if (authorisation.claim()) {
-                authorisation.from.answer(Answers.failure(500));
+                finish(authorisation, End.FAULTED, Answers.failure(500));
             }
         }
     }
--- a/sidecar/src/main/java/dapplequay/net/IssuerConnection.java
+++ b/sidecar/src/main/java/dapplequay/net/IssuerConnection.java
@@ -2,6 +2,11 @@
 
 import dapplequay.facade.HostLoad;
 import dapplequay.facade.LegEnd;
+import dapplequay.http.BadMessage;
+import dapplequay.http.Head;
+import dapplequay.http.MessageReader;
+import dapplequay.http.Sockets;
+import dapplequay.time.Deadlines;
 import java.io.IOException;
 import java.net.Socket;
 import java.util.logging.Level;
@@ -57,6 +62,7 @@
             if (!now.isCut()) {
                 socket.getOutputStream().write(message);
                 whole = true;
+                side.counts().relayed();
             }
         } catch (IOException e) {
             LOG.log(Level.FINE, "leg could not be written to {0}: {1}", new Object[] {route.endpoint(), e});
--- a/sidecar/src/main/java/dapplequay/net/IssuerSide.java
+++ b/sidecar/src/main/java/dapplequay/net/IssuerSide.java
@@ -2,6 +2,10 @@
 
 import dapplequay.facade.HostLoad;
 import dapplequay.facade.LegEnd;
+import dapplequay.http.Head;
+import dapplequay.http.Sockets;
+import dapplequay.management.Counts;
+import dapplequay.time.Deadlines;
 import java.util.ArrayDeque;
 import java.util.Collection;
 import java.util.Deque;
@@ -37,15 +41,18 @@
     private final int most;
     private final Map<RoutingTable.Route, Deque<IssuerConnection>> idle = new HashMap<>();
     private final IdleRisk risk;
+    private final Counts counts;
     private int open;
     private Conductor conductor;
 
-    IssuerSide(RoutingTable table, Deadlines deadlines, long connectTimeoutUs, long connIdleUs, int most) {
+    IssuerSide(RoutingTable table, Deadlines deadlines, long connectTimeoutUs, long connIdleUs, int most,
+               Counts counts) {
         this.table = table;
         this.deadlines = deadlines;
         this.connectTimeoutUs = connectTimeoutUs;
         this.idleUs = (long) (connIdleUs * IDLE_SHARE);
         this.most = most;
+        this.counts = counts;
         risk = new IdleRisk(deadlines::now);
     }
 
@@ -58,6 +65,10 @@
         return deadlines.now();
     }
 
+    Counts counts() {
+        return counts;
+    }
+
     long connectTimeoutUs() {
         return connectTimeoutUs;
     }
--- a/sidecar/src/main/java/dapplequay/net/Leg.java
+++ b/sidecar/src/main/java/dapplequay/net/Leg.java
@@ -2,6 +2,7 @@
 
 import dapplequay.facade.Decision;
 import dapplequay.facade.LegEnd;
+import dapplequay.time.Deadlines;
 
 /** One attempt at an issuer host. It ends once: the first counts of an answer, a cut and a break. */
 final class Leg {
--- /dev/null
+++ b/sidecar/src/main/java/dapplequay/net/Lifetime.java
@@ -0,0 +1,45 @@
+package dapplequay.net;
+
+import dapplequay.lifecycle.ServiceLife;
+import java.util.function.LongSupplier;
+
+/** Whether this sidecar wants clients: the pure machine, with a clock and for many threads. */
+final class Lifetime {
+    /** After a drain the front asks within 0.1 s, and goes on sending for 0.2 s more. */
+    private static final long FRONT_US = 350_000;
+
+    private final LongSupplier clock;
+    private final ServiceLife life = new ServiceLife(FRONT_US);
+
+    Lifetime(LongSupplier clock) {
+        this.clock = clock;
+    }
+
+    synchronized boolean wantsClients() {
+        return life.wantsClients();
+    }
+
+    synchronized boolean empties() {
+        return life.empties(clock.getAsLong());
+    }
+
+    synchronized void listening() {
+        life.listening(clock.getAsLong());
+    }
+
+    synchronized void drain() {
+        life.drain(clock.getAsLong());
+    }
+
+    synchronized boolean resume() {
+        return life.resume();
+    }
+
+    synchronized void end(long graceUs) {
+        life.end(clock.getAsLong(), graceUs);
+    }
+
+    synchronized void holds(int connections) {
+        life.holds(connections, clock.getAsLong());
+    }
+}
--- a/sidecar/src/main/java/dapplequay/net/LoadText.java
+++ b/sidecar/src/main/java/dapplequay/net/LoadText.java
@@ -1,6 +1,8 @@
 package dapplequay.net;
 
 import dapplequay.facade.HostLoad;
+import dapplequay.http.BadMessage;
+import dapplequay.http.Head;
 
 /** Reads {@code X-Load-Report}. */
 final class LoadText {
--- a/sidecar/src/main/java/dapplequay/net/RoutingTable.java
+++ b/sidecar/src/main/java/dapplequay/net/RoutingTable.java
@@ -114,6 +114,11 @@
         return serving;
     }
 
+    /** Hosts in the list, those that drain included. */
+    synchronized int size() {
+        return routes.size();
+    }
+
     /** How to reach the host, or null where it wants no new work or is not listed. */
     synchronized Route routeOf(String uid) {
         Listed listed = routes.get(uid);
--- a/sidecar/src/main/java/dapplequay/net/Sidecar.java
+++ b/sidecar/src/main/java/dapplequay/net/Sidecar.java
@@ -2,10 +2,17 @@
 
 import dapplequay.facade.Facade;
 import dapplequay.facade.ListNews;
+import dapplequay.http.Sockets;
 import dapplequay.settings.SettingsReader.Setup;
+import dapplequay.time.Deadlines;
+import dapplequay.time.UnixClock;
+import dapplequay.management.Counts;
+import dapplequay.management.Exposition;
+import dapplequay.management.ManagementSide;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.logging.Level;
 import java.util.logging.Logger;
 
@@ -23,48 +30,64 @@
     private static final double CONNECTION_MB = 0.11;
     private static final int FEWEST = 4;
     private static final long TURN_US = 10_000;
+    /** Turns between two looks at what the module passes over. */
+    private static final int PASSED_OVER_TURNS = 10;
     /** After an ending was ordered, new connections come for 0.4 s more. */
     private static final long LATE_CONNECTIONS_US = 550_000;
     private static final long ENDING_MARGIN_US = 100_000;
 
     private final Deadlines deadlines;
     private final Facade facade;
+    private final Plan plan;
     private final Conductor conductor;
-    private final AcquirerSide acquirers;
+    private final RoutingTable table;
     private final Watch watch;
+    private final Counts counts = new Counts();
+    private final Lifetime lifetime;
+    private final AtomicLong cfgAccepted = new AtomicLong();
+    private final AtomicLong cfgInvalid = new AtomicLong();
     private final long longestDeadlineUs;
+    private volatile int passedOver;
+    private volatile AcquirerSide acquirers;
+    private ManagementSide management;
 
-    /** What a start needs. {@code known} is a tree in discovery's form, or null where none was kept. */
-    public record Plan(InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
-                       int memoryMb, Object known, Setup setup) {
+    /**
+     * What a start needs. {@code known} is a tree in discovery's form, or null where none was kept; {@code management}
+     * is the second address, or null where there is none.
+     */
+    public record Plan(InetSocketAddress listen, InetSocketAddress management, InetSocketAddress discovery, long seed,
+                       int sockets, int memoryMb, Object known, Setup setup) {
         /** Connections of both sides together that the limits allow. */
         int mostConnections() {
             double byMemory = (memoryMb - BASE_MB) / CONNECTION_MB;
-            return (int) Math.max(FEWEST, Math.min(sockets - OWN_DESCRIPTORS, byMemory));
+            int own = OWN_DESCRIPTORS + (management == null ? 0 : ManagementSide.DESCRIPTORS);
+            return (int) Math.max(FEWEST, Math.min(sockets - own, byMemory));
         }
     }
 
-    /** Listens from here on; IOException where the address or the known list is no good. */
+    /** Listens at no address yet; IOException where the known list is no good. */
     public Sidecar(Plan plan) throws IOException {
+        this.plan = plan;
         UnixClock clock = new UnixClock();
         deadlines = new Deadlines(clock);
         Setup setup = plan.setup();
         facade = new Facade(setup.settings(), plan.seed(), clock, LOG::info);
-        RoutingTable table = restored(plan, facade);
-        int most = plan.mostConnections();
-        int mostAcquirers = (int) (most * ACQUIRER_SHARE);
+        lifetime = new Lifetime(clock);
+        counts.know(setup.classes().keySet());
+        table = restored(plan, facade);
         IssuerSide issuers = new IssuerSide(table, deadlines, setup.connectTimeoutUs(), setup.connIdleUs(),
-                most - mostAcquirers);
+                plan.mostConnections() - mostAcquirers(), counts);
         conductor = new Conductor(facade, issuers);
         issuers.conductor(conductor);
         watch = new Watch(plan.discovery(), table, facade, issuers);
-        new WarmUp(setup, deadlines).run();
-        acquirers = new AcquirerSide(plan.listen(), setup, facade, conductor, deadlines,
-                mostAcquirers, (int) (plan.sockets() * CROWD_SHARE));
         longestDeadlineUs = setup.settings().classes().stream().mapToLong(c -> c.deadlineUs()).max()
                 .orElse(0);
     }
 
+    private int mostAcquirers() {
+        return (int) (plan.mostConnections() * ACQUIRER_SHARE);
+    }
+
     private static RoutingTable restored(Plan plan, Facade facade) throws IOException {
         RoutingTable table = new RoutingTable();
         List<ListNews.Line> lines = List.of();
@@ -86,13 +109,61 @@
         return acquirers.address();
     }
 
-    public void start() {
+    /** The second address, or null. */
+    public InetSocketAddress managementAddress() {
+        return management == null ? null : management.address();
+    }
+
+    /**
+     * Serves from here on; IOException where an address is not to be had. The management address answers first, so
+     * that whoever waits for the clients' is told "not yet" and not left alone.
+     */
+    public void start() throws IOException {
         daemon(this::keepTime, "timekeeper");
+        if (plan.management() != null) {
+            management = new ManagementSide(plan.management(), deadlines, new Service());
+            daemon(management, "management");
+        }
+        new WarmUp(plan.setup(), deadlines).run();
+        acquirers = new AcquirerSide(plan.listen(), plan.setup(), facade, conductor, deadlines, counts, lifetime,
+                mostAcquirers(), (int) (plan.sockets() * CROWD_SHARE));
         daemon(watch, "watch");
         new Thread(acquirers, "listener").start();
+        lifetime.listening();
         LOG.log(Level.INFO, "serving on {0}", Sockets.text(address()));
     }
 
+    /** What the management address is about. */
+    private final class Service implements ManagementSide.Service {
+        @Override
+        public boolean isReady() {
+            return lifetime.wantsClients();
+        }
+
+        @Override
+        public String figures() {
+            return Exposition.text(counts.read(),
+                    new Exposition.Gauges(table.size(), passedOver, cfgAccepted.get(), cfgInvalid.get()));
+        }
+
+        @Override
+        public void drain() {
+            LOG.info("drain: clients are sent away");
+            lifetime.drain();
+        }
+
+        @Override
+        public boolean resume() {
+            LOG.info("resume");
+            return lifetime.resume();
+        }
+    }
+
+    /** A configuration was taken over, or turned down. */
+    public void configurationRead(boolean accepted) {
+        (accepted ? cfgAccepted : cfgInvalid).incrementAndGet();
+    }
+
     /** Another discovery from now on; nothing that is held is touched. */
     public void discoveryAt(InetSocketAddress discovery) {
         watch.moveTo(discovery);
@@ -106,10 +177,17 @@
 
     /** Each turn: the module's timers, then the deadlines. One that fails is told, and the next follows. */
     private void keepTime() {
-        while (true) {
+        for (long turn = 0; ; turn++) {
             try {
                 conductor.cut(facade.tick());
                 deadlines.sweep();
+                if (management != null && turn % PASSED_OVER_TURNS == 0) {
+                    passedOver = facade.passedOver();
+                }
+                AcquirerSide side = acquirers;
+                if (side != null) {
+                    side.turn();
+                }
                 deadlines.await(TURN_US);
             } catch (InterruptedException e) {
                 return;
@@ -126,9 +204,11 @@
 
     void end(long lateConnectionsUs) throws InterruptedException {
         LOG.info("ending: late connections are still served");
-        long until = deadlines.now() + lateConnectionsUs;
-        Thread.sleep(lateConnectionsUs / 1000);
-        acquirers.end(until + longestDeadlineUs + ENDING_MARGIN_US);
+        lifetime.end(lateConnectionsUs);
+        AcquirerSide side = acquirers;
+        if (side != null) {
+            side.awaitEmpty(deadlines.now() + lateConnectionsUs + longestDeadlineUs + ENDING_MARGIN_US);
+        }
         LOG.info("ended");
     }
 }
--- a/sidecar/src/main/java/dapplequay/net/Watch.java
+++ b/sidecar/src/main/java/dapplequay/net/Watch.java
@@ -2,6 +2,9 @@
 
 import dapplequay.facade.Facade;
 import dapplequay.facade.ListNews;
+import dapplequay.http.Head;
+import dapplequay.http.MessageReader;
+import dapplequay.http.Sockets;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.Socket;
--- a/sidecar/src/main/java/dapplequay/time/Deadlines.java
+++ b/sidecar/src/main/java/dapplequay/time/Deadlines.java
@@ -1,4 +1,4 @@
-package dapplequay.net;
+package dapplequay.time;
 
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -9,7 +9,7 @@
 import java.util.logging.Logger;
 
 /** All deadlines of the process, sorted; the timekeeper sweeps those that have passed each turn. */
-final class Deadlines {
+public final class Deadlines {
     private static final Logger LOG = Logger.getLogger(Deadlines.class.getName());
 
     private final LongSupplier clock;
@@ -18,7 +18,7 @@
     private long numbers;
 
     /** One entry. What it does must not block: it closes something or opens something's eyes. */
-    static final class Deadline {
+    public static final class Deadline {
         private final long atUs;
         private final long number;
         private final Runnable passed;
@@ -30,15 +30,15 @@
         }
     }
 
-    Deadlines(LongSupplier clock) {
+    public Deadlines(LongSupplier clock) {
         this.clock = clock;
     }
 
-    long now() {
+    public long now() {
         return clock.getAsLong();
     }
 
-    synchronized Deadline after(long delayUs, Runnable passed) {
+    public synchronized Deadline after(long delayUs, Runnable passed) {
         Deadline deadline = new Deadline(now() + delayUs, numbers++, passed);
         sorted.add(deadline);
         if (sorted.first() == deadline) {
@@ -47,14 +47,14 @@
         return deadline;
     }
 
-    synchronized void cancel(Deadline deadline) {
+    public synchronized void cancel(Deadline deadline) {
         if (deadline != null) {
             sorted.remove(deadline);
         }
     }
 
     /** Waits until the first deadline passes, but no longer than this. */
-    synchronized void await(long longestUs) throws InterruptedException {
+    public synchronized void await(long longestUs) throws InterruptedException {
         long waitUs = longestUs;
         if (!sorted.isEmpty()) {
             waitUs = Math.min(waitUs, sorted.first().atUs - now());
@@ -65,7 +65,7 @@
     }
 
     /** Carries out all that have passed, outside the lock; one that fails does not keep the others. */
-    void sweep() {
+    public void sweep() {
         List<Deadline> due = new ArrayList<>();
         synchronized (this) {
             long now = now();
--- a/sidecar/src/test/java/dapplequay/http/BufferTest.java
+++ b/sidecar/src/test/java/dapplequay/http/BufferTest.java
@@ -1,4 +1,4 @@
-package dapplequay.net;
+package dapplequay.http;
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
--- a/sidecar/src/test/java/dapplequay/http/HeadTest.java
+++ b/sidecar/src/test/java/dapplequay/http/HeadTest.java
@@ -1,4 +1,4 @@
-package dapplequay.net;
+package dapplequay.http;
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.catchThrowableOfType;
@@ -111,19 +111,4 @@
             assertThat(bad.status).isEqualTo(status);
         }
     }
-
-    @ParameterizedTest
-    @CsvSource(delimiter = ';', value = {
-        "inflight=7,queue=2,latency_ms=1.5; 2; 7", " queue = 3 ; 3; NaN", "inflight=x,queue=; NaN; NaN",
-        "inflight=-1; NaN; NaN", "; ; ",
-    })
-    void loadReportsAreReadAsFarAsTheyMakeSense(String text, Double queue, Double inFlight) {
-        var load = LoadText.read(text);
-        if (text == null) {
-            assertThat(load).isNull();
-        } else {
-            assertThat(load.queue()).isEqualTo(queue);
-            assertThat(load.inFlight()).isEqualTo(inFlight);
-        }
-    }
 }
--- /dev/null
+++ b/sidecar/src/test/java/dapplequay/management/ExpositionTest.java
@@ -0,0 +1,55 @@
+package dapplequay.management;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import dapplequay.management.Counts.End;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class ExpositionTest {
+    @Test
+    void figuresAreNamedTypedAndLabelled() {
+        Counts counts = new Counts();
+        counts.know(List.of("order", "a\"b\\"));
+        for (End end : List.of(End.FULFILLED, End.FULFILLED, End.THROTTLED, End.FAULTED)) {
+            counts.taken();
+            counts.ended("order", end);
+        }
+        counts.taken();
+        counts.relayed();
+        String text = Exposition.text(counts.read(), new Exposition.Gauges(7, 2, 3, 1));
+        assertThat(text.lines()).contains("svc_fulfilled_total{priority=\"order\"} 2",
+                "svc_throttled_total{priority=\"order\"} 1", "svc_faulted_total{priority=\"order\"} 1",
+                "svc_fulfilled_total{priority=\"a\\\"b\\\\\"} 0", "svc_relayed_total 1", "svc_open_requests 1",
+                "svc_registry_entries 7", "svc_out_of_rotation 2", "svc_cfg_accepted_total 3",
+                "svc_cfg_invalid_total 1", "# TYPE svc_fulfilled_total counter", "# TYPE svc_open_requests gauge");
+        assertThat(text).endsWith("\n");
+    }
+
+    /** At each reading, what was taken has ended or is open, whoever counts meanwhile. */
+    @Test
+    void readingsAddUpWhileOthersCount() throws InterruptedException {
+        Counts counts = new Counts();
+        Thread[] threads = new Thread[4];
+        for (int i = 0; i < threads.length; i++) {
+            String name = "c" + i % 2;
+            threads[i] = new Thread(() -> {
+                for (int n = 0; n < 20_000; n++) {
+                    counts.taken();
+                    counts.ended(name, End.values()[n % 3]);
+                }
+            });
+            threads[i].start();
+        }
+        Counts.Reading reading;
+        do {
+            reading = counts.read();
+            long ended = reading.ended().values().stream().flatMapToLong(java.util.Arrays::stream).sum();
+            assertThat(reading.taken()).isEqualTo(ended + reading.open());
+        } while (reading.taken() < 80_000);
+        for (Thread thread : threads) {
+            thread.join();
+        }
+        assertThat(counts.read().open()).isZero();
+    }
+}
--- /dev/null
+++ b/sidecar/src/test/java/dapplequay/management/ManagementSideTest.java
@@ -0,0 +1,143 @@
+package dapplequay.management;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import dapplequay.time.Deadlines;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+@Timeout(60)
+class ManagementSideTest {
+    private final Deadlines deadlines = new Deadlines(() -> System.nanoTime() / 1000);
+    private final List<String> orders = new ArrayList<>();
+    private final List<Socket> sockets = new ArrayList<>();
+    private volatile boolean ready = true;
+    private volatile boolean ending;
+    private ManagementSide side;
+
+    @BeforeEach
+    void listen() throws IOException {
+        side = new ManagementSide(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), deadlines,
+                new ManagementSide.Service() {
+                    @Override
+                    public boolean isReady() {
+                        return ready;
+                    }
+
+                    @Override
+                    public String figures() {
+                        return "svc_open_requests 0\n";
+                    }
+
+                    @Override
+                    public void drain() {
+                        orders.add("drain");
+                    }
+
+                    @Override
+                    public boolean resume() {
+                        orders.add("resume");
+                        return !ending;
+                    }
+                });
+        Thread thread = new Thread(side);
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    @AfterEach
+    void close() throws IOException {
+        side.close();
+        for (Socket socket : sockets) {
+            socket.close();
+        }
+    }
+
+    private Socket caller(String text) throws IOException {
+        Socket socket = new Socket();
+        sockets.add(socket);
+        socket.connect(side.address());
+        socket.setSoTimeout(20_000);
+        socket.getOutputStream().write(text.replace("|", "\r\n").getBytes(StandardCharsets.ISO_8859_1));
+        return socket;
+    }
+
+    private static String all(Socket socket) throws IOException {
+        return new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = ';', value = {
+        "GET /-/ready HTTP/1.1|Host: x||; 200; ''", "GET /-/metrics HTTP/1.1||; 200; ''",
+        "HEAD /-/ready HTTP/1.1||; 200; ''", "GET /-/ready?a=b HTTP/1.0||; 200; ''",
+        "PUT /-/drain HTTP/1.1|Content-Length: 0||; 200; drain", "PUT /-/resume HTTP/1.1||; 200; resume",
+        "PUT /-/drain HTTP/1.1|Transfer-Encoding: chunked||2|ab|0||; 200; drain",
+        "GET /-/drain HTTP/1.1||; 405; ''", "POST /-/ready HTTP/1.1||; 405; ''", "GET / HTTP/1.1||; 404; ''",
+        "GET /-/ready||; 400; ''", "GET /-/ready HTTP/3||; 400; ''", "rubbish||; 400; ''",
+        "PUT /-/drain HTTP/1.1|Content-Length: 99999||; 413; ''",
+        "PUT /-/drain HTTP/1.1|Content-Length: 1|Content-Length: 2||; 400; ''",
+    })
+    void callsAreAnsweredAndTheConnectionEnds(String call, int status, String ordered) throws IOException {
+        String answer = all(caller(call));
+        assertThat(answer).startsWith("HTTP/1.1 " + status + " ");
+        assertThat(answer).contains("Connection: close\r\n");
+        assertThat(String.join(",", orders)).isEqualTo(ordered);
+        if (status == 405) {
+            assertThat(answer).contains("Allow: " + (call.contains("drain") ? "PUT" : "GET, HEAD") + "\r\n");
+        }
+        if (call.startsWith("HEAD")) {
+            assertThat(answer).endsWith("\r\n\r\n");
+        }
+    }
+
+    @Test
+    void noIsSaidWithAStatus() throws IOException {
+        ready = false;
+        ending = true;
+        assertThat(all(caller("GET /-/ready HTTP/1.1||"))).startsWith("HTTP/1.1 503 ");
+        assertThat(all(caller("PUT /-/resume HTTP/1.1||"))).startsWith("HTTP/1.1 409 ");
+    }
+
+    /** Many more than are held at once; each call among them is answered, and none by waiting for their end. */
+    @ParameterizedTest
+    @ValueSource(strings = {"", "GET /-/rea", "GET /-/ready HTTP/1.1||"})
+    void callersWhoSayLittleOrStayAfterTheirAnswerKeepNobodyAway(String said) throws IOException {
+        for (int i = 0; i < 60; i++) {
+            caller(said);
+            if (i % 10 == 0) {
+                assertThat(all(caller("GET /-/ready HTTP/1.1||"))).startsWith("HTTP/1.1 200 ");
+            }
+        }
+        assertThat(all(caller("GET /-/metrics HTTP/1.1||"))).endsWith("svc_open_requests 0\n");
+    }
+
+    @Test
+    void halfACallEndsByItsDeadline() throws Exception {
+        Socket half = caller("GET /-/ready HTTP/1.1|A:");
+        Thread sweeper = new Thread(() -> {
+            try {
+                while (!half.isClosed()) {
+                    deadlines.await(10_000);
+                    deadlines.sweep();
+                }
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        });
+        sweeper.setDaemon(true);
+        sweeper.start();
+        assertThat(half.getInputStream().read()).isEqualTo(-1);
+    }
+}
--- a/sidecar/src/test/java/dapplequay/net/Host.java
+++ b/sidecar/src/test/java/dapplequay/net/Host.java
@@ -1,5 +1,7 @@
 package dapplequay.net;
 
+import dapplequay.http.Head;
+import dapplequay.http.MessageReader;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
--- a/sidecar/src/test/java/dapplequay/net/IssuerSideTest.java
+++ b/sidecar/src/test/java/dapplequay/net/IssuerSideTest.java
@@ -5,6 +5,9 @@
 import dapplequay.facade.Decision;
 import dapplequay.facade.HostLoad;
 import dapplequay.facade.LegEnd;
+import dapplequay.http.Head;
+import dapplequay.management.Counts;
+import dapplequay.time.Deadlines;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.net.Socket;
@@ -29,7 +32,7 @@
     }
 
     private static IssuerSide side(RoutingTable table, Deadlines deadlines, BlockingQueue<LegEnd> ends) {
-        IssuerSide side = new IssuerSide(table, deadlines, 10_000_000, 30_000_000, 10);
+        IssuerSide side = new IssuerSide(table, deadlines, 10_000_000, 30_000_000, 10, new Counts());
         side.conductor(new Conductor(null, side) {
             @Override
             void legEnded(Leg leg, LegEnd end, HostLoad load, Head head, byte[] body) {
@@ -41,8 +44,8 @@
 
     private static Leg leg(IssuerSide side) throws IOException {
         Head head = Head.request("POST /pay HTTP/1.1".getBytes(StandardCharsets.US_ASCII));
-        AcquirerRequest request = new AcquirerRequest(head, new byte[0], 0, 0, 10_000_000);
-        return new Leg(new Authorisation(1, null, request), new Decision.Send(0, "s1", 10_000_000), side.now());
+        AcquirerRequest request = new AcquirerRequest(head, new byte[0], "pay", 0, 0, 10_000_000);
+        return new Leg(new Authorisation(1, null, request, new Counts()), new Decision.Send(0, "s1", 10_000_000), side.now());
     }
 
     /** What a host sends right behind an answer would else be taken for the next one. */
--- a/sidecar/src/test/java/dapplequay/net/SidecarTest.java
+++ b/sidecar/src/test/java/dapplequay/net/SidecarTest.java
@@ -38,6 +38,7 @@
     private final BlockingQueue<String> lists = new LinkedBlockingQueue<>();
     private int sockets = 1024;
     private boolean oneCell;
+    private boolean isManaged;
     private long connIdleUs = 30_000_000;
 
     @AfterEach
@@ -78,7 +79,7 @@
         Map<?, ?> example = (Map<?, ?>) Json.parse(text.getBytes());
         InetAddress here = InetAddress.getLoopbackAddress();
         Sidecar sidecar = new Sidecar(new Sidecar.Plan(new InetSocketAddress(here, 0),
-                new InetSocketAddress(here, discovery.port()), 7, sockets, 192, Json.parse(list(true, targets).getBytes()),
+                isManaged ? new InetSocketAddress(here, 0) : null, new InetSocketAddress(here, discovery.port()), 7, sockets, 192, Json.parse(list(true, targets).getBytes()),
                 SettingsReader.of(example.get("settings"), "example")));
         sidecar.start();
         return sidecar;
@@ -288,7 +289,7 @@
     @ParameterizedTest
     @CsvSource({"256,128,224", "1024,192,992", "1024,86,100", "384,32,4"})
     void connectionsFitTheLimits(int sockets, int memoryMb, int most) {
-        assertThat(new Sidecar.Plan(null, null, 0, sockets, memoryMb, null, null).mostConnections()).isEqualTo(most);
+        assertThat(new Sidecar.Plan(null, null, null, 0, sockets, memoryMb, null, null).mostConnections()).isEqualTo(most);
     }
 
     @Test
@@ -497,4 +498,110 @@
         held.close();
         assertThat(ended.await(Host.PATIENCE_S, TimeUnit.SECONDS)).isTrue();
     }
+
+    private String managed(Sidecar sidecar, String call) throws IOException {
+        Host.Client caller = open(new Host.Client(sidecar.managementAddress()));
+        caller.send(call + " HTTP/1.1\r\nHost: x\r\n\r\n");
+        Host.Answer answer = caller.answer();
+        return answer.status() + " " + answer.body();
+    }
+
+    private long figure(Sidecar sidecar, String name) throws IOException {
+        return managed(sidecar, "GET /-/metrics").lines().filter(line -> line.startsWith(name + " ")).findFirst()
+                .map(line -> Long.parseLong(line.substring(name.length() + 1))).orElseThrow();
+    }
+
+    /** Every ending there is, by several clients at once; then each figure against what clients and hosts saw. */
+    @Test
+    void figuresAreWhatClientsAndHostsSaw() throws Exception {
+        isManaged = true;
+        AtomicInteger written = new AtomicInteger();
+        Host.Script script = (head, seen) -> {
+            written.incrementAndGet();
+            return switch (seen.body()) {
+                case "error" -> "HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n";
+                case "full" -> "HTTP/1.1 503 No\r\nX-Rejected: 1\r\nContent-Length: 0\r\n\r\n";
+                case "reset" -> null;
+                case "bad" -> "HTTP/1.1 400 No\r\nContent-Length: 0\r\n\r\n";
+                default -> Host.ok("done");
+            };
+        };
+        Sidecar sidecar = sidecar(host(script).port(), host(script).port(), host(script).port());
+        String[] bodies = {"good", "good", "good", "error", "full", "reset", "bad", "good"};
+        AtomicInteger[] told = {new AtomicInteger(), new AtomicInteger(), new AtomicInteger()};
+        List<Thread> threads = new ArrayList<>();
+        for (int c = 0; c < 6; c++) {
+            Thread thread = new Thread(() -> {
+                try {
+                    Host.Client client = new Host.Client(sidecar.address());
+                    for (int i = 0; i < 400; i++) {
+                        client.send(pay(i % 200, 5_000, bodies[i % bodies.length]));
+                        int status = client.answer().status();
+                        told[status == 200 ? 0 : status == 503 ? 1 : 2].incrementAndGet();
+                    }
+                    client.close();
+                } catch (IOException e) {
+                    throw new java.io.UncheckedIOException(e);
+                }
+            });
+            threads.add(thread);
+            thread.start();
+        }
+        for (Thread thread : threads) {
+            thread.join();
+        }
+        assertThat(told[0].get() + told[1].get() + told[2].get()).isEqualTo(2_400);
+        String label = "{priority=\"pay\"}";
+        assertThat(figure(sidecar, "svc_fulfilled_total" + label)).isEqualTo(told[0].get());
+        assertThat(figure(sidecar, "svc_throttled_total" + label)).isEqualTo(told[1].get());
+        assertThat(figure(sidecar, "svc_faulted_total" + label)).isEqualTo(told[2].get());
+        assertThat(figure(sidecar, "svc_relayed_total")).isEqualTo(written.get());
+        assertThat(figure(sidecar, "svc_open_requests")).isZero();
+        assertThat(figure(sidecar, "svc_registry_entries")).isEqualTo(3);
+        lists.add(list(false, target(0, 1, "DRAINING"), target(1, 1, "DELETED")));
+        while (figure(sidecar, "svc_registry_entries") != 2 || figure(sidecar, "svc_out_of_rotation") < 1) {
+            Thread.sleep(20);
+        }
+    }
+
+    @Test
+    void drainedSidecarSendsItsClientsAwayAndTakesThemAgain() throws Exception {
+        isManaged = true;
+        CountDownLatch go = new CountDownLatch(1);
+        Host host = host((head, seen) -> {
+            if (head.get("Idempotency-Key").equals("k1")) {
+                go.await();
+            }
+            return Host.ok("done");
+        });
+        Sidecar sidecar = sidecar(host.port());
+        assertThat(managed(sidecar, "GET /-/ready")).startsWith("200");
+        Host.Client idle = client(sidecar);
+        idle.send(pay(2, 900, ""));
+        assertThat(idle.answer().status()).isEqualTo(200);
+        Host.Client held = client(sidecar);
+        held.send(pay(1, 10_000, ""));
+        assertThat(figure(sidecar, "svc_open_requests")).isEqualTo(1);
+        assertThat(managed(sidecar, "PUT /-/drain")).startsWith("200");
+        assertThat(managed(sidecar, "GET /-/ready")).startsWith("503");
+        Host.Client front = client(sidecar);
+        front.send("GET /healthz HTTP/1.1\r\n\r\n");
+        assertThat(front.answer().status()).isEqualTo(503);
+        Host.Client late = client(sidecar);
+        late.send(pay(3, 900, ""));
+        assertThat(late.answer().status()).as("what still comes is served").isEqualTo(200);
+        assertThat(idle.atEnd()).isTrue();
+        go.countDown();
+        Host.Answer last = held.answer();
+        assertThat(last.status()).isEqualTo(200);
+        assertThat(last.head().get("Connection")).isEqualTo("close");
+        assertThat(held.atEnd()).isTrue();
+        assertThat(managed(sidecar, "PUT /-/resume")).startsWith("200");
+        assertThat(managed(sidecar, "GET /-/ready")).startsWith("200");
+        Host.Client again = client(sidecar);
+        for (int i = 4; i < 6; i++) {
+            again.send(pay(i, 900, ""));
+            assertThat(again.answer().status()).isEqualTo(200);
+        }
+    }
 }
--- a/sidecar/src/test/java/dapplequay/net/WarmUpTest.java
+++ b/sidecar/src/test/java/dapplequay/net/WarmUpTest.java
@@ -4,6 +4,8 @@
 
 import dapplequay.settings.Json;
 import dapplequay.settings.SettingsReader;
+import dapplequay.time.Deadlines;
+import dapplequay.time.UnixClock;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Map;
--- a/sidecar/src/test/java/dapplequay/time/UnixClockTest.java
+++ b/sidecar/src/test/java/dapplequay/time/UnixClockTest.java
@@ -1,4 +1,4 @@
-package dapplequay.net;
+package dapplequay.time;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
