SIGHUP takes over new settings, all or nothing; requests under way keep what they came with

The module has an event for it and keeps what it learnt; classes and tenants go to the facade by name. A file that lacks a key that the last one had, or holds a value out of range, changes nothing and is named with its key.

--- a/core/src/main/java/dapplequay/Balance.java
+++ b/core/src/main/java/dapplequay/Balance.java
@@ -163,6 +163,7 @@
         final ServiceClass type;
         final long usefulUntil;   // an answer after this is worth nothing
         final double load;        // its work, in requests of the mean: 1 without a cost hint
+        final int sendCap;        // attempts that it may have
         final double worthShare;  // of its class's worth: less than 1 for a try that can only be late
         final List<Server> attempts = new ArrayList<>(2);
         int out;
@@ -171,16 +172,17 @@
         long sentAt;
         int cut;                  // attempts of which the last was given up as its server is silent
 
-        Held(Request request, ServiceClass type, long usefulUntil, double load, double worthShare) {
+        Held(Request request, ServiceClass type, long usefulUntil, double load, double worthShare, int sendCap) {
             this.request = request;
             this.type = type;
             this.usefulUntil = usefulUntil;
             this.load = load;
             this.worthShare = worthShare;
+            this.sendCap = sendCap;
         }
     }
 
-    private final Settings settings;
+    private Settings settings;
     private final Actions actions;
     private final SplittableRandom random;
     private final Map<String, Server> servers = new HashMap<>();   // looked up only, never walked
@@ -191,9 +193,9 @@
     private Server lastJoined;
     private double senders = 1;   // how many have a server in their sets: what each does now and then, so many do
     private final Map<Long, Held> held = new LinkedHashMap<>();
-    private final long[] longestLeft;                              // per class: the try that clients grant
-    private final boolean someRepeatable;
-    private final double haste;                                    // what the fitted times are multiplied by
+    private final Map<String, Long> longestLeft = new HashMap<>(); // per class: the try that clients grant
+    private boolean someRepeatable;
+    private double haste;                                          // what the fitted times are multiplied by
     private final double spread;                                   // own multiple of the thresholds
     private final double[] lateShare;                              // of recent answers, by zone
     private final double[] fullShare;                              // of recent attempts turned away, by zone
@@ -201,9 +203,9 @@
     private final long[] zoneAt;
     private final long[] triedAt;
     private final ZoneLoss zoneLoss;
-    private final AskPace askPace;
-    private final ColdBudget cold;
-    private final TenantMix tenants;
+    private AskPace askPace;
+    private ColdBudget cold;
+    private TenantMix tenants;
     private double meanHint;
     private double meanAim;
     private double meanWorth;
@@ -217,37 +219,42 @@
 
     /** IllegalArgumentException, naming the setting, where one makes no sense. */
     public Balance(Settings settings, long seed, Actions actions) {
-        this.settings = settings;
         this.actions = actions;
         random = new SplittableRandom(seed);
-        check(settings.balancers() >= 1, "balancers");
-        check(settings.position() >= 0, "position");
-        check(settings.zone() >= 0 && settings.zone() < settings.zones().size(), "zone");
-        check(!settings.classes().isEmpty(), "classes");
-        check(settings.limits().sendCap() >= 1, "sendCap");
-        check(settings.coldStart().from() >= 0 && settings.coldStart().warmUpUs() >= 0, "coldStart");
-        boolean repeatable = false;
-        long shortest = Long.MAX_VALUE;
-        for (ServiceClass c : settings.classes()) {
-            check(c.aimUs() > 0, "aimUs of " + c.name());
-            check(c.deadlineUs() > 0, "deadlineUs of " + c.name());
-            repeatable |= c.semantics() != Semantics.FRAGILE;
-            shortest = Math.min(shortest, c.aimUs());
-        }
-        someRepeatable = repeatable;
-        haste = Math.min(1, shortest / FITTED_AIM_US);
-        setTook = AIM_TH_U * shortest;
+        int zones = settings.zones().size();
+        lateShare = new double[zones];
+        fullShare = new double[zones];
+        zoneHeld = new double[zones];
+        triedAt = new long[zones];
+        zoneAt = new long[zones];
+        use(settings);
         spread = SPREAD_LOW + SPREAD_WIDTH * Scatter.unit(Scatter.mix(settings.position() + 1L));
-        lateShare = new double[settings.zones().size()];
-        fullShare = new double[settings.zones().size()];
-        zoneHeld = new double[settings.zones().size()];
-        triedAt = new long[settings.zones().size()];
-        zoneAt = new long[settings.zones().size()];
-        zoneLoss = new ZoneLoss(settings.zones().size(), hasty(SHUN_FIRST_US));
-        cold = new ColdBudget(settings.coldStart());
-        askPace = new AskPace(settings.discovery().askWithinUs(), Scatter.fraction(settings.position()), random);
-        tenants = new TenantMix(settings.tenants(), settings.overShareWorth());
-        longestLeft = new long[settings.classes().size()];
+        zoneLoss = new ZoneLoss(zones, hasty(SHUN_FIRST_US));
+    }
+
+    private void use(Settings next) {
+        check(next.balancers() >= 1 && next.position() >= 0, "balancers or position");
+        check(next.zone() >= 0 && next.zone() < next.zones().size(), "zone");
+        check(settings == null || next.zones().equals(settings.zones()) && next.zone() == settings.zone(), "zones");
+        check(!next.classes().isEmpty(), "classes");
+        check(next.limits().sendCap() >= 1, "sendCap");
+        check(next.coldStart().from() >= 0 && next.coldStart().warmUpUs() >= 0, "coldStart");
+        next.classes().forEach(c -> check(c.aimUs() > 0 && c.deadlineUs() > 0, "aimUs or deadlineUs of " + c.name()));
+        settings = next;
+        someRepeatable = next.classes().stream().anyMatch(c -> c.semantics() != Semantics.FRAGILE);
+        long shortest = next.classes().stream().mapToLong(ServiceClass::aimUs).min().getAsLong();
+        haste = Math.min(1, shortest / FITTED_AIM_US);
+        setTook = setTook == 0 ? AIM_TH_U * shortest : setTook;
+        cold = new ColdBudget(next.coldStart());
+        askPace = new AskPace(next.discovery().askWithinUs(), Scatter.fraction(next.position()), random);
+        tenants = new TenantMix(next.tenants(), next.overShareWorth());
+    }
+
+    /** What is known of servers stays, and requests under way keep what they came with. */
+    @Override
+    public void retune(long now, Settings next) {
+        use(next);
+        formSet(now);
     }
 
     private long hasty(long fitted) {
@@ -423,8 +430,8 @@
     public void request(long now, Request r) {
         ServiceClass type = settings.classes().get(r.serviceClass());
         // A try with less time than clients grant is a later one: the time before it is gone from the aim.
-        long elapsed = r.leftUs() < longestLeft[r.serviceClass()] * 0.98 ? type.deadlineUs() - r.leftUs() : 0;
-        longestLeft[r.serviceClass()] = Math.max(longestLeft[r.serviceClass()], r.leftUs());
+        long longest = longestLeft.merge(type.name(), r.leftUs(), Math::max);
+        long elapsed = r.leftUs() < longest * 0.98 ? Math.max(0, type.deadlineUs() - r.leftUs()) : 0;
         long useful = r.leftUs();
         if (type.lateWorth() <= 0) {
             long aim = type.aimUs() + (long) (type.aimStretch() * r.costHintUs());
@@ -438,7 +445,7 @@
             meanHint += (meanHint == 0 ? 1 : MIX_GAIN) * (r.costHintUs() - meanHint);
             load = Math.max(MIN_LOAD, Math.min(MAX_LOAD, r.costHintUs() / meanHint));
         }
-        Held h = new Held(r, type, now + useful, load, worthShare);
+        Held h = new Held(r, type, now + useful, load, worthShare, settings.limits().sendCap());
         held.put(r.id(), h);
         proceed(now, h);
     }
@@ -618,7 +625,7 @@
 
     /** Rules 2 and 3, and the site's limits on attempts. */
     private boolean maySend(long now, Held h, Server s) {
-        if (!s.ready || h.attempts.size() >= settings.limits().sendCap()
+        if (!s.ready || h.attempts.size() >= h.sendCap
                 || h.out > 0 && !settings.limits().secondCopies()) {
             return false;
         }
@@ -888,10 +895,7 @@
 
     @Override
     public void probed(long now, String host, Outcome outcome, long tookUs, LoadReport report) {
-        Server s = servers.get(host);
-        if (s != null) {
-            noteReport(now, s, report);
-        }
+        listed.stream().filter(s -> s.host.equals(host)).forEach(s -> noteReport(now, s, report));
     }
 
     private void log(long now, String line) {
--- a/core/src/main/java/dapplequay/BalancerApi.java
+++ b/core/src/main/java/dapplequay/BalancerApi.java
@@ -60,7 +60,7 @@
     record Prices(double crossZone, double waste, double lateFail, double probe, double handshake) { }
 
     /**
-     * All that is fixed for one instance's life. Zones, classes and tenants are named below by their index.
+     * What one instance is set to, until it is retuned. Zones, classes and tenants are named below by their index.
      */
     record Settings(int position, int balancers, int zone, List<String> zones, List<ServiceClass> classes,
                     List<Tenant> tenants, double overShareWorth, Discovery discovery, Limits limits,
@@ -84,6 +84,9 @@
 
     // ---- events in ----
 
+    /** Other settings from now on; IllegalArgumentException, and no change, where one makes no sense. */
+    void retune(long now, Settings next);
+
     void fleet(long now, ListKind kind, List<FleetEntry> entries);
 
     void request(long now, Request request);
--- a/core/src/main/java/dapplequay/facade/Facade.java
+++ b/core/src/main/java/dapplequay/facade/Facade.java
@@ -7,7 +7,7 @@
 import dapplequay.BalancerApi.ListKind;
 import dapplequay.BalancerApi.LoadReport;
 import dapplequay.BalancerApi.Request;
-import dapplequay.BalancerApi.Settings;
+import dapplequay.settings.SettingsReader.Setup;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.PriorityQueue;
@@ -21,7 +21,7 @@
  * to be done. No call waits for anything but the lock, save {@link #awaitWatch}. It knows no protocol.
  */
 public final class Facade {
-    private final Settings settings;
+    private Setup setup;
     private final LongSupplier clock;
     private final Consumer<String> log;
     private final BalancerApi module;
@@ -47,11 +47,11 @@
     }
 
     /** {@code clock}: Unix time in microseconds; {@code log}: takes the module's lines, outside the lock. */
-    public Facade(Settings settings, long seed, LongSupplier clock, Consumer<String> log) {
-        this.settings = settings;
+    public Facade(Setup setup, long seed, LongSupplier clock, Consumer<String> log) {
+        this.setup = setup;
         this.clock = clock;
         this.log = log;
-        module = new Balance(settings, seed, new Taken());
+        module = new Balance(setup.settings(), seed, new Taken());
     }
 
     /**
@@ -62,11 +62,27 @@
         return ++lastId;
     }
 
-    /** The first decision for a new request. */
+    /**
+     * Other settings from now on. What has been learnt stays, and requests under way keep their class and attempts.
+     * IllegalArgumentException, and no change, where they make no sense, or would change the zones.
+     */
+    public synchronized void retune(Setup next) {
+        begin(0, 0);
+        module.retune(clock.getAsLong(), next.settings());
+        setup = next;
+    }
+
+    /** The first decision for a new request; one whose class or tenant has just vanished is refused. */
     public synchronized Decision pick(long id, Call call) {
+        Integer serviceClass = setup.classes().get(call.serviceClass());
+        Integer tenant = call.tenant() == null || setup.tenants().isEmpty() ? Integer.valueOf(-1)
+                : setup.tenants().get(call.tenant());
+        if (serviceClass == null || tenant == null) {
+            return new Decision.Refuse(0);
+        }
         begin(id, 0);
-        module.request(clock.getAsLong(), new Request(id, call.serviceClass(), call.tenant(), call.key(),
-                call.leftUs(), call.costHintUs(), call.clientRetry()));
+        module.request(clock.getAsLong(), new Request(id, serviceClass, tenant, call.key(), call.leftUs(),
+                call.costHintUs(), call.clientRetry()));
         return decided;
     }
 
@@ -102,7 +118,7 @@
                 case DRAINING -> HostState.DRAINING;
                 case DELETED -> HostState.REMOVED;
             };
-            int zone = settings.zones().indexOf(line.zone());
+            int zone = setup.settings().zones().indexOf(line.zone());
             if (zone < 0 && state != HostState.REMOVED) {
                 throw new IllegalArgumentException("unknown zone " + line.zone());
             }
--- a/core/src/main/java/dapplequay/settings/SettingsReader.java
+++ b/core/src/main/java/dapplequay/settings/SettingsReader.java
@@ -20,7 +20,19 @@
 public final class SettingsReader {
     /** Settings, and what the wire's names stand for under them. */
     public record Setup(Settings settings, Map<String, Integer> classes, Map<String, Integer> tenants,
-                        long connectTimeoutUs, long connIdleUs) { }
+                        long connectTimeoutUs, long connIdleUs) {
+        /** Of all classes, microseconds; 0 where there is none. */
+        public long longestDeadlineUs() {
+            long longest = 0;
+            for (ServiceClass c : settings.classes()) {
+                longest = Math.max(longest, c.deadlineUs());
+            }
+            return longest;
+        }
+    }
+
+    /** Times beyond this, microseconds, are no times: some thirty years. */
+    private static final long MOST = 1_000_000_000_000_000L;
 
     /** Only the network needs these two; where the settings leave them out, cautious figures stand in. */
     private static final long CONNECT_TIMEOUT_US = 250_000;
@@ -57,7 +69,9 @@
         List<ServiceClass> classes = new ArrayList<>();
         Map<String, Integer> classIndex = new HashMap<>();
         for (SettingsReader c : objects("services")) {
-            classIndex.put(c.text("name"), classes.size());
+            if (classIndex.put(c.text("name"), classes.size()) != null) {
+                throw bad("services", "names " + c.text("name") + " twice");
+            }
             classes.add(c.serviceClass());
         }
         List<Tenant> tenants = new ArrayList<>();
@@ -135,6 +149,9 @@
         if (number instanceof Double d && d != Math.rint(d)) {
             throw bad(field, "must be a whole number");
         }
+        if (!(Math.abs(number.doubleValue()) <= MOST)) {
+            throw bad(field, "is out of range");
+        }
         return number.longValue();
     }
 
--- a/core/src/test/java/dapplequay/facade/FacadeTest.java
+++ b/core/src/test/java/dapplequay/facade/FacadeTest.java
@@ -8,7 +8,9 @@
 import dapplequay.facade.ListNews.State;
 import dapplequay.settings.Json;
 import dapplequay.settings.SettingsReader;
+import dapplequay.settings.SettingsReader.Setup;
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
@@ -19,7 +21,7 @@
 import org.junit.jupiter.api.Timeout;
 
 class FacadeTest {
-    private static final Call PAY = new Call(0, 0, "k", 900_000, 0, false);
+    private static final Call PAY = new Call("pay", "shop-a", "k", 900_000, 0, false);
 
     private final AtomicLong now = new AtomicLong(1_000_000_000L);
     private Facade facade;
@@ -27,7 +29,7 @@
     @BeforeEach
     void start() throws IOException {
         Map<?, ?> example = (Map<?, ?>) Json.parse(Files.readAllBytes(Path.of("example/config.json")));
-        facade = new Facade(SettingsReader.of(example.get("settings"), "example").settings(), 7, now::get, line -> { });
+        facade = new Facade(SettingsReader.of(example.get("settings"), "example"), 7, now::get, line -> { });
         news(Kind.RESTORED, "north", State.SERVING);
     }
 
@@ -92,4 +94,54 @@
         facade.tick();
         facade.awaitWatch();
     }
+
+    private static Setup changed(String find, String replace) throws IOException {
+        String text = Files.readString(Path.of("example/config.json"));
+        assertThat(text).contains(find);
+        Map<?, ?> tree = (Map<?, ?>) Json.parse(text.replace(find, replace).getBytes(StandardCharsets.UTF_8));
+        return SettingsReader.of(tree.get("settings"), "changed");
+    }
+
+    @Test
+    void requestsUnderWayKeepTheirAttemptsAndNewOnesHaveTheNew() throws IOException {
+        facade.news(new ListNews(Kind.CHANGES, List.of(new Line("s2", "north", 1, State.SERVING, 1, 0))));
+        Decision.Send before = (Decision.Send) facade.pick(1, PAY);
+        facade.retune(changed("\"send_cap\": 3", "\"send_cap\": 1"));
+        assertThat(facade.report(1, 0, before.host(), LegEnd.TURNED_AWAY, 1, false, null))
+                .isInstanceOf(Decision.Send.class);
+        Decision.Send after = (Decision.Send) facade.pick(2, PAY);
+        assertThat(facade.report(2, 0, after.host(), LegEnd.TURNED_AWAY, 1, false, null))
+                .isInstanceOf(Decision.Refuse.class);
+    }
+
+    @Test
+    void classesComeGoAndBecomeStricterByName() throws IOException {
+        Decision.Send quote = (Decision.Send) facade.pick(1, new Call("quote", "shop-a", null, 900_000, 0, false));
+        facade.news(new ListNews(Kind.CHANGES, List.of(new Line("s2", "north", 1, State.SERVING, 1, 0))));
+        facade.retune(changed("{\"name\": \"quote\", \"semantics\": \"retryable\"",
+                "{\"name\": \"once\", \"semantics\": \"fragile\""));
+        assertThat(facade.report(1, 0, quote.host(), LegEnd.RESET, 1, false, null)).as("keeps its class")
+                .isInstanceOf(Decision.Send.class);
+        assertThat(facade.pick(2, new Call("quote", "shop-a", null, 900_000, 0, false))).as("gone")
+                .isInstanceOf(Decision.Refuse.class);
+        Decision.Send once = (Decision.Send) facade.pick(3, new Call("once", "shop-a", null, 900_000, 0, false));
+        assertThat(facade.report(3, 0, once.host(), LegEnd.RESET, 1, false, null)).isEqualTo(new Decision.Fail());
+    }
+
+    @Test
+    void settingsThatMakeNoSenseChangeNothing() throws IOException {
+        Setup other = changed("\"zones\": [\"north\", \"south\"]", "\"zones\": [\"south\", \"north\"]");
+        assertThatThrownBy(() -> facade.retune(other)).isInstanceOf(IllegalArgumentException.class)
+                .hasMessageContaining("zones");
+        assertThat(facade.pick(1, PAY)).isInstanceOf(Decision.Send.class);
+    }
+
+    @Test
+    void hostsThatDrainOrFailAreCountedAsPassedOver() {
+        assertThat(facade.passedOver()).isZero();
+        news(Kind.CHANGES, "north", State.DRAINING);
+        assertThat(facade.passedOver()).isOne();
+        news(Kind.CHANGES, "north", State.DELETED);
+        assertThat(facade.passedOver()).isZero();
+    }
 }
--- a/sidecar/src/main/java/dapplequay/cli/Config.java
+++ b/sidecar/src/main/java/dapplequay/cli/Config.java
@@ -1,7 +1,9 @@
 package dapplequay.cli;
 
 import dapplequay.net.Sidecar;
+import dapplequay.settings.Completeness;
 import dapplequay.settings.Json;
+import dapplequay.settings.Ranges;
 import dapplequay.settings.SettingsException;
 import dapplequay.settings.SettingsReader;
 import java.io.IOException;
@@ -9,6 +11,7 @@
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.LinkedHashMap;
 import java.util.Map;
 
 /** Reads a sidecar's configuration: the file, with the addresses of the environment before its own. */
@@ -20,16 +23,34 @@
 
     /** SettingsException, with one plain line, where the configuration is no good. */
     static Sidecar.Plan read(Path file, Map<String, String> environment) {
-        Map<?, ?> fields = fields(file);
-        String place = file.toString();
+        return plan(file.toString(), fields(file), environment, environment.get("EDGE_DISCOVERY"));
+    }
+
+    /**
+     * The same for a file that replaces the one read before: where discovery is, it says alone, as the environment
+     * stays as it was. What {@code before} has, it has to have too, but for a list that was kept.
+     */
+    static Sidecar.Plan reread(String place, Map<?, ?> fields, Map<?, ?> before, Map<String, String> environment) {
+        Map<Object, Object> wanted = new LinkedHashMap<>(before);
+        wanted.remove("known");
+        String missing = Completeness.missing(wanted, fields);
+        if (missing != null) {
+            throw new SettingsException(place + ": " + missing + " is missing");
+        }
+        return plan(place, fields, environment, null);
+    }
+
+    private static Sidecar.Plan plan(String place, Map<?, ?> fields, Map<String, String> environment,
+                                     String discovery) {
         String management = environment.get("EDGE_MANAGEMENT");
         boolean managed = fields.get("management") != null || management != null && !management.isEmpty();
         return new Sidecar.Plan(address(place, fields, "listen", environment.get("EDGE_LISTEN")),
                 managed ? address(place, fields, "management", management) : null,
-                address(place, fields, "discovery", environment.get("EDGE_DISCOVERY")), seed(place, fields),
+                address(place, fields, "discovery", discovery), seed(place, fields),
                 limit(place, fields, "sockets", SOCKETS), limit(place, fields, "memory_mb", MEMORY_MB),
                 fields.get("known"),
-                SettingsReader.of(fields.get("settings"), place), inherits(environment.get("EDGE_SOCKET_FD")));
+                Ranges.checked(SettingsReader.of(fields.get("settings"), place), place),
+                inherits(environment.get("EDGE_SOCKET_FD")));
     }
 
     /** Whether the clients' socket is descriptor 0: the one that a Java process can take over. */
@@ -43,12 +64,8 @@
         return true;
     }
 
-    /** Where discovery is by the file alone: it may be replaced while the environment stays as it was. */
-    static InetSocketAddress discovery(Path file) {
-        return address(file.toString(), fields(file), "discovery", null);
-    }
-
-    private static Map<?, ?> fields(Path file) {
+    /** The file as a tree; SettingsException where it is none. */
+    static Map<?, ?> fields(Path file) {
         Object tree;
         try {
             tree = Json.parse(Files.readAllBytes(file));
--- a/sidecar/src/main/java/dapplequay/cli/Main.java
+++ b/sidecar/src/main/java/dapplequay/cli/Main.java
@@ -86,7 +86,9 @@
             Logs.start(Level.parse(level));
             Thread.setDefaultUncaughtExceptionHandler((thread, e) -> Logger.getLogger(Main.class.getName())
                     .log(Level.SEVERE, "thread " + thread.getName() + " ended", e));
-            Sidecar sidecar = new Sidecar(plan(environment));
+            Path file = file(environment);
+            Map<?, ?> fields = Config.fields(file);
+            Sidecar sidecar = new Sidecar(Config.read(file, environment));
             Runtime.getRuntime().addShutdownHook(new Thread(() -> {
                 try {
                     sidecar.end();
@@ -95,23 +97,11 @@
                 }
             }, "ending"));
             // Left to the system, this signal would end the process in the middle of its work.
-            Signal.handle(new Signal("HUP"), signal -> reload(sidecar, environment));
+            Reload reload = new Reload(file, environment, sidecar, fields);
+            Signal.handle(new Signal("HUP"), signal -> reload.run());
             sidecar.start();
             return 0;
         }
-
-        /** Takes over what may change while serving; a file that is no good changes nothing. */
-        private void reload(Sidecar sidecar, Map<String, String> environment) {
-            Logger log = Logger.getLogger(Main.class.getName());
-            try {
-                sidecar.discoveryAt(Config.discovery(file(environment)));
-                sidecar.configurationRead(true);
-                log.info("configuration read again; all but discovery takes a restart");
-            } catch (RuntimeException e) {
-                sidecar.configurationRead(false);
-                log.log(Level.WARNING, "configuration kept as it was: {0}", e.getMessage());
-            }
-        }
     }
 
     /** Hosts instances of the decision module for the simulator, on standard input and output. */
--- a/sidecar/src/main/java/dapplequay/net/AcquirerConnection.java
+++ b/sidecar/src/main/java/dapplequay/net/AcquirerConnection.java
@@ -176,7 +176,7 @@
             return;
         }
         AcquirerRequest request = AcquirerRequest.check(head, body, side.setup());
-        if (!side.callIds().isNew(request.callId(), receivedUs)) {
+        if (!side.isNewId(request.callId(), receivedUs)) {
             throw new BadMessage(409, "X-Call-Id of another request");
         }
         synchronized (this) {
--- a/sidecar/src/main/java/dapplequay/net/AcquirerRequest.java
+++ b/sidecar/src/main/java/dapplequay/net/AcquirerRequest.java
@@ -12,7 +12,7 @@
 import java.util.List;
 
 /** A request of the acquirer's, checked against the settings: what is wrong with it, no issuer host sees. */
-record AcquirerRequest(Head head, byte[] body, String className, int serviceClass, int tenant, long budgetUs) {
+record AcquirerRequest(Head head, byte[] body, String className, String tenant, long budgetUs) {
     private static final List<String> REPLACED = List.of("host", "x-budget-ms");
 
     static AcquirerRequest check(Head head, byte[] body, Setup setup) throws BadMessage {
@@ -41,20 +41,19 @@
         // No client waits for longer than its class grants: a greater figure would hold a leg for good, and
         // make all others look like later tries to the module.
         long longestUs = setup.settings().classes().get(serviceClass).deadlineUs();
-        return new AcquirerRequest(head, body, className, serviceClass, tenant(head, setup),
+        return new AcquirerRequest(head, body, className, tenant(head, setup),
                 Math.min(Long.parseLong(budget) * 1000, longestUs));
     }
 
-    private static int tenant(Head head, Setup setup) throws BadMessage {
+    private static String tenant(Head head, Setup setup) throws BadMessage {
         if (setup.tenants().isEmpty()) {
-            return -1;
+            return null;
         }
         String name = head.get("X-Caller");
-        Integer tenant = name == null ? null : setup.tenants().get(name);
-        if (tenant == null) {
+        if (name == null || !setup.tenants().containsKey(name)) {
             throw new BadMessage(name == null ? 400 : 403, "missing or unknown tenant");
         }
-        return tenant;
+        return name;
     }
 
     /** The id as the number it is: other ways of writing it are no other ids. */
@@ -72,7 +71,7 @@
                 }
             }
         }
-        return new Call(serviceClass, tenant, head.get("Idempotency-Key"), leftUs, hint,
+        return new Call(className, tenant, head.get("Idempotency-Key"), leftUs, hint,
                 "1".equals(head.get("X-Again")));
     }
 
--- a/sidecar/src/main/java/dapplequay/net/AcquirerSide.java
+++ b/sidecar/src/main/java/dapplequay/net/AcquirerSide.java
@@ -14,6 +14,7 @@
 import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 import java.util.logging.Level;
 import java.util.logging.Logger;
 
@@ -29,7 +30,7 @@
     private static final long WHOLE_LEAST_US = 1_000_000;
     private static final long WHOLE_MOST_US = 2_000_000;
 
-    private final Setup setup;
+    private final Supplier<Setup> setup;
     private final Facade facade;
     private final Conductor conductor;
     private final Deadlines deadlines;
@@ -38,12 +39,11 @@
     private final Door door;
     private final Set<AcquirerConnection> connections = new LinkedHashSet<>();
     private final CountDownLatch stopped = new CountDownLatch(1);
-    private final long wholeRequestUs;
-    private final CallIds callIds;
+    private final CallIds callIds = new CallIds();
     private final Counts counts;
     private final Lifetime lifetime;
 
-    AcquirerSide(Door door, Setup setup, Facade facade, Conductor conductor,
+    AcquirerSide(Door door, Supplier<Setup> setup, Facade facade, Conductor conductor,
                  Deadlines deadlines, Counts counts, Lifetime lifetime, int most, int crowd) {
         this.door = door;
         this.setup = setup;
@@ -54,26 +54,25 @@
         this.lifetime = lifetime;
         this.most = most;
         this.crowd = crowd;
-        long longestUs = setup.settings().classes().stream().mapToLong(c -> c.deadlineUs()).max().orElse(0);
-        wholeRequestUs = Math.max(WHOLE_LEAST_US, Math.min(WHOLE_MOST_US, longestUs));
-        callIds = new CallIds(2 * longestUs);
     }
 
     InetSocketAddress address() {
         return door.address();
     }
 
+    /** The settings of the moment. */
     Setup setup() {
-        return setup;
+        return setup.get();
     }
 
     /** How long a request may take to come whole. */
     long wholeRequestUs() {
-        return wholeRequestUs;
+        return Math.max(WHOLE_LEAST_US, Math.min(WHOLE_MOST_US, setup().longestDeadlineUs()));
     }
 
-    CallIds callIds() {
-        return callIds;
+    /** Whether no request of late has this id. */
+    boolean isNewId(long callId, long nowUs) {
+        return callIds.isNew(callId, nowUs, 2 * setup().longestDeadlineUs());
     }
 
     long nextId() {
--- a/sidecar/src/main/java/dapplequay/net/CallIds.java
+++ b/sidecar/src/main/java/dapplequay/net/CallIds.java
@@ -9,15 +9,10 @@
  * and a second one that borrows it would run under the name of the first.
  */
 final class CallIds {
-    private final long keptUs;
     private final Map<Long, Long> until = new LinkedHashMap<>();
 
-    CallIds(long keptUs) {
-        this.keptUs = keptUs;
-    }
-
-    /** False where the id has come before, not long ago. */
-    synchronized boolean isNew(long id, long nowUs) {
+    /** False where the id has come before, not long ago; a new one is kept for {@code keptUs}. */
+    synchronized boolean isNew(long id, long nowUs, long keptUs) {
         Iterator<Long> oldest = until.values().iterator();
         while (oldest.hasNext() && oldest.next() <= nowUs) {
             oldest.remove();
--- a/sidecar/src/main/java/dapplequay/net/IssuerSide.java
+++ b/sidecar/src/main/java/dapplequay/net/IssuerSide.java
@@ -5,6 +5,7 @@
 import dapplequay.http.Head;
 import dapplequay.http.Sockets;
 import dapplequay.management.Counts;
+import dapplequay.settings.SettingsReader.Setup;
 import dapplequay.time.Deadlines;
 import java.util.ArrayDeque;
 import java.util.Collection;
@@ -13,6 +14,7 @@
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Supplier;
 import java.util.logging.Level;
 import java.util.logging.Logger;
 
@@ -36,8 +38,7 @@
 
     private final RoutingTable table;
     private final Deadlines deadlines;
-    private final long connectTimeoutUs;
-    private final long idleUs;
+    private final Supplier<Setup> setup;
     private final int most;
     private final Map<RoutingTable.Route, Deque<IssuerConnection>> idle = new HashMap<>();
     private final IdleRisk risk;
@@ -45,12 +46,11 @@
     private int open;
     private Conductor conductor;
 
-    IssuerSide(RoutingTable table, Deadlines deadlines, long connectTimeoutUs, long connIdleUs, int most,
+    IssuerSide(RoutingTable table, Deadlines deadlines, Supplier<Setup> setup, int most,
                Counts counts) {
         this.table = table;
         this.deadlines = deadlines;
-        this.connectTimeoutUs = connectTimeoutUs;
-        this.idleUs = (long) (connIdleUs * IDLE_SHARE);
+        this.setup = setup;
         this.most = most;
         this.counts = counts;
         risk = new IdleRisk(deadlines::now);
@@ -70,7 +70,7 @@
     }
 
     long connectTimeoutUs() {
-        return connectTimeoutUs;
+        return setup.get().connectTimeoutUs();
     }
 
     RoutingTable.Route routeOf(String uid) {
@@ -174,6 +174,7 @@
         if (stays && connection.route.equals(table.routeOf(leg.order.host()))) {
             synchronized (this) {
                 Deque<IssuerConnection> ready = idle.computeIfAbsent(connection.route, e -> new ArrayDeque<>());
+                long idleUs = (long) (setup.get().connIdleUs() * IDLE_SHARE);
                 long stayUs = ready.isEmpty() ? idleUs : Math.min(idleUs, SPARE_US);
                 connection.idle(now(), deadlines.after(stayUs, () -> retire(connection)));
                 ready.addLast(connection);
--- a/sidecar/src/main/java/dapplequay/net/Sidecar.java
+++ b/sidecar/src/main/java/dapplequay/net/Sidecar.java
@@ -3,15 +3,17 @@
 import dapplequay.facade.Facade;
 import dapplequay.facade.ListNews;
 import dapplequay.http.Sockets;
-import dapplequay.settings.SettingsReader.Setup;
-import dapplequay.time.Deadlines;
-import dapplequay.time.UnixClock;
 import dapplequay.management.Counts;
 import dapplequay.management.Exposition;
 import dapplequay.management.ManagementSide;
+import dapplequay.settings.SettingsReader.Setup;
+import dapplequay.time.Deadlines;
+import dapplequay.time.UnixClock;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
 import java.util.List;
+import java.util.Objects;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.logging.Level;
 import java.util.logging.Logger;
@@ -46,7 +48,7 @@
     private final Lifetime lifetime;
     private final AtomicLong cfgAccepted = new AtomicLong();
     private final AtomicLong cfgInvalid = new AtomicLong();
-    private final long longestDeadlineUs;
+    private volatile Setup setup;
     private volatile int passedOver;
     private volatile AcquirerSide acquirers;
     private ManagementSide management;
@@ -85,18 +87,15 @@
         this.plan = plan;
         UnixClock clock = new UnixClock();
         deadlines = new Deadlines(clock);
-        Setup setup = plan.setup();
-        facade = new Facade(setup.settings(), plan.seed(), clock, LOG::info);
+        setup = plan.setup();
+        facade = new Facade(setup, plan.seed(), clock, LOG::info);
         lifetime = new Lifetime(clock);
         counts.know(setup.classes().keySet());
         table = restored(plan, facade);
-        IssuerSide issuers = new IssuerSide(table, deadlines, setup.connectTimeoutUs(), setup.connIdleUs(),
-                plan.mostIssuers(), counts);
+        IssuerSide issuers = new IssuerSide(table, deadlines, () -> setup, plan.mostIssuers(), counts);
         conductor = new Conductor(facade, issuers);
         issuers.conductor(conductor);
         watch = new Watch(plan.discovery(), table, facade, issuers);
-        longestDeadlineUs = setup.settings().classes().stream().mapToLong(c -> c.deadlineUs()).max()
-                .orElse(0);
     }
 
     private static RoutingTable restored(Plan plan, Facade facade) throws IOException {
@@ -113,7 +112,7 @@
 
     /** Whether a sidecar could be made of this, as far as that shows without listening. */
     public static void check(Plan plan) throws IOException {
-        restored(plan, new Facade(plan.setup().settings(), plan.seed(), new UnixClock(), LOG::info));
+        restored(plan, new Facade(plan.setup(), plan.seed(), new UnixClock(), LOG::info));
     }
 
     public InetSocketAddress address() {
@@ -137,7 +136,7 @@
         }
         new WarmUp(plan.setup(), deadlines).run();
         Door door = plan.inherits() ? new Door.Inherited() : new Door.Own(plan.listen());
-        acquirers = new AcquirerSide(door, plan.setup(), facade, conductor, deadlines, counts, lifetime,
+        acquirers = new AcquirerSide(door, () -> setup, facade, conductor, deadlines, counts, lifetime,
                 plan.mostAcquirers(), (int) (plan.sockets() * CROWD_SHARE));
         daemon(watch, "watch");
         new Thread(acquirers, "listener").start();
@@ -176,9 +175,27 @@
         (accepted ? cfgAccepted : cfgInvalid).incrementAndGet();
     }
 
-    /** Another discovery from now on; nothing that is held is touched. */
-    public void discoveryAt(InetSocketAddress discovery) {
-        watch.moveTo(discovery);
+    /**
+     * Goes over to what may change while it serves: settings and discovery. Requests under way are not touched.
+     * IllegalArgumentException, and nothing is changed, where the settings make no sense here. Returns what differs
+     * and takes a restart.
+     */
+    public List<String> retune(Plan next) {
+        facade.retune(next.setup());            // before the clients' side: no class is let in that is not known
+        counts.know(next.setup().classes().keySet());
+        setup = next.setup();
+        watch.moveTo(next.discovery());
+        List<String> kept = new ArrayList<>();
+        if (!next.listen().equals(plan.listen())) {
+            kept.add("listen");
+        }
+        if (!Objects.equals(next.management(), plan.management())) {
+            kept.add("management");
+        }
+        if (next.sockets() != plan.sockets() || next.memoryMb() != plan.memoryMb()) {
+            kept.add("limits");
+        }
+        return kept;
     }
 
     private static void daemon(Runnable work, String name) {
@@ -217,10 +234,12 @@
     void end(long lateConnectionsUs) throws InterruptedException {
         AcquirerSide side = acquirers;
         if (side != null) {
-            long graceUs = side.handsOver() ? 0 : lateConnectionsUs;
-            LOG.info(graceUs > 0 ? "ending: late connections are still served" : "ending: a successor takes the clients");
+            boolean handsOver = side.handsOver();
+            long graceUs = handsOver ? 0 : lateConnectionsUs;
+            LOG.info(handsOver ? "ending: a successor takes the clients"
+                    : "ending: late connections are still served");
             lifetime.end(graceUs);
-            side.awaitEmpty(deadlines.now() + graceUs + longestDeadlineUs + ENDING_MARGIN_US);
+            side.awaitEmpty(deadlines.now() + graceUs + setup.longestDeadlineUs() + ENDING_MARGIN_US);
         }
         LOG.info("ended");
     }
--- a/sidecar/src/main/java/dapplequay/net/WarmUp.java
+++ b/sidecar/src/main/java/dapplequay/net/WarmUp.java
@@ -42,7 +42,7 @@
     WarmUp(Setup setup, Deadlines deadlines) {
         this.setup = setup;
         this.deadlines = deadlines;
-        facade = new Facade(setup.settings(), 1, deadlines::now, line -> { });
+        facade = new Facade(setup, 1, deadlines::now, line -> { });
     }
 
     /** Returns how many rounds were walked; a fault ends it and is told, as serving does not hang on it. */
--- a/sidecar/src/test/java/dapplequay/net/IssuerSideTest.java
+++ b/sidecar/src/test/java/dapplequay/net/IssuerSideTest.java
@@ -7,6 +7,7 @@
 import dapplequay.facade.LegEnd;
 import dapplequay.http.Head;
 import dapplequay.management.Counts;
+import dapplequay.settings.SettingsReader;
 import dapplequay.time.Deadlines;
 import java.io.IOException;
 import java.io.UncheckedIOException;
@@ -14,6 +15,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -21,6 +23,7 @@
 import org.junit.jupiter.api.Test;
 
 class IssuerSideTest {
+    private static final SettingsReader.Setup SETUP = new SettingsReader.Setup(null, Map.of(), Map.of(), 10_000_000, 30_000_000);
 
     private static void list(RoutingTable table, int port, String state) {
         try {
@@ -32,7 +35,7 @@
     }
 
     private static IssuerSide side(RoutingTable table, Deadlines deadlines, BlockingQueue<LegEnd> ends) {
-        IssuerSide side = new IssuerSide(table, deadlines, 10_000_000, 30_000_000, 10, new Counts());
+        IssuerSide side = new IssuerSide(table, deadlines, () -> SETUP, 10, new Counts());
         side.conductor(new Conductor(null, side) {
             @Override
             void legEnded(Leg leg, LegEnd end, HostLoad load, Head head, byte[] body) {
@@ -44,7 +47,7 @@
 
     private static Leg leg(IssuerSide side) throws IOException {
         Head head = Head.request("POST /pay HTTP/1.1".getBytes(StandardCharsets.US_ASCII));
-        AcquirerRequest request = new AcquirerRequest(head, new byte[0], "pay", 0, 0, 10_000_000);
+        AcquirerRequest request = new AcquirerRequest(head, new byte[0], "pay", null, 10_000_000);
         return new Leg(new Authorisation(1, null, request, new Counts()), new Decision.Send(0, "s1", 10_000_000), side.now());
     }
 
--- a/sidecar/src/test/java/dapplequay/net/SidecarTest.java
+++ b/sidecar/src/test/java/dapplequay/net/SidecarTest.java
@@ -39,6 +39,9 @@
     private int sockets = 1024;
     private boolean oneCell;
     private boolean isManaged;
+    private String configuration;
+    private String known;
+    private InetSocketAddress discoveryAt;
     private long connIdleUs = 30_000_000;
 
     @AfterEach
@@ -76,15 +79,21 @@
         String text = Files.readString(Path.of("example/config.json"))
                 .replaceAll("\"conn_idle_us\": \\d+", "\"conn_idle_us\": " + connIdleUs)
                 .replaceAll("\"deadline_us\": \\d+", "\"deadline_us\": 20000000");
-        Map<?, ?> example = (Map<?, ?>) Json.parse(text.getBytes());
-        InetAddress here = InetAddress.getLoopbackAddress();
-        Sidecar sidecar = new Sidecar(new Sidecar.Plan(new InetSocketAddress(here, 0),
-                isManaged ? new InetSocketAddress(here, 0) : null, new InetSocketAddress(here, discovery.port()), 7, sockets, 192, Json.parse(list(true, targets).getBytes()),
-                SettingsReader.of(example.get("settings"), "example"), false));
+        configuration = text;
+        known = list(true, targets);
+        discoveryAt = new InetSocketAddress(InetAddress.getLoopbackAddress(), discovery.port());
+        Sidecar sidecar = new Sidecar(plan(text));
         sidecar.start();
         return sidecar;
     }
 
+    private Sidecar.Plan plan(String text) throws IOException {
+        Map<?, ?> example = (Map<?, ?>) Json.parse(text.getBytes());
+        InetSocketAddress any = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+        return new Sidecar.Plan(any, isManaged ? any : null, discoveryAt, 7, sockets, 192, Json.parse(known.getBytes()),
+                SettingsReader.of(example.get("settings"), "example"), false);
+    }
+
     private Host.Client client(Sidecar sidecar) throws IOException {
         return open(new Host.Client(sidecar.address()));
     }
@@ -604,4 +613,30 @@
             assertThat(again.answer().status()).isEqualTo(200);
         }
     }
+
+    @Test
+    void classesComeAndGoWhileALegIsOut() throws Exception {
+        isManaged = true;
+        CountDownLatch go = new CountDownLatch(1);
+        Host host = host((head, seen) -> {
+            if ("k1".equals(head.get("Idempotency-Key"))) {
+                go.await();
+            }
+            return Host.ok("done");
+        });
+        Sidecar sidecar = sidecar(host.port());
+        Host.Client held = client(sidecar);
+        held.send(pay(1, 10_000, ""));
+        host.next();
+        assertThat(sidecar.retune(plan(configuration.replace("\"name\": \"pay\"", "\"name\": \"buy\"")))).isEmpty();
+        Host.Client client = client(sidecar);
+        client.send(pay(2, 900, ""));
+        assertThat(client.answer().status()).as("a class that vanished").isEqualTo(404);
+        client.send(pay(3, 900, "").replace("/pay/", "/buy/"));
+        assertThat(client.answer().status()).as("one that appeared").isEqualTo(200);
+        go.countDown();
+        assertThat(held.answer().status()).as("one under way").isEqualTo(200);
+        assertThat(figure(sidecar, "svc_fulfilled_total{priority=\"pay\"}")).isOne();
+        assertThat(figure(sidecar, "svc_fulfilled_total{priority=\"buy\"}")).isOne();
+    }
 }
