--- a/core/src/main/java/dapplequay/Balance.java
+++ b/core/src/main/java/dapplequay/Balance.java
@@ -7,7 +7,6 @@
 import dapplequay.membership.ZoneLoss;
 import dapplequay.worth.TenantMix;
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -161,9 +160,10 @@
     private static final class Held {
         final Request request;
         final ServiceClass type;
-        final long usefulUntil;   // an answer after this is worth nothing
+        long usefulUntil;         // an answer after this is worth nothing
         final double load;        // its work, in requests of the mean: 1 without a cost hint
-        final int sendCap;        // attempts that it may have
+        int sendCap;              // attempts that it may have
+        boolean uploading;        // its body is still coming: no attempt of it runs yet
         final double worthShare;  // of its class's worth: less than 1 for a try that can only be late
         final List<Server> attempts = new ArrayList<>(2);
         int out;
@@ -233,13 +233,7 @@
     }
 
     private void use(Settings next) {
-        check(next.balancers() >= 1 && next.position() >= 0, "balancers or position");
-        check(next.zone() >= 0 && next.zone() < next.zones().size(), "zone");
-        check(settings == null || next.zones().equals(settings.zones()) && next.zone() == settings.zone(), "zones");
-        check(!next.classes().isEmpty(), "classes");
-        check(next.limits().sendCap() >= 1, "sendCap");
-        check(next.coldStart().from() >= 0 && next.coldStart().warmUpUs() >= 0, "coldStart");
-        next.classes().forEach(c -> check(c.aimUs() > 0 && c.deadlineUs() > 0, "aimUs or deadlineUs of " + c.name()));
+        next.check(settings);
         settings = next;
         someRepeatable = next.classes().stream().anyMatch(c -> c.semantics() != Semantics.FRAGILE);
         long shortest = next.classes().stream().mapToLong(ServiceClass::aimUs).min().getAsLong();
@@ -261,12 +255,6 @@
         return Math.max(1, (long) (fitted * haste));
     }
 
-    private static void check(boolean good, String setting) {
-        if (!good) {
-            throw new IllegalArgumentException("illegal setting: " + setting);
-        }
-    }
-
     // ---- the server list ----
 
     @Override
@@ -562,15 +550,9 @@
 
     /** The lower median of what a zone's buddies told of late: one loaded head must not condemn its zone. */
     private void noteZone(long now, int zone) {
-        double[] zoneScratch = new double[buddies.size()];
-        int known = 0;
-        for (Server s : buddies) {
-            if (s.zone == zone && !Double.isNaN(s.reported) && now - s.reportAt < ZONE_FADE_US * haste) {
-                zoneScratch[known++] = s.reported / s.size;
-            }
-        }
-        Arrays.sort(zoneScratch, 0, known);
-        zoneHeld[zone] = known < 2 ? 0 : zoneScratch[(known - 1) / 2];
+        double[] known = buddies.stream().filter(s -> s.zone == zone && !Double.isNaN(s.reported)
+                && now - s.reportAt < ZONE_FADE_US * haste).mapToDouble(s -> s.reported / s.size).sorted().toArray();
+        zoneHeld[zone] = known.length < 2 ? 0 : known[(known.length - 1) / 2];
         zoneAt[zone] = now;
     }
 
@@ -694,8 +676,9 @@
     public void outcome(long now, long id, int attempt, String host, Outcome outcome, long tookUs,
                         boolean closed, LoadReport report) {
         Server s = servers.get(host);
+        Held h = held.get(id);
         if (s != null) {
-            s.own = Math.max(0, s.own - 1);
+            s.own = Math.max(0, s.own - (h != null && h.uploading ? 0 : 1));
             // No answer at all since the leg began: the machine is gone, which tells nothing of queues.
             boolean silent = outcome == Outcome.TIMEOUT && s.answeredAt <= now - tookUs
                     && (s.own > 0 || s.trial);
@@ -721,12 +704,10 @@
             triedAt[s.zone] = now;
             fullShare[s.zone] += LATE_GAIN * ((outcome == Outcome.REFUSED ? 1 : 0) - fullShare[s.zone]);
             if (outcome == Outcome.OK || queued) {
-                Held timed = held.get(id);
-                long aim = timed == null ? Long.MAX_VALUE : timed.type.aimUs();
+                long aim = h == null ? Long.MAX_VALUE : h.type.aimUs();
                 noteTime(now, s, outcome == Outcome.OK, tookUs, aim, report);
             }
         }
-        Held h = held.get(id);
         if (h == null) {
             return;
         }
@@ -760,7 +741,7 @@
         switch (outcome) {
             case OK -> {
                 s.badRun = Math.max(0, s.badRun - 1);
-                noteCommon(0);
+                commonFailures -= COMMON_GAIN * commonFailures;
                 s.doubt = Math.max(DOUBT_NONE, s.doubt - DOUBT_TAKE);
                 if (s.trial && s.doubt < -2 * DOUBT_TAKE) {
                     s.trial = false;
@@ -787,7 +768,8 @@
             case ERROR, RESET, CONNECT_FAILED -> {
                 double odds = FAILING_SHARE / Math.max(COMMON_MIN, commonFailures);
                 s.doubt += Math.min(DOUBT_ADD, Math.max(0, Math.log(odds)));
-                noteCommon(zoneLoss.isLost(s.zone) ? 0 : 1);
+                // What fails everywhere says nothing of one server.
+                commonFailures += COMMON_GAIN * ((zoneLoss.isLost(s.zone) ? 0 : 1) - commonFailures);
                 if (s.doubt >= 0) {
                     clearFlag(now, s);
                     shun(now, s, outcome.name());
@@ -811,11 +793,6 @@
         s.doubt = 0;
     }
 
-    /** What fails everywhere says nothing of one server. */
-    private void noteCommon(int failed) {
-        commonFailures += COMMON_GAIN * (failed - commonFailures);
-    }
-
     private void sparedAsSilent(long now, Server s) {
         double doubt = s.trial ? s.doubt : -1.5 * DOUBT_TAKE;    // that much is gone with one answer
         shun(now, s, "silence");
@@ -834,7 +811,8 @@
             }
             sparedAsSilent(now, s);
             for (Held h : held.values()) {
-                if (h.out == 1 && h.cut < h.attempts.size() && h.attempts.get(h.attempts.size() - 1) == s
+                if (h.out == 1 && !h.uploading && h.cut < h.attempts.size()
+                        && h.attempts.get(h.attempts.size() - 1) == s
                         && buddies.stream().anyMatch(o -> !o.trial && usable(now, h, o))) {
                     h.cut = h.attempts.size();
                     actions.cancel(h.request.id(), h.cut - 1);
@@ -879,8 +857,28 @@
         return (int) listed.stream().filter(s -> s.draining || s.ready && (s.trial || zoneLoss.isLost(s.zone))).count();
     }
 
+    @Override
+    public void body(long now, long id, BodyStage stage) {
+        Held h = held.get(id);
+        if (h == null || h.attempts.isEmpty()) {
+            return;
+        }
+        Server s = h.attempts.get(h.attempts.size() - 1);
+        if (stage == BodyStage.PASSED_ON) {
+            h.sendCap = h.attempts.size();
+        } else if (stage == BodyStage.COMING) {
+            h.uploading = true;
+            s.own--;
+        } else if (h.uploading) {
+            h.uploading = false;
+            h.usefulUntil = now + h.request.leftUs();
+            s.silentSince = s.own++ == 0 ? now : s.silentSince;
+        }
+    }
+
     @Override
     public void gone(long now, long id) {
+        body(now, id, BodyStage.WHOLE);      // the end of its attempt, still to come, counts as any other
         held.remove(id);
     }
 
--- a/core/src/main/java/dapplequay/BalancerApi.java
+++ b/core/src/main/java/dapplequay/BalancerApi.java
@@ -70,6 +70,40 @@
             classes = List.copyOf(classes);
             tenants = List.copyOf(tenants);
         }
+
+        /**
+         * IllegalArgumentException, naming the setting, where one makes no sense, or where the zones are others than
+         * in {@code before} (null: there are none before): what is known of servers is kept by zone.
+         */
+        public void check(Settings before) {
+            check(balancers >= 1, "balancers");
+            check(position >= 0, "position");
+            check(zone >= 0 && zone < zones.size(), "zone");
+            check(before == null || zones.equals(before.zones) && zone == before.zone, "zones");
+            check(!classes.isEmpty(), "classes");
+            check(limits.sendCap() >= 1, "sendCap");
+            check(coldStart.from() >= 0 && coldStart.warmUpUs() >= 0, "coldStart");
+            for (ServiceClass c : classes) {
+                check(c.aimUs() > 0, "aimUs of " + c.name());
+                check(c.deadlineUs() > 0, "deadlineUs of " + c.name());
+            }
+        }
+
+        private static void check(boolean good, String setting) {
+            if (!good) {
+                throw new IllegalArgumentException("illegal setting: " + setting);
+            }
+        }
+    }
+
+    /** How far the body of a request has come that is passed on while it comes, after its first part was held. */
+    enum BodyStage {
+        /** An attempt has been sent; it can't run before the body is whole. */
+        COMING,
+        /** More has been passed on than is held: there can be no further attempt. */
+        PASSED_ON,
+        /** The last byte was written; the request's time, and the attempt's, begin now. */
+        WHOLE
     }
 
     /** One line of the server list; {@code startedUs} 0: long ago. */
@@ -98,6 +132,9 @@
     void outcome(long now, long id, int attempt, String host, Outcome outcome, long tookUs, boolean closed,
                  LoadReport report);
 
+    /** A long request's body: how far it has come. Never told of requests that were held whole when they came. */
+    void body(long now, long id, BodyStage stage);
+
     /** The client has left; nothing more is owed. */
     void gone(long now, long id);
 
--- a/core/src/main/java/dapplequay/facade/Facade.java
+++ b/core/src/main/java/dapplequay/facade/Facade.java
@@ -2,6 +2,7 @@
 
 import dapplequay.Balance;
 import dapplequay.BalancerApi;
+import dapplequay.BalancerApi.BodyStage;
 import dapplequay.BalancerApi.FleetEntry;
 import dapplequay.BalancerApi.HostState;
 import dapplequay.BalancerApi.ListKind;
@@ -81,23 +82,45 @@
             return new Decision.Refuse(0);
         }
         begin(id, 0);
-        module.request(clock.getAsLong(), new Request(id, serviceClass, tenant, call.key(), call.leftUs(),
-                call.costHintUs(), call.clientRetry()));
+        long now = clock.getAsLong();
+        module.request(now, new Request(id, serviceClass, tenant, call.key(), call.leftUs(), call.costHintUs(),
+                call.clientRetry()));
+        if (call.upload() && decided instanceof Decision.Send) {
+            module.body(now, id, BodyStage.COMING);
+        }
         return decided;
     }
 
+    /** The last byte of a long request was written to its leg: its time begins now. */
+    public synchronized void uploaded(long id) {
+        begin(0, 0);
+        module.body(clock.getAsLong(), id, BodyStage.WHOLE);
+    }
+
     /**
      * How a leg ended, and what is to be done now. {@code over}: the client has its answer, or has left.
-     * {@code load} may be null.
+     * {@code load} may be null. Where some of the request was passed on that is not held, no other leg follows.
      */
     public synchronized Decision report(long id, int leg, String host, LegEnd end, long tookUs, boolean over,
-                                        HostLoad load) {
+                                        HostLoad load, Upload body) {
         begin(id, leg + 1);
-        module.outcome(clock.getAsLong(), id, leg, host, end.outcome, tookUs, over || end == LegEnd.SERVED,
+        long now = clock.getAsLong();
+        if (body == Upload.PASSED_ON) {
+            module.body(now, id, BodyStage.PASSED_ON);
+        }
+        module.outcome(now, id, leg, host, end.outcome, tookUs, over || end == LegEnd.SERVED,
                 load == null ? null : new LoadReport(load.queue(), load.inFlight()));
+        if (body == Upload.COMING && decided instanceof Decision.Send) {
+            module.body(now, id, BodyStage.COMING);
+        }
         return decided;
     }
 
+    /** The same for a request that was held whole. */
+    public Decision report(long id, int leg, String host, LegEnd end, long tookUs, boolean over, HostLoad load) {
+        return report(id, leg, host, end, tookUs, over, load, Upload.NONE);
+    }
+
     /** The client has left; a leg that is still out is reported when it has ended. */
     public synchronized void clientGone(long id) {
         begin(0, 0);
--- a/sidecar/src/main/java/dapplequay/cli/Config.java
+++ b/sidecar/src/main/java/dapplequay/cli/Config.java
@@ -46,7 +46,7 @@
         boolean managed = fields.get("management") != null || management != null && !management.isEmpty();
         return new Sidecar.Plan(address(place, fields, "listen", environment.get("EDGE_LISTEN")),
                 managed ? address(place, fields, "management", management) : null,
-                address(place, fields, "discovery", discovery), seed(place, fields),
+                address(place, fields, "discovery", discovery), seed(place, fields), cores(place, fields),
                 limit(place, fields, "sockets", SOCKETS), limit(place, fields, "memory_mb", MEMORY_MB),
                 fields.get("known"),
                 Ranges.checked(SettingsReader.of(fields.get("settings"), place), place),
@@ -107,6 +107,14 @@
         }
     }
 
+    private static double cores(String place, Map<?, ?> fields) {
+        Object value = fields.get("limits") instanceof Map<?, ?> map ? map.get("cores") : null;
+        if (value != null && !(value instanceof Number n && n.doubleValue() > 0)) {
+            throw new SettingsException(place + ": limits.cores is not a number above 0: " + value);
+        }
+        return value == null ? 1 : ((Number) value).doubleValue();
+    }
+
     private static int limit(String place, Map<?, ?> fields, String name, int absent) {
         Object limits = fields.get("limits");
         Object value = limits instanceof Map<?, ?> map ? map.get(name) : null;
--- a/sidecar/src/main/java/dapplequay/http/Buffer.java
+++ b/sidecar/src/main/java/dapplequay/http/Buffer.java
@@ -14,6 +14,7 @@
     private byte[] data = new byte[FIRST_SIZE];
     private int start;
     private int end;
+    private int wanted = FIRST_SIZE;
 
     Buffer(int limit) {
         this.limit = limit;
@@ -27,8 +28,21 @@
         return data[start + index];
     }
 
+    /** From the next read on it takes up so many bytes at once, within its limit; 0: few, as at first. */
+    void want(int bytes) {
+        wanted = Math.max(FIRST_SIZE, Math.min(limit, bytes));
+        if (size() == 0) {
+            skip(0);
+        }
+    }
+
     /** Reads once, after what is there; the number of bytes read, or -1 at the end of the stream. */
     int fill(InputStream in) throws IOException {
+        if (size() == 0 && data.length < wanted) {
+            data = new byte[wanted];
+            start = 0;
+            end = 0;
+        }
         if (end == data.length) {
             if (start > 0) {
                 System.arraycopy(data, start, data, 0, end - start);
@@ -47,6 +61,14 @@
         return read;
     }
 
+    /** Takes up to {@code most} bytes out; how many there were. */
+    int take(byte[] to, int at, int most) {
+        int count = Math.min(most, size());
+        System.arraycopy(data, start, to, at, count);
+        skip(count);
+        return count;
+    }
+
     /** Takes the first bytes out. */
     byte[] take(int count) {
         byte[] taken = Arrays.copyOfRange(data, start, start + count);
@@ -59,7 +81,7 @@
         if (start == end) {
             start = 0;
             end = 0;
-            if (data.length > KEPT_SIZE) {
+            if (data.length > Math.max(KEPT_SIZE, wanted)) {
                 data = new byte[FIRST_SIZE];
             }
         }
--- a/sidecar/src/main/java/dapplequay/http/Head.java
+++ b/sidecar/src/main/java/dapplequay/http/Head.java
@@ -26,6 +26,9 @@
     public static Head request(byte[] text) throws BadMessage {
         String[] lines = lines(text);
         String[] start = lines[0].split(" ", -1);
+        if (start.length == 3) {
+            start[1] = originForm(start[1]);
+        }
         if (start.length != 3 || !isToken(start[0]) || !isTarget(start[1])) {
             throw new BadMessage(400, "bad request line");
         }
@@ -35,6 +38,15 @@
         return new Head(start).readFields(lines);
     }
 
+    /** A target that names the server too, as every server has to understand, as its path and query alone. */
+    private static String originForm(String target) {
+        if (!target.regionMatches(true, 0, "http://", 0, 7)) {
+            return target;
+        }
+        int path = target.indexOf('/', 7);
+        return path < 0 ? "/" : target.substring(path);
+    }
+
     public static Head response(byte[] text) throws BadMessage {
         String[] lines = lines(text);
         String[] start = lines[0].split(" ", 3);
--- a/sidecar/src/main/java/dapplequay/http/MessageReader.java
+++ b/sidecar/src/main/java/dapplequay/http/MessageReader.java
@@ -1,6 +1,5 @@
 package dapplequay.http;
 
-import java.io.ByteArrayOutputStream;
 import java.io.EOFException;
 import java.io.IOException;
 import java.io.InputStream;
@@ -9,15 +8,19 @@
 /** Reads one side's messages off a connection, as far as the limits allow. */
 public final class MessageReader {
     public static final int MAX_HEAD = 8 * 1024;
+    /** Bodies up to this are short: they are read whole before anything is done with them. */
     public static final int MAX_BODY = 64 * 1024;
-    private static final int MAX_CHUNK_LINE = 128;
+    /** Bodies beyond this are refused, so that one that never ends is seen as such. */
+    public static final int LONGEST_BODY = 40 * 1024 * 1024;
+    private static final int MAX_CHUNK_LINE = 1024;
 
     /** Discovery's list of a large fleet is longer than any body that clients and hosts may send. */
     public static final int MAX_LIST = 4 * 1024 * 1024;
 
     private final InputStream in;
     private final int maxBody;
-    private final Buffer buffer;
+    /** Holds heads and chunk lines; bodies pass by it, but for what came along with these. */
+    private final Buffer buffer = new Buffer(MAX_HEAD + MAX_BODY);
 
     public MessageReader(InputStream in) {
         this(in, MAX_BODY);
@@ -26,18 +29,69 @@
     public MessageReader(InputStream in, int maxBody) {
         this.in = in;
         this.maxBody = maxBody;
-        buffer = new Buffer(MAX_HEAD + maxBody);
     }
 
     public boolean hasBytes() {
         return buffer.size() > 0;
     }
 
+    int buffered() {
+        return buffer.size();
+    }
+
+    /** How much is read at once from now on, as far as it is buffered; 0: little. */
+    void want(int bytes) {
+        buffer.want(bytes);
+    }
+
+    /** Whether these bytes lie in the buffer from that place on. */
+    boolean isBuffered(int at, String bytes) {
+        if (buffer.size() < at + bytes.length()) {
+            return false;
+        }
+        for (int i = 0; i < bytes.length(); i++) {
+            if (buffer.at(at + i) != bytes.charAt(i)) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    /** Whether a whole line lies in the buffer from that place on. */
+    boolean hasLine(int from) {
+        for (int at = from; at + 2 <= buffer.size(); at++) {
+            if (buffer.at(at) == '\r' && buffer.at(at + 1) == '\n') {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** Reads more into the buffer; false at the end of the stream. */
+    boolean fill() throws IOException {
+        return buffer.fill(in) > 0;
+    }
+
     /** Waits until there is something to read; false at the end of the stream. */
     public boolean await() throws IOException {
         return buffer.size() > 0 || buffer.fill(in) > 0;
     }
 
+    /** The same before a request: empty lines that come first, as some clients end a body with one, are passed over. */
+    public boolean awaitRequest() throws IOException {
+        while (true) {
+            while (buffer.size() >= 2 && buffer.at(0) == '\r' && buffer.at(1) == '\n') {
+                buffer.skip(2);
+            }
+            if (buffer.size() > 1 || buffer.size() == 1 && buffer.at(0) != '\r') {
+                return true;
+            }
+            if (buffer.fill(in) <= 0) {
+                return false;
+            }
+        }
+    }
+
     public Head request() throws IOException {
         return Head.request(headText());
     }
@@ -73,32 +127,38 @@
         }
     }
 
-    public byte[] requestBody(Head head) throws IOException {
-        long length = length(head, 400);
-        if (head.get("Transfer-Encoding") != null) {
-            return chunks(head, length, 400);
-        }
-        return length < 0 ? new byte[0] : exactly((int) length);
+    /** The body of a request, to be read bit by bit; BadMessage where its framing is not clear. */
+    public Body body(Head request) throws BadMessage {
+        return body(request, 400, false);
     }
 
-    /** Null as the length of an answer that lasts until its connection ends. */
-    public byte[] responseBody(Head head) throws IOException {
+    /** The body of a response to anything but HEAD. */
+    public Body bodyOf(Head response) throws BadMessage {
+        return body(response, 502, lastsToTheEnd(response));
+    }
+
+    private Body body(Head head, int status, boolean toTheEnd) throws BadMessage {
         if (head.start[1].equals("204") || head.start[1].equals("304")) {
-            return new byte[0];
+            return new Body(this, Body.Framing.LENGTH, 0, maxBody, status);
         }
-        long length = length(head, 502);
+        long length = length(head, status);
         if (head.get("Transfer-Encoding") != null) {
-            return chunks(head, length, 502);
-        }
-        if (length >= 0) {
-            return exactly((int) length);
-        }
-        while (buffer.fill(in) >= 0) {
-            if (buffer.size() > maxBody) {
-                throw new BadMessage(502, "body too large");
+            if (length >= 0 || !head.get("Transfer-Encoding").equalsIgnoreCase("chunked")
+                    || head.start[status == 400 ? 2 : 0].equals("HTTP/1.0")) {
+                throw new BadMessage(status, "bad Transfer-Encoding");
             }
+            return new Body(this, Body.Framing.CHUNKED, -1, maxBody, status);
         }
-        return buffer.take(buffer.size());
+        return toTheEnd ? new Body(this, Body.Framing.TO_END, -1, maxBody, status)
+                : new Body(this, Body.Framing.LENGTH, Math.max(0, length), maxBody, status);
+    }
+
+    public byte[] requestBody(Head head) throws IOException {
+        return body(head).all();
+    }
+
+    public byte[] responseBody(Head head) throws IOException {
+        return bodyOf(head).all();
     }
 
     /** Whether only the end of the connection ends this answer's body. */
@@ -122,47 +182,13 @@
         return length;
     }
 
-    private byte[] exactly(int length) throws IOException {
-        while (buffer.size() < length) {
-            more();
-        }
-        return buffer.take(length);
-    }
-
-    private byte[] chunks(Head head, long length, int status) throws IOException {
-        if (length >= 0 || !head.get("Transfer-Encoding").equalsIgnoreCase("chunked")) {
-            throw new BadMessage(status, "bad Transfer-Encoding");
-        }
-        ByteArrayOutputStream body = new ByteArrayOutputStream();
-        while (true) {
-            String line = line(status);
-            int semicolon = line.indexOf(';');
-            String size = (semicolon < 0 ? line : line.substring(0, semicolon)).strip();
-            if (!size.matches("[0-9a-fA-F]{1,8}")) {
-                throw new BadMessage(status, "bad chunk size");
-            }
-            long count = Long.parseLong(size, 16);
-            if (body.size() + count > maxBody) {
-                throw new BadMessage(status == 400 ? 413 : status, "body too large");
-            }
-            if (count == 0) {
-                break;
-            }
-            body.write(exactly((int) count));
-            if (!line(status).isEmpty()) {
-                throw new BadMessage(status, "bad chunk end");
-            }
-        }
-        int trailers = 0;
-        while (!line(status).isEmpty()) {
-            if (++trailers > 20) {
-                throw new BadMessage(status, "too many trailers");
-            }
-        }
-        return body.toByteArray();
+    /** Up to {@code most} bytes as they come, at least one; -1 at the end of the stream. */
+    int read(byte[] to, int at, int most) throws IOException {
+        return buffer.size() > 0 ? buffer.take(to, at, most) : in.read(to, at, most);
     }
 
-    private String line(int status) throws IOException {
+    /** A line of a chunked body, without its end. */
+    String line(int status) throws IOException {
         int seen = 0;
         while (true) {
             for (; seen + 2 <= buffer.size(); seen++) {
--- a/sidecar/src/main/java/dapplequay/net/AcquirerConnection.java
+++ b/sidecar/src/main/java/dapplequay/net/AcquirerConnection.java
@@ -1,6 +1,7 @@
 package dapplequay.net;
 
 import dapplequay.http.BadMessage;
+import dapplequay.http.Body;
 import dapplequay.http.Head;
 import dapplequay.http.MessageReader;
 import dapplequay.http.Sockets;
@@ -9,8 +10,10 @@
 import java.io.EOFException;
 import java.io.IOException;
 import java.io.InputStream;
+import java.io.InterruptedIOException;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import java.util.logging.Level;
 import java.util.logging.Logger;
 
@@ -28,10 +31,28 @@
     private static final long FRESH_US = 100_000;
     /** What is still read after the last answer: clients that send without end are not waited for. */
     private static final int DRAINED = 256 * 1024;
+    /** Of a long request that was answered before it was whole: its client may read only after it has sent all. */
+    private static final int LONG_DRAINED = 2 * MessageReader.LONGEST_BODY;
+    private static final long LONG_LINGER_US = 5_000_000;
+    /** What is held of a body that is known to be long: enough to begin anew where a host can't be reached. */
+    private static final int HELD = 8 * 1024;
+    /** A piece smaller than this is waited on for more, so long; far less than the second that a peer would notice. */
+    private static final int GATHERED = Pieces.SIZE * 3 / 4;
+    /** The same for a body in chunks, of which no more than half as much comes at once. */
+    private static final int CHUNKS_GATHERED = Pieces.SIZE / 4;
+    private static final long GATHER_MS = 70;
+    private static final int FIRST_PIECE = 2 * 1024;
+    /** A body has so long, us, and as long as it takes at so many bytes a second; waiting for it alone counts. */
+    private static final long BODY_US = 1_500_000;
+    private static final long BODY_RATE = 48_000;
     /** A client that does not take its answer must not hold the thread that writes it. */
-    private static final long WRITE_US = 5_000_000;
+    private static final long WRITE_US = 10_000_000;
+    /** Peers take seconds over a piece of a long body; where nothing moves for so long, nothing will. */
+    private static final long STALL_US = 10_000_000;
     /** After the last answer the client closes; closing first could take the answer from it. */
     private static final long LINGER_US = 1_000_000;
+    /** A head has to be here within this; clients take 2 s for one. */
+    private static final long HEAD_US = 2_300_000;
     private static final byte[] CONTINUE =
             "HTTP/1.1 100 Continue\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1);
 
@@ -45,7 +66,13 @@
     private boolean asked;
     private boolean late;
     private Deadlines.Deadline idleEnd;
-    private boolean lastRequest;
+    private volatile boolean lastRequest;
+    private volatile boolean uploading;
+    private volatile boolean handedOver;
+    private volatile boolean hasRoom;
+    private volatile String version = "HTTP/1.1";
+    private volatile Progress.Pace pace;
+    private Progress tooSlow;
     private MessageReader reader;
     private Authorisation current;
 
@@ -60,12 +87,30 @@
         Sockets.close(socket);
     }
 
+    private void over() {
+        close();
+        synchronized (this) {
+            side.deadlines().cancel(idleEnd);
+        }
+        side.ended(this);
+    }
+
+    /**
+     * The thread that carries a long answer takes the connection over, and the one that reads it ends: where a process
+     * is held to a share of a core each thread costs some of that share, and long answers come many at once. Nothing
+     * more is read, so that this answer is the connection's last.
+     */
+    private void handOver() throws IOException {
+        handedOver = true;
+        socket.shutdownInput();
+    }
+
     @Override
     public void run() {
         try {
             socket.setTcpNoDelay(true);
-            reader = new MessageReader(socket.getInputStream());
-            while (reader.await() && beginRequest()) {
+            reader = new MessageReader(socket.getInputStream(), MessageReader.LONGEST_BODY);
+            while (reader.awaitRequest() && beginRequest()) {
                 readRequest();
             }
             drain();
@@ -75,11 +120,10 @@
             if (current != null) {
                 side.conductor().clientLeft(current);
             }
-            close();
-            synchronized (this) {
-                side.deadlines().cancel(idleEnd);
+            bodyIsOver();
+            if (!handedOver) {
+                over();
             }
-            side.ended(this);
         }
     }
 
@@ -87,8 +131,9 @@
     private void drain() throws IOException {
         InputStream in = socket.getInputStream();
         byte[] unread = new byte[4 * 1024];
+        int most = uploading ? LONG_DRAINED : DRAINED;
         int read = 0;
-        for (int sum = 0; read >= 0 && sum < DRAINED; sum += read) {
+        for (int sum = 0; read >= 0 && sum < most; sum += read) {
             read = in.read(unread);
         }
     }
@@ -128,16 +173,20 @@
     }
 
     private void readRequest() throws IOException {
-        long receivedUs = side.deadlines().now();
-        Deadlines.Deadline whole = side.deadlines().after(side.wholeRequestUs(), this::requestIsLate);
+        Deadlines.Deadline whole = side.deadlines().after(HEAD_US, this::requestIsLate);
         Head head;
-        byte[] body;
+        Body body;
+        byte[] held;
         try {
+            version = "HTTP/1.1";
             head = reader.request();
-            if (head.lists("Expect", "100-continue")) {
+            side.deadlines().cancel(whole);
+            version = head.start[2];
+            body = reader.body(head);
+            if (head.lists("Expect", "100-continue") && !version.equals("HTTP/1.0") && !body.isBuffered()) {
                 socket.getOutputStream().write(CONTINUE);
             }
-            body = reader.requestBody(head);
+            held = held(body);
         } catch (BadMessage e) {
             lastRequest = true;         // where this message ends, and the next begins, nobody can say
             answer(Answers.plain(e.status, e.getMessage()));
@@ -147,16 +196,26 @@
                 throw e;
             }
             lastRequest = true;
-            answer(Answers.plain(408, "request did not come whole in time"));
+            answer(tooLate());
             return;
         } finally {
             side.deadlines().cancel(whole);
         }
         requestIsWhole();
         // An answer to HEAD ends after its head, whatever length it names: not a method that is served here.
-        lastRequest = head.closes(head.start[2]) || head.start[0].equals("HEAD");
+        lastRequest = head.closes(version) || head.start[0].equals("HEAD");
+        uploading = !body.isWhole();
+        boolean counted = uploading;
+        hasRoom = !counted || side.uploadBegins();
         try {
-            handle(head, body, receivedUs);
+            if (!uploading) {
+                bodyIsOver();
+            }
+            handle(head, held, body.isWhole() ? null : body, side.deadlines().now());
+            if (uploading && current != null) {
+                carry(current, body);
+                bodyIsOver();
+            }
         } catch (BadMessage e) {
             answer(Answers.plain(e.status, e.getMessage()));
         } catch (RuntimeException e) {
@@ -167,15 +226,150 @@
                 current.ended(End.FAULTED);
                 answer(Answers.plain(500, "failed"));
             }
+        } finally {
+            if (counted) {
+                side.uploadEnds();
+            }
+        }
+    }
+
+    /** Whether a long request is among as many as may come at once. */
+    boolean hasRoom() {
+        return hasRoom;
+    }
+
+    private static Answers.Answer tooLate() {
+        return Answers.plain(408, "request did not come whole in time");
+    }
+
+    /** All of a short body; of a long one as much as is held for another leg. It grows as the body comes. */
+    private byte[] held(Body body) throws IOException {
+        int most = body.length() < 0 ? MessageReader.MAX_BODY
+                : body.length() > MessageReader.MAX_BODY ? HELD : (int) body.length();
+        byte[] held = new byte[Math.min(most, FIRST_PIECE)];
+        int size = 0;
+        while (size < most && !body.isWhole()) {
+            if (size == held.length) {
+                held = Arrays.copyOf(held, Math.min(most, 2 * size));
+            }
+            size += Math.max(0, read(body, held, size, held.length - size));
+        }
+        return size == held.length ? held : Arrays.copyOf(held, size);
+    }
+
+    /** Reads of a body, as long as its client keeps up the pace that is asked of it. */
+    private int read(Body body, byte[] to, int at, int most) throws IOException {
+        if (body.isBuffered()) {
+            return body.read(to, at, most);
+        }
+        if (pace == null) {
+            pace = new Progress.Pace(side.deadlines(), BODY_US, BODY_RATE);
+            tooSlow = new Progress(side.deadlines(), pace, this::requestIsLate);
+        }
+        pace.waiting();
+        int read = body.read(to, at, most);
+        pace.came(Math.max(0, read));
+        return read;
+    }
+
+    /**
+     * Lets bytes come together behind a small piece of a long body: each piece costs two calls of the system and a
+     * change of threads, whatever its size, and a body in pieces of a packet takes three times the processor time.
+     * Where short requests wait for the processor, a long body gives way.
+     */
+    private void gather(int read, Body body) throws IOException {
+        if (body.isWhole()) {
+            return;
+        }
+        int gathered = body.framing() == Body.Framing.CHUNKED ? CHUNKS_GATHERED : GATHERED;
+        boolean small = read < gathered && !body.isNearlyWhole(gathered);
+        long pauseMs = Math.max(small ? GATHER_MS : 0, side.pauseMs());
+        if (pauseMs > 0) {
+            try {
+                Thread.sleep(pauseMs);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+                throw new InterruptedIOException("interrupted within a body");
+            }
+        }
+    }
+
+    private void bodyIsOver() {
+        if (pace != null) {
+            tooSlow.close();
+            pace = null;
         }
     }
 
-    private void handle(Head head, byte[] body, long receivedUs) throws BadMessage {
+    /** Carries the rest of a long request to the leg that is out, until it is whole or the request is over. */
+    private void carry(Authorisation authorisation, Body body) throws IOException {
+        byte[] piece = Pieces.take();
+        boolean chunked = authorisation.request.isChunked();
+        Progress.Moves moves = new Progress.Moves(side.deadlines(), STALL_US);
+        try (Progress stuck = new Progress(side.deadlines(), moves, () -> {
+            Progress.Pace waited = pace;
+            if (waited != null && waited.isWaiting()) {
+                requestIsLate();
+            } else {
+                side.conductor().cutStuck(authorisation);
+            }
+        })) {
+            Leg leg = null;
+            while (uploading && !authorisation.isOver()) {
+                int read = Math.max(0, read(body, piece, Chunks.ROOM, Pieces.SIZE));
+                boolean last = body.isWhole();
+                uploading = !last;
+                // From the first piece on that is not held, no other leg can follow: asked for once it is here.
+                while (leg == null || !authorisation.commit(leg)) {
+                    leg = authorisation.awaitOpen();
+                    if (leg == null) {
+                        return;
+                    }
+                    if (!leg.connection().beginFor()) {
+                        leg = null;
+                    }
+                }
+                if (last && !side.conductor().lastPiece(leg)) {
+                    return;
+                }
+                moves.moved();
+                Chunks.Span out = chunked ? Chunks.frame(piece, read, last) : new Chunks.Span(Chunks.ROOM, read);
+                if (!leg.connection().carry(leg, piece, out, last)) {
+                    return;
+                }
+                moves.moved();
+                if (last) {
+                    leg.connection().carried(true);
+                }
+                gather(read, body);
+            }
+        } catch (BadMessage e) {
+            side.conductor().spoilt(authorisation, Answers.plain(e.status, e.getMessage()));
+        } catch (EOFException e) {
+            if (!isLate()) {
+                side.conductor().clientLeft(authorisation);
+                throw e;
+            }
+            side.conductor().spoilt(authorisation, tooLate());
+        } catch (IOException e) {
+            side.conductor().clientLeft(authorisation);
+            throw e;
+        } finally {
+            Pieces.give(piece);
+            // Its end is reported by this thread, if it was this thread's to serve and the answer is not awaited yet.
+            Leg left = authorisation.leg();
+            if (left != null && left.connection() != null) {
+                left.connection().carried(false);
+            }
+        }
+    }
+
+    private void handle(Head head, byte[] held, Body rest, long receivedUs) throws BadMessage {
         if (head.start[1].equals("/healthz")) {
             answer(head.start[0].equals("GET") ? side.health() : Answers.plain(405, "only GET"));
             return;
         }
-        AcquirerRequest request = AcquirerRequest.check(head, body, side.setup());
+        AcquirerRequest request = AcquirerRequest.check(head, held, rest, side.setup());
         if (!side.isNewId(request.callId(), receivedUs)) {
             throw new BadMessage(409, "X-Call-Id of another request");
         }
@@ -188,15 +382,23 @@
         side.conductor().begin(authorisation, request.call(leftUs));
     }
 
+    /** Whether the answer in hand is this connection's last; one that comes while its request does, has to be. */
+    private boolean isLast() {
+        return lastRequest || uploading || side.empties() || side.isCrowded();
+    }
+
+    private String connectionField(boolean last) {
+        return last ? "Connection: close\r\n" : version.equals("HTTP/1.0") ? "Connection: keep-alive\r\n" : "";
+    }
+
     /** Writes the answer to the request in hand. Only who claimed the authorisation may call this. */
     void answer(Answers.Answer answer) {
-        boolean last = lastRequest || side.empties() || side.isCrowded();
+        boolean last = isLast();
         Deadlines.Deadline stuck = side.deadlines().after(WRITE_US, this::close);
         try {
-            socket.getOutputStream().write(answer.bytes(last));
+            socket.getOutputStream().write(answer.bytes(connectionField(last)));
             if (last) {
-                side.deadlines().after(LINGER_US, this::close);
-                socket.shutdownOutput();
+                lastWritten();
             }
         } catch (IOException e) {
             LOG.log(Level.FINE, "answer could not be written: {0}", e.toString());
@@ -205,13 +407,70 @@
         } finally {
             side.deadlines().cancel(stuck);
         }
-        synchronized (this) {
-            state = last ? State.CLOSED : State.IDLE;
-            if (!last) {
-                idleEnd = side.deadlines().after(IDLE_US, this::closeIfIdle);
+        answered(last);
+    }
+
+    private void lastWritten() throws IOException {
+        side.deadlines().after(uploading ? LONG_LINGER_US : LINGER_US, this::close);
+        socket.shutdownOutput();
+    }
+
+    private synchronized void answered(boolean last) {
+        state = last ? State.CLOSED : State.IDLE;
+        if (!last) {
+            idleEnd = side.deadlines().after(IDLE_US, this::closeIfIdle);
+        }
+        notifyAll();
+    }
+
+    /**
+     * Passes a long answer on as it comes, no faster than the client takes it; {@code stop} ends the wait for a host,
+     * where nothing moves for too long. True if it was whole. Where it breaks, the client sees that: its length falls
+     * short, its last chunk is missing, or, where only the end of the connection ends it, that end is a reset.
+     */
+    boolean relay(Head upstream, Body body, byte[] start, Runnable stop) {
+        boolean chunked = Answers.isChunked(body, version);
+        boolean whole = false;
+        byte[] piece = Pieces.take();
+        Progress.Moves moves = new Progress.Moves(side.deadlines(), STALL_US);
+        try (Progress stuck = new Progress(side.deadlines(), moves, () -> {
+            stop.run();
+            close();
+        })) {
+            handOver();
+            socket.getOutputStream().write(Answers.begun(upstream, body, start, version, connectionField(true)));
+            while (!body.isWhole()) {
+                int read = Math.max(0, body.read(piece, Chunks.ROOM, Pieces.SIZE));
+                moves.moved();
+                Chunks.Span out = chunked ? Chunks.frame(piece, read, body.isWhole())
+                        : new Chunks.Span(Chunks.ROOM, read);
+                socket.getOutputStream().write(piece, out.from(), out.length());
+                moves.moved();
+                gather(read, body);
             }
-            notifyAll();
+            whole = true;
+        } catch (IOException e) {
+            LOG.log(Level.FINE, "long answer broke: {0}", e.toString());
+            abort(body.length() < 0 && !chunked);
+        } finally {
+            Pieces.give(piece);
+            answered(true);
+            if (handedOver) {
+                over();
+            }
+        }
+        return whole;
+    }
+
+    private void abort(boolean withReset) {
+        try {
+            if (withReset) {
+                socket.setSoLinger(true, 0);
+            }
+        } catch (IOException e) {
+            LOG.log(Level.FINE, "no reset: {0}", e.toString());
         }
+        close();
     }
 
     /**
--- a/sidecar/src/main/java/dapplequay/net/AcquirerRequest.java
+++ b/sidecar/src/main/java/dapplequay/net/AcquirerRequest.java
@@ -3,6 +3,7 @@
 import dapplequay.BalancerApi.Semantics;
 import dapplequay.facade.Call;
 import dapplequay.http.BadMessage;
+import dapplequay.http.Body;
 import dapplequay.http.Head;
 import dapplequay.http.Sockets;
 import dapplequay.settings.SettingsReader.Setup;
@@ -11,11 +12,14 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 
-/** A request of the acquirer's, checked against the settings: what is wrong with it, no issuer host sees. */
-record AcquirerRequest(Head head, byte[] body, String className, String tenant, long budgetUs) {
+/**
+ * A request of the acquirer's, checked against the settings: what is wrong with it, no issuer host sees. {@code body}:
+ * all of a short one's; of a long one the part that is held, and {@code rest} is what is still to come (else null).
+ */
+record AcquirerRequest(Head head, byte[] body, Body rest, String className, String tenant, long budgetUs) {
     private static final List<String> REPLACED = List.of("host", "x-budget-ms");
 
-    static AcquirerRequest check(Head head, byte[] body, Setup setup) throws BadMessage {
+    static AcquirerRequest check(Head head, byte[] body, Body rest, Setup setup) throws BadMessage {
         String path = head.start[1].split("\\?", 2)[0];
         String className = path.substring(1).split("/", 2)[0];
         Integer serviceClass = setup.classes().get(className);
@@ -41,7 +45,7 @@
         // No client waits for longer than its class grants: a greater figure would hold a leg for good, and
         // make all others look like later tries to the module.
         long longestUs = setup.settings().classes().get(serviceClass).deadlineUs();
-        return new AcquirerRequest(head, body, className, tenant(head, setup),
+        return new AcquirerRequest(head, body, rest, className, tenant(head, setup),
                 Math.min(Long.parseLong(budget) * 1000, longestUs));
     }
 
@@ -72,18 +76,35 @@
             }
         }
         return new Call(className, tenant, head.get("Idempotency-Key"), leftUs, hint,
-                "1".equals(head.get("X-Again")));
+                "1".equals(head.get("X-Again")), isLong());
     }
 
-    /** The bytes for the issuer host: as the client sent it, but for what concerns one connection alone. */
+    /** Whether its body passes through, as it is too long to be held. */
+    boolean isLong() {
+        return rest != null;
+    }
+
+    /** Whether the issuer host gets its body in chunks, as nobody knows yet how long it is. */
+    boolean isChunked() {
+        return rest != null && rest.length() < 0;
+    }
+
+    /**
+     * The bytes for the issuer host: as the client sent it, but for what concerns one connection alone. Of a long
+     * request this is the beginning.
+     */
     byte[] bytesFor(InetSocketAddress endpoint, long leftUs) {
         StringBuilder out = new StringBuilder(512);
         out.append(head.start[0]).append(' ').append(head.start[1]).append(" HTTP/1.1\r\nHost: ")
                 .append(Sockets.text(endpoint)).append("\r\n");
         head.passOn(out, REPLACED);
         out.append("X-Budget-Ms: ").append(Math.max(1, leftUs / 1000)).append("\r\n");
+        if (isChunked()) {
+            out.append("Transfer-Encoding: chunked\r\n");
+            return message(out, Chunks.of(body));
+        }
         if (body.length > 0 || !head.start[0].equals("GET")) {
-            out.append("Content-Length: ").append(body.length).append("\r\n");
+            out.append("Content-Length: ").append(isLong() ? rest.length() : body.length).append("\r\n");
         }
         return message(out, body);
     }
--- a/sidecar/src/main/java/dapplequay/net/AcquirerSide.java
+++ b/sidecar/src/main/java/dapplequay/net/AcquirerSide.java
@@ -14,6 +14,7 @@
 import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Supplier;
 import java.util.logging.Level;
 import java.util.logging.Logger;
@@ -26,9 +27,6 @@
     private static final long STOP_MS = 500;
     /** Strangers are a flood from this share of the bound on. */
     private static final double FLOOD = 0.25;
-    /** Bounds, us, for a request to come whole; a client that is slower than it waits has left by then. */
-    private static final long WHOLE_LEAST_US = 1_000_000;
-    private static final long WHOLE_MOST_US = 2_000_000;
 
     private final Supplier<Setup> setup;
     private final Facade facade;
@@ -36,15 +34,20 @@
     private final Deadlines deadlines;
     private final int most;
     private final int crowd;
+    private final int mostUploads;
+    private final AtomicInteger uploads = new AtomicInteger();
     private final Door door;
     private final Set<AcquirerConnection> connections = new LinkedHashSet<>();
     private final CountDownLatch stopped = new CountDownLatch(1);
     private final CallIds callIds = new CallIds();
     private final Counts counts;
     private final Lifetime lifetime;
+    private final Headroom headroom;
 
     AcquirerSide(Door door, Supplier<Setup> setup, Facade facade, Conductor conductor,
-                 Deadlines deadlines, Counts counts, Lifetime lifetime, int most, int crowd) {
+                 Deadlines deadlines, Counts counts, Lifetime lifetime, Headroom headroom, int most,
+                 int crowd, int mostUploads) {
+        this.mostUploads = mostUploads;
         this.door = door;
         this.setup = setup;
         this.facade = facade;
@@ -52,6 +55,7 @@
         this.deadlines = deadlines;
         this.counts = counts;
         this.lifetime = lifetime;
+        this.headroom = headroom;
         this.most = most;
         this.crowd = crowd;
     }
@@ -65,11 +69,6 @@
         return setup.get();
     }
 
-    /** How long a request may take to come whole. */
-    long wholeRequestUs() {
-        return Math.max(WHOLE_LEAST_US, Math.min(WHOLE_MOST_US, setup().longestDeadlineUs()));
-    }
-
     /** Whether no request of late has this id. */
     boolean isNewId(long callId, long nowUs) {
         return callIds.isNew(callId, nowUs, 2 * setup().longestDeadlineUs());
@@ -99,6 +98,20 @@
         return counts;
     }
 
+    /** Another long request comes; false where there are as many as may come at once, and no leg may begin for it. */
+    boolean uploadBegins() {
+        return uploads.incrementAndGet() <= mostUploads;
+    }
+
+    void uploadEnds() {
+        uploads.decrementAndGet();
+    }
+
+    /** How long a carrier of a long body pauses now, ms. */
+    long pauseMs() {
+        return headroom.pauseMs();
+    }
+
     /** Whether each answer is its connection's last, as the sidecar is being emptied. */
     boolean empties() {
         return lifetime.empties();
--- a/sidecar/src/main/java/dapplequay/net/Answers.java
+++ b/sidecar/src/main/java/dapplequay/net/Answers.java
@@ -1,6 +1,7 @@
 package dapplequay.net;
 
 import dapplequay.http.Head;
+import dapplequay.http.Body;
 import java.math.BigDecimal;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
@@ -21,11 +22,9 @@
 
     /** The start of an answer's head, without its length and its end; and the body. */
     record Answer(StringBuilder head, byte[] body) {
-        byte[] bytes(boolean last) {
-            head.append("Content-Length: ").append(body.length).append("\r\n");
-            if (last) {
-                head.append("Connection: close\r\n");
-            }
+        /** {@code connection}: what is said of the connection, with its line's end, or nothing. */
+        byte[] bytes(String connection) {
+            head.append("Content-Length: ").append(body.length).append("\r\n").append(connection);
             return AcquirerRequest.message(head, body);
         }
     }
@@ -41,6 +40,24 @@
         return new Answer(head, body);
     }
 
+    /** The start of a long answer: its head, framed for a client of this version, and what has come of the body. */
+    static byte[] begun(Head upstream, Body body, byte[] start, String version, String connection) {
+        StringBuilder head = start(200);
+        upstream.passOn(head, FOR_THE_SIDECAR);
+        if (body.length() >= 0) {
+            head.append("Content-Length: ").append(body.length()).append("\r\n");
+        } else if (!version.equals("HTTP/1.0")) {
+            head.append("Transfer-Encoding: chunked\r\n");
+        }
+        return AcquirerRequest.message(head.append(connection), isChunked(body, version)
+                ? Chunks.of(start) : start);
+    }
+
+    /** Whether a client of this version gets the body in chunks; else its length or the connection's end ends it. */
+    static boolean isChunked(Body body, String version) {
+        return body.length() < 0 && !version.equals("HTTP/1.0");
+    }
+
     static Answer failure(int status) {
         return plain(status, status == 504 ? "no answer in time" : "failed");
     }
--- a/sidecar/src/main/java/dapplequay/net/Authorisation.java
+++ b/sidecar/src/main/java/dapplequay/net/Authorisation.java
@@ -1,5 +1,6 @@
 package dapplequay.net;
 
+import dapplequay.facade.Upload;
 import dapplequay.management.Counts;
 
 /** One request of the acquirer's, until its one answer. Whoever claims it first answers it, or drops it. */
@@ -11,18 +12,31 @@
     private boolean over;
     private boolean timedOut;
     private Leg leg;
+    private boolean committed;
+    private boolean taken;
 
-    /** Counts as taken from here on. */
+    /** Counts as taken from here on; a long one, once its last byte has come. */
     Authorisation(long id, AcquirerConnection from, AcquirerRequest request, Counts counts) {
         this.id = id;
         this.from = from;
         this.request = request;
         this.counts = counts;
-        counts.taken();
+        if (!request.isLong()) {
+            taken();
+        }
+    }
+
+    /** It is here whole. */
+    synchronized void taken() {
+        if (!taken) {
+            taken = true;
+            counts.taken();
+        }
     }
 
     /** Only who claimed it calls this, once. */
     void ended(Counts.End how) {
+        taken();
         counts.ended(request.className(), how);
     }
 
@@ -30,6 +44,7 @@
     synchronized boolean claim() {
         boolean first = !over;
         over = true;
+        notifyAll();
         return first;
     }
 
@@ -46,6 +61,31 @@
         return true;
     }
 
+    /** Waits for the leg that takes the rest of a long request; null once the authorisation is over. */
+    synchronized Leg awaitOpen() {
+        Waits.whileTrue(this, () -> !over && (leg == null || !leg.isOpen()));
+        return over ? null : leg;
+    }
+
+    /** More than is held goes to this leg, and no other can follow; false where it has ended meanwhile. */
+    synchronized boolean commit(Leg to) {
+        committed |= !over && leg == to;
+        return !over && leg == to;
+    }
+
+    /** The leg has ended; how far a long request was passed on by then. */
+    synchronized Upload legOver(Leg ended) {
+        if (leg == ended) {
+            leg = null;
+        }
+        return committed ? Upload.PASSED_ON : request.isLong() ? Upload.COMING : Upload.NONE;
+    }
+
+    /** Has those look again who wait for a leg. */
+    synchronized void legOpened() {
+        notifyAll();
+    }
+
     /** The leg now out, or null; asked for once the authorisation is claimed, when none can follow. */
     synchronized Leg leg() {
         return leg;
--- a/sidecar/src/main/java/dapplequay/net/Conductor.java
+++ b/sidecar/src/main/java/dapplequay/net/Conductor.java
@@ -5,6 +5,8 @@
 import dapplequay.facade.Facade;
 import dapplequay.facade.HostLoad;
 import dapplequay.facade.LegEnd;
+import dapplequay.facade.Upload;
+import dapplequay.http.Body;
 import dapplequay.http.Head;
 import dapplequay.management.Counts.End;
 import java.util.List;
@@ -55,6 +57,7 @@
     void legEnded(Leg leg, LegEnd end, HostLoad load, Head head, byte[] body) {
         Authorisation authorisation = leg.authorisation;
         out.remove(authorisation.id, leg);
+        Upload upload = authorisation.legOver(leg);
         if (LOG.isLoggable(Level.FINE)) {       // once a leg: nothing is put together for nobody
             LOG.fine("leg " + leg.order.host() + ' ' + end + ' ' + (issuers.now() - leg.startUs) + ' ' + leg.idleUs()
                     + ' ' + authorisation.id);
@@ -64,7 +67,7 @@
             boolean serves = (end == LegEnd.SERVED || end == LegEnd.NOT_ACCEPTED) && authorisation.claim();
             authorisation.lastLegTimedOut(end == LegEnd.TIMED_OUT);
             Decision next = facade.report(authorisation.id, leg.order.leg(), leg.order.host(), end,
-                    leg.tookUs(end, issuers.now()), authorisation.isOver(), load);
+                    leg.tookUs(end, issuers.now()), authorisation.isOver(), load, upload);
             if (serves) {
                 if (end == LegEnd.SERVED) {
                     finish(authorisation, End.FULFILLED, Answers.served(head, body));
@@ -77,6 +80,52 @@
         });
     }
 
+    /**
+     * A long answer has begun: it is the client's from here on, and the module hears that it was served, as what is
+     * left is to carry it. Whether all of it reached the client.
+     */
+    boolean relay(Leg leg, HostLoad load, Head head, Body body, byte[] start, Runnable stop) {
+        Authorisation authorisation = leg.authorisation;
+        out.remove(authorisation.id, leg);
+        Upload upload = authorisation.legOver(leg);
+        boolean goesOn = authorisation.claim();
+        facade.report(authorisation.id, leg.order.leg(), leg.order.host(), LegEnd.SERVED,
+                leg.tookUs(LegEnd.SERVED, issuers.now()), true, load, upload);
+        if (!goesOn) {
+            return false;
+        }
+        boolean whole = false;
+        try {
+            whole = authorisation.from.relay(head, body, start, stop);
+        } finally {
+            authorisation.ended(whole ? End.FULFILLED : End.FAULTED);
+        }
+        return whole;
+    }
+
+    /** The last byte of a long request has come and is about to go out: its time begins. False: its leg has ended. */
+    boolean lastPiece(Leg leg) {
+        if (!issuers.lastPiece(leg, leg.authorisation.request.budgetUs())) {
+            return false;
+        }
+        leg.authorisation.taken();
+        facade.uploaded(leg.authorisation.id);
+        return true;
+    }
+
+    /** The host takes nothing more of a long request. */
+    void cutStuck(Authorisation authorisation) {
+        Leg leg = authorisation.leg();
+        if (leg != null) {
+            leg.cut(LegEnd.TIMED_OUT);
+        }
+    }
+
+    /** The client is at fault for a long request that can't go on: it is told so, and the leg is given up. */
+    void spoilt(Authorisation authorisation, Answers.Answer answer) {
+        giveUp(authorisation, () -> finish(authorisation, End.FAULTED, answer));
+    }
+
     /** Ends the wait for these legs; each is reported by its connection's own thread. */
     void cut(List<Facade.Cut> cuts) {
         for (Facade.Cut cut : cuts) {
@@ -89,8 +138,12 @@
 
     /** The client is gone: nothing is owed, and the leg that is out is given up. */
     void clientLeft(Authorisation authorisation) {
+        giveUp(authorisation, () -> authorisation.ended(End.FAULTED));
+    }
+
+    private void giveUp(Authorisation authorisation, Runnable end) {
         if (authorisation.claim()) {
-            authorisation.ended(End.FAULTED);
+            end.run();
             facade.clientGone(authorisation.id);
             Leg leg = authorisation.leg();
             if (leg != null) {
--- a/sidecar/src/main/java/dapplequay/net/IssuerConnection.java
+++ b/sidecar/src/main/java/dapplequay/net/IssuerConnection.java
@@ -3,12 +3,15 @@
 import dapplequay.facade.HostLoad;
 import dapplequay.facade.LegEnd;
 import dapplequay.http.BadMessage;
+import dapplequay.http.Body;
 import dapplequay.http.Head;
 import dapplequay.http.MessageReader;
 import dapplequay.http.Sockets;
 import dapplequay.time.Deadlines;
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.util.logging.Level;
 import java.util.logging.Logger;
 
@@ -19,14 +22,22 @@
 final class IssuerConnection implements Runnable {
     private static final Logger LOG = Logger.getLogger(IssuerConnection.class.getName());
 
+    private static final int PIECE = 8 * 1024;
+    /** So long an answer of unknown length may take before it is passed on as it comes. */
+    private static final long HELD_US = 100_000;
+
     final RoutingTable.Route route;
     private final IssuerSide side;
     private final Socket socket = new Socket();
+    private volatile Drive drive;
+    private volatile boolean isConnected;
     private Leg leg;
     private Deadlines.Deadline idleEnd;
     private long idleSinceUs;
 
+    /** One that takes a long request is served by its client's thread until that is whole. */
     IssuerConnection(IssuerSide side, RoutingTable.Route route, Leg first) {
+        drive = first.isUploading() ? Drive.CLIENT : Drive.OWN;
         this.side = side;
         this.route = route;
         leg = first;
@@ -56,29 +67,101 @@
 
     /** Writes the leg; if that fails, the reading thread finds the connection closed and reports it. */
     void write(Leg now) {
+        AcquirerRequest request = now.authorisation.request;
         boolean whole = false;
+        boolean begun = false;
         try {
-            byte[] message = now.authorisation.request.bytesFor(route.endpoint(), now.untilUs - side.now());
+            byte[] message = request.bytesFor(route.endpoint(), now.untilUs() - side.now());
             if (!now.isCut()) {
                 socket.getOutputStream().write(message);
-                whole = true;
-                side.counts().relayed();
+                begun = request.isLong();
+                whole = !begun;
             }
         } catch (IOException e) {
             LOG.log(Level.FINE, "leg could not be written to {0}: {1}", new Object[] {route.endpoint(), e});
         } finally {
-            now.writeEnded(whole, side.now());
-            if (!whole) {
-                close();
+            if (begun) {
+                now.takenUp();
+            } else {
+                writeEnded(now, whole);
+            }
+        }
+    }
+
+    private void writeEnded(Leg now, boolean whole) {
+        if (whole) {
+            side.counts().relayed();
+        }
+        now.writeEnded(whole, side.now());
+        if (!whole) {
+            close();
+        }
+    }
+
+    /**
+     * Writes the next piece of a long request, the last one with the end of the body; false where the leg has ended.
+     */
+    boolean carry(Leg now, byte[] piece, Chunks.Span span, boolean last) {
+        boolean written = false;
+        try {
+            if (!now.isCut()) {
+                socket.getOutputStream().write(piece, span.from(), span.length());
+                written = true;
+            }
+        } catch (IOException e) {
+            LOG.log(Level.FINE, "leg could not be written to {0}: {1}", new Object[] {route.endpoint(), e});
+        } finally {
+            if (last || !written) {
+                writeEnded(now, last && written);
             }
         }
+        return written;
+    }
+
+    /**
+     * The client's thread connects for its long request and writes the beginning, as it will carry the rest: a thread
+     * of this connection's own would only wait until that is over. False where the leg has ended, which is reported.
+     */
+    boolean beginFor() {
+        if (drive != Drive.CLIENT) {
+            return true;
+        }
+        boolean begun = false;
+        try {
+            begun = connect();
+        } catch (IOException e) {
+            LOG.log(Level.FINE, "connection to {0} ended: {1}", new Object[] {route.endpoint(), e});
+        }
+        drive = begun ? Drive.CARRIED : Drive.OVER;
+        if (!begun) {
+            close();
+            side.ended(this);
+        }
+        return begun;
+    }
+
+    /** The client's thread is done with it: the answer is read by a thread of this connection's own, or it ends. */
+    void carried(boolean whole) {
+        if (drive != Drive.CLIENT && drive != Drive.CARRIED) {
+            return;
+        }
+        drive = whole ? Drive.OWN : Drive.OVER;
+        if (whole) {
+            side.start(this);
+        } else {
+            close();
+            side.ended(this);
+        }
     }
 
+    /** By whose thread the connection is served: its own, or for now that of the client whose long request it takes. */
+    private enum Drive { OWN, CLIENT, CARRIED, OVER }
+
     @Override
     public void run() {
         try {
-            if (connect()) {
-                MessageReader reader = new MessageReader(socket.getInputStream());
+            if (isConnected || connect()) {
+                MessageReader reader = new MessageReader(socket.getInputStream(), MessageReader.LONGEST_BODY);
                 while (reader.await() && serve(reader)) { }
             }
         } catch (IOException e) {
@@ -96,9 +179,15 @@
             if (first.isCut()) {
                 return false;
             }
-            long waitUs = Math.min(side.connectTimeoutUs(), first.untilUs - side.now());
+            long waitUs = Math.min(side.connectTimeoutUs(), first.untilUs() - side.now());
             socket.setTcpNoDelay(true);
-            socket.connect(route.endpoint(), (int) Math.max(1, waitUs / 1000));
+            // Not with the socket's own time-out: that leaves it in a mode in which each later read takes three calls.
+            Deadlines.Deadline late = side.deadlines().after(Math.max(1_000, waitUs), this::close);
+            try {
+                socket.connect(route.endpoint());
+            } finally {
+                side.deadlines().cancel(late);
+            }
             // The host may have been told to drain while the connect was under way.
             ready = route.equals(side.routeOf(first.order.host())) || !first.answered(LegEnd.NOT_SENT);
         } finally {
@@ -106,6 +195,7 @@
                 first.writeEnded(false, side.now());
             }
         }
+        isConnected = ready;
         if (ready) {
             write(first);
         }
@@ -123,16 +213,35 @@
         }
         try {
             Head head = reader.response();
-            byte[] body = reader.responseBody(head);
-            boolean open = !head.closes(head.start[0]) && !MessageReader.lastsToTheEnd(head)
-                    && !reader.hasBytes() && !served.isWriting();
+            served.headCame(side.now());
             LegEnd end = end(head);
+            Body body = reader.bodyOf(head);
+            if (end == LegEnd.SERVED && served.isUploading()) {
+                throw new BadMessage(502, "served before it had the request");
+            }
+            byte[] start = end == LegEnd.SERVED && body.length() > MessageReader.MAX_BODY ? new byte[0] : start(body);
             HostLoad load = LoadText.read(head);
             if (!served.answered(end)) {
                 return false;       // cut while the answer came; the end of the connection reports it
             }
+            boolean wasWriting = served.isWriting();
             leg = null;
-            side.answered(this, served, end, load, head, body, open);
+            side.answered(served);
+            if (end == LegEnd.SERVED && !body.isWhole()) {
+                boolean whole = side.relay(served, load, head, body, start, this::close);
+                boolean open = whole && isOpenAfter(head, body, reader) && !wasWriting;
+                if (open) {
+                    side.free(this, served.order.host());
+                }
+                return open;
+            }
+            boolean open = body.isWhole() && isOpenAfter(head, body, reader) && !wasWriting;
+            if (open) {
+                side.free(this, served.order.host());
+            } else {
+                close();
+            }
+            side.told(served, end, load, head, start);
             return open;
         } catch (BadMessage e) {
             LOG.log(Level.WARNING, "rubbish from {0}: {1}", new Object[] {route.endpoint(), e.getMessage()});
@@ -141,6 +250,39 @@
         }
     }
 
+    private static boolean isOpenAfter(Head head, Body body, MessageReader reader) {
+        return !head.closes(head.start[0]) && body.framing() != Body.Framing.TO_END && !reader.hasBytes();
+    }
+
+    /**
+     * What there is of a body: all of a short one. One whose length is not known is long where it is not whole soon;
+     * it is waited for that long as most are short, and a short one that breaks can be asked for elsewhere.
+     */
+    private byte[] start(Body body) throws IOException {
+        ByteArrayOutputStream start = new ByteArrayOutputStream((int) Math.max(512, Math.min(PIECE, body.length())));
+        byte[] piece = new byte[(int) (body.length() < 0 ? PIECE : Math.max(1, Math.min(PIECE, body.length())))];
+        long untilUs = side.now() + HELD_US;
+        try {
+            while (!body.isWhole() && start.size() < MessageReader.MAX_BODY) {
+                if (body.length() < 0) {
+                    socket.setSoTimeout((int) Math.max(1, (untilUs - side.now()) / 1000));
+                }
+                int read = body.read(piece, 0, piece.length);
+                start.write(piece, 0, Math.max(0, read));
+                if (body.length() < 0 && side.now() >= untilUs) {
+                    break;
+                }
+            }
+        } catch (SocketTimeoutException e) {
+            LOG.log(Level.FINE, "an answer from {0} takes its time", route.endpoint());
+        } finally {
+            if (body.length() < 0) {
+                socket.setSoTimeout(0);
+            }
+        }
+        return start.toByteArray();
+    }
+
     private static LegEnd end(Head head) throws BadMessage {
         String status = head.start[1];
         if (status.equals("200")) {
--- a/sidecar/src/main/java/dapplequay/net/IssuerSide.java
+++ b/sidecar/src/main/java/dapplequay/net/IssuerSide.java
@@ -2,6 +2,7 @@
 
 import dapplequay.facade.HostLoad;
 import dapplequay.facade.LegEnd;
+import dapplequay.http.Body;
 import dapplequay.http.Head;
 import dapplequay.http.Sockets;
 import dapplequay.management.Counts;
@@ -65,6 +66,10 @@
         return deadlines.now();
     }
 
+    Deadlines deadlines() {
+        return deadlines;
+    }
+
     Counts counts() {
         return counts;
     }
@@ -80,7 +85,7 @@
     /** Starts a leg. Its end is told to the conductor, by this thread if nothing went out at all. */
     void send(Leg leg) {
         RoutingTable.Route route = table.routeOf(leg.order.host());
-        if (route == null) {
+        if (route == null || leg.isUploading() && !leg.authorisation.from.hasRoom()) {
             conductor.legEnded(leg, LegEnd.NOT_SENT, null, null, null);
             return;
         }
@@ -112,17 +117,32 @@
             conductor.legEnded(leg, LegEnd.NOT_SENT, null, null, null);
             return;
         }
-        leg.on(connection, deadlines.after(leg.untilUs - now(), () -> leg.cut(LegEnd.TIMED_OUT)));
+        // The time of a long request begins with its last byte.
+        leg.on(connection, leg.isUploading() ? null
+                : deadlines.after(leg.untilUs() - now(), () -> leg.cut(LegEnd.TIMED_OUT)));
         if (!fresh) {
             connection.write(leg);
             return;
         }
+        if (leg.isUploading()) {
+            leg.takenUp();                  // its client's thread goes on from here
+        } else {
+            start(connection);
+        }
+    }
+
+    /** Gives a connection its own thread. */
+    void start(IssuerConnection connection) {
         try {
-            new Thread(connection, "issuer " + Sockets.text(route.endpoint())).start();
+            new Thread(connection, "issuer " + Sockets.text(connection.route.endpoint())).start();
         } catch (OutOfMemoryError e) {
-            // No thread to be had; the leg never ran, and the module decides what to do instead.
+            // No thread to be had: what was not written never ran, and the module decides what to do instead.
             LOG.log(Level.SEVERE, "no thread for a connection", e);
-            leg.writeEnded(false, now());
+            Leg owed = connection.owed();
+            if (owed != null && owed.isWriting()) {
+                owed.writeEnded(false, now());
+            }
+            connection.close();
             ended(connection);
         }
     }
@@ -165,13 +185,36 @@
         return ready != null && ready.contains(connection);
     }
 
-    /** A whole answer has come. The connection is free before the client can send the next request. */
-    void answered(IssuerConnection connection, Leg leg, LegEnd end, HostLoad load, Head head, byte[] body,
-                  boolean stays) {
+    /** The last piece of a long request is about to go out; false where its leg has ended. */
+    boolean lastPiece(Leg leg, long budgetUs) {
+        Deadlines.Deadline late = deadlines.after(budgetUs, () -> leg.cut(LegEnd.TIMED_OUT));
+        boolean goes = leg.lastPiece(late, now() + budgetUs);
+        if (!goes) {
+            deadlines.cancel(late);
+        }
+        return goes;
+    }
+
+    /** The host has answered, whole or with the beginning of a long answer. */
+    void answered(Leg leg) {
         deadlines.cancel(leg.deadline());
         risk.note(leg.idleUs(), false);
+    }
+
+    /** A whole answer goes to whom it concerns. */
+    void told(Leg leg, LegEnd end, HostLoad load, Head head, byte[] body) {
+        conductor.legEnded(leg, end, load, head, body);
+    }
+
+    /** A long answer is passed on; whether it was whole, and the client took all of it. */
+    boolean relay(Leg leg, HostLoad load, Head head, Body body, byte[] start, Runnable stop) {
+        return conductor.relay(leg, load, head, body, start, stop);
+    }
+
+    /** The connection may be used again: before the client can send its next request, where the answer was short. */
+    void free(IssuerConnection connection, String host) {
         // Where the list has changed meanwhile, the next leg goes to another process.
-        if (stays && connection.route.equals(table.routeOf(leg.order.host()))) {
+        if (connection.route.equals(table.routeOf(host))) {
             synchronized (this) {
                 Deque<IssuerConnection> ready = idle.computeIfAbsent(connection.route, e -> new ArrayDeque<>());
                 long idleUs = (long) (setup.get().connIdleUs() * IDLE_SHARE);
@@ -182,7 +225,6 @@
         } else {
             connection.close();
         }
-        conductor.legEnded(leg, end, load, head, body);
     }
 
     private void retire(IssuerConnection connection) {
--- a/sidecar/src/main/java/dapplequay/net/Leg.java
+++ b/sidecar/src/main/java/dapplequay/net/Leg.java
@@ -9,10 +9,14 @@
     final Authorisation authorisation;
     final Decision.Send order;
     final long startUs;
-    final long untilUs;
+    private long untilUs;
+    /** Of a long request: its last piece has not been announced, so that it can't have run. */
+    private boolean uploading;
+    private boolean open;
     private long idleUs = -1;
     private LegEnd end;
     private boolean writing = true;      // until told otherwise: what is not known is not "never ran"
+    private long headUs;
     private long writtenAtUs = -1;       // -1: not written whole
     private IssuerConnection connection;
     private Deadlines.Deadline deadline;
@@ -22,6 +26,41 @@
         this.order = order;
         this.startUs = startUs;
         untilUs = startUs + order.timeoutUs();
+        uploading = authorisation.request.isLong();
+    }
+
+    synchronized long untilUs() {
+        return untilUs;
+    }
+
+    /** A connection has taken what is held of a long request, or is for its client's thread to begin. */
+    void takenUp() {
+        synchronized (this) {
+            open = true;
+        }
+        authorisation.legOpened();
+    }
+
+    synchronized boolean isOpen() {
+        return open;
+    }
+
+    synchronized IssuerConnection connection() {
+        return connection;
+    }
+
+    /**
+     * The last piece of a long request is about to be written: from here on it may have run. False where the leg has
+     * ended, and the piece must not go out. Its time begins now.
+     */
+    synchronized boolean lastPiece(Deadlines.Deadline itsDeadline, long until) {
+        if (end != null || !writing) {
+            return false;
+        }
+        uploading = false;
+        untilUs = until;
+        deadline = itsDeadline;
+        return true;
     }
 
     synchronized void on(IssuerConnection itsConnection, Deadlines.Deadline itsDeadline) {
@@ -73,13 +112,24 @@
      * to begin a leg, much in its first second, says nothing of the host's pace.
      */
     synchronized long tookUs(LegEnd how, long nowUs) {
-        return nowUs - (how == LegEnd.SERVED && isWritten() ? writtenAtUs : startUs);
+        boolean served = how == LegEnd.SERVED;
+        return (served && headUs > 0 ? headUs : nowUs) - (served && isWritten() ? writtenAtUs : startUs);
+    }
+
+    /** The head of its answer is here: how long the body takes is its length's doing, and its readers'. */
+    synchronized void headCame(long nowUs) {
+        headUs = nowUs;
     }
 
     private boolean isWritten() {
         return writtenAtUs >= 0;
     }
 
+    /** Whether a long request is not whole at the host yet. */
+    synchronized boolean isUploading() {
+        return uploading;
+    }
+
     synchronized boolean isWriting() {
         return writing;
     }
@@ -102,6 +152,9 @@
      * thread still writes it, that is not known yet, and taking it for not run could run it twice.
      */
     synchronized LegEnd broken() {
+        if (uploading) {
+            writing = false;        // the last piece was not written, and never will be
+        }
         Waits.whileTrue(this, () -> writing);
         if (end == null || (end == LegEnd.TIMED_OUT || end == LegEnd.SILENT) && !isWritten()) {
             end = isWritten() ? LegEnd.RESET : LegEnd.NOT_CONNECTED;
--- a/sidecar/src/main/java/dapplequay/net/Sidecar.java
+++ b/sidecar/src/main/java/dapplequay/net/Sidecar.java
@@ -8,6 +8,7 @@
 import dapplequay.management.ManagementSide;
 import dapplequay.settings.SettingsReader.Setup;
 import dapplequay.time.Deadlines;
+import dapplequay.time.ProcessorTime;
 import dapplequay.time.UnixClock;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -31,7 +32,10 @@
     private static final double BASE_MB = 75;
     private static final double CONNECTION_MB = 0.11;
     private static final int FEWEST = 4;
+    private static final int UPLOADS_PER_CORE = 64;
     private static final long TURN_US = 10_000;
+    /** Between two looks at the processor time that was used, us: it is counted in steps of 10 ms. */
+    private static final long LOOK_US = 150_000;
     /** Turns between two looks at what the module passes over. */
     private static final int PASSED_OVER_TURNS = 10;
     /** After an ending was ordered, new connections come for 0.4 s more. */
@@ -46,6 +50,9 @@
     private final Watch watch;
     private final Counts counts = new Counts();
     private final Lifetime lifetime;
+    private final Headroom headroom;
+    private long lookedUs;
+    private long usedUs;
     private final AtomicLong cfgAccepted = new AtomicLong();
     private final AtomicLong cfgInvalid = new AtomicLong();
     private volatile Setup setup;
@@ -58,7 +65,7 @@
      * is the second address, or null where there is none.
      */
     public record Plan(InetSocketAddress listen, InetSocketAddress management, InetSocketAddress discovery, long seed,
-                       int sockets, int memoryMb, Object known, Setup setup, boolean inherits) {
+                       double cores, int sockets, int memoryMb, Object known, Setup setup, boolean inherits) {
         /** Connections of both sides together that the limits allow. */
         int mostConnections() {
             return most(1);
@@ -76,6 +83,14 @@
                     : (int) (most(1) * ACQUIRER_SHARE);
         }
 
+        /**
+         * Long requests that may come at once. Each holds two connections with their threads for as long as its client
+         * needs, and where a process is held to a share of a core, each thread costs some of that share.
+         */
+        int mostUploads() {
+            return Math.max(FEWEST, (int) (cores * UPLOADS_PER_CORE));
+        }
+
         /** To issuer hosts, by this process alone: its successor, or predecessor, may have as many. */
         int mostIssuers() {
             return inherits ? Math.max(FEWEST, (most(2) - sockets / 3) / 2) : most(1) - mostAcquirers();
@@ -90,6 +105,7 @@
         setup = plan.setup();
         facade = new Facade(setup, plan.seed(), clock, LOG::info);
         lifetime = new Lifetime(clock);
+        headroom = new Headroom(plan.cores());
         counts.know(setup.classes().keySet());
         table = restored(plan, facade);
         IssuerSide issuers = new IssuerSide(table, deadlines, () -> setup, plan.mostIssuers(), counts);
@@ -136,8 +152,8 @@
         }
         new WarmUp(plan.setup(), deadlines).run();
         Door door = plan.inherits() ? new Door.Inherited() : new Door.Own(plan.listen());
-        acquirers = new AcquirerSide(door, () -> setup, facade, conductor, deadlines, counts, lifetime,
-                plan.mostAcquirers(), (int) (plan.sockets() * CROWD_SHARE));
+        acquirers = new AcquirerSide(door, () -> setup, facade, conductor, deadlines, counts, lifetime, headroom,
+                plan.mostAcquirers(), (int) (plan.sockets() * CROWD_SHARE), plan.mostUploads());
         daemon(watch, "watch");
         new Thread(acquirers, "listener").start();
         lifetime.listening();
@@ -217,7 +233,8 @@
                 if (side != null) {
                     side.turn();
                 }
-                deadlines.await(TURN_US);
+                headroom.turn(deadlines.await(TURN_US));
+                lookAtHeadroom();
             } catch (InterruptedException e) {
                 return;
             } catch (RuntimeException | OutOfMemoryError e) {
@@ -226,6 +243,20 @@
         }
     }
 
+    /** Only while long bodies pass: nobody else gives way. */
+    private void lookAtHeadroom() {
+        long now = deadlines.now();
+        if (now - lookedUs < LOOK_US || !Pieces.areInUse()) {
+            return;
+        }
+        long used = ProcessorTime.usedUs();
+        if (now - lookedUs < 2 * LOOK_US) {
+            headroom.used(used - usedUs, now - lookedUs);
+        }
+        lookedUs = now;
+        usedUs = used;
+    }
+
     /** Ends in order, and returns when nothing is held any more. */
     public void end() throws InterruptedException {
         end(LATE_CONNECTIONS_US);
--- a/sidecar/src/main/java/dapplequay/net/WarmUp.java
+++ b/sidecar/src/main/java/dapplequay/net/WarmUp.java
@@ -69,7 +69,7 @@
         MessageReader in = reader(requestText(number));
         in.await();
         Head head = in.request();
-        AcquirerRequest request = AcquirerRequest.check(head, in.requestBody(head), setup);
+        AcquirerRequest request = AcquirerRequest.check(head, in.requestBody(head), null, setup);
         long id = facade.nextId();
         Decision decision = facade.pick(id, request.call(request.budgetUs()));
         if (decision instanceof Decision.Send send) {
@@ -80,7 +80,7 @@
             byte[] body = back.responseBody(answer);
             facade.report(id, send.leg(), send.host(), LegEnd.SERVED, 1_000, true,
                     LoadText.read(answer));
-            Answers.served(answer, body).bytes(false);
+            Answers.served(answer, body).bytes("");
             deadlines.cancel(deadline);
         }
         facade.tick();
--- a/sidecar/src/main/java/dapplequay/time/Deadlines.java
+++ b/sidecar/src/main/java/dapplequay/time/Deadlines.java
@@ -53,8 +53,9 @@
         }
     }
 
-    /** Waits until the first deadline passes, but no longer than this. */
-    public synchronized void await(long longestUs) throws InterruptedException {
+    /** Waits until the first deadline passes, but no longer than this; how much later it came back, or less than 0. */
+    public synchronized long await(long longestUs) throws InterruptedException {
+        long sinceUs = now();
         long waitUs = longestUs;
         if (!sorted.isEmpty()) {
             waitUs = Math.min(waitUs, sorted.first().atUs - now());
@@ -62,6 +63,7 @@
         if (waitUs > 0) {
             wait(waitUs / 1000, (int) (waitUs % 1000) * 1000);
         }
+        return now() - sinceUs - Math.max(0, waitUs);
     }
 
     /** Carries out all that have passed, outside the lock; one that fails does not keep the others. */
--- /dev/null
+++ b/sidecar/src/test/java/dapplequay/net/LongBodiesTest.java
@@ -0,0 +1,396 @@
+package dapplequay.net;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import dapplequay.http.Body;
+import dapplequay.http.Head;
+import dapplequay.http.MessageReader;
+import dapplequay.settings.Json;
+import dapplequay.settings.SettingsReader;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.zip.CRC32;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Bodies that pass through, on real sockets: what arrives, what a break shows, and who waits for whom. */
+@Timeout(90)
+class LongBodiesTest {
+    private static final int LONG = 32 << 20;
+    private static final int PATIENCE_MS = 30_000;
+    private static final AtomicInteger CALLS = new AtomicInteger();
+
+    /** What a host does with a connection's next request, whose head has been read. */
+    private interface Script {
+        void serve(Head head, MessageReader reader, Socket socket) throws Exception;
+    }
+
+    private final List<AutoCloseable> toClose = new ArrayList<>();
+    private final BlockingQueue<String> ends = new LinkedBlockingQueue<>();
+
+    @AfterEach
+    void close() throws Exception {
+        for (AutoCloseable one : toClose) {
+            one.close();
+        }
+    }
+
+    private int host(Script script) throws IOException {
+        ServerSocket listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        toClose.add(listener);
+        Host.daemon(() -> {
+            while (true) {
+                Socket socket = listener.accept();
+                Host.daemon(() -> {
+                    try (socket) {
+                        MessageReader reader = new MessageReader(socket.getInputStream(), MessageReader.LONGEST_BODY);
+                        while (reader.await()) {
+                            script.serve(reader.request(), reader, socket);
+                        }
+                    } catch (IOException e) {
+                        ends.add(e.toString());
+                    }
+                });
+            }
+        });
+        return listener.getLocalPort();
+    }
+
+    private Sidecar sidecar(int... ports) throws IOException {
+        StringBuilder targets = new StringBuilder();
+        for (int i = 0; i < ports.length; i++) {
+            targets.append(i == 0 ? "" : ",").append("{\"uid\":\"s").append(i).append("\",\"endpoint\":\"127.0.0.1:")
+                    .append(ports[i]).append("\",\"az\":\"north\",\"pod_group\":0,\"state\":\"SERVING\"}");
+        }
+        String text = Files.readString(Path.of("example/config.json"))
+                .replaceAll("\"deadline_us\": \\d+", "\"deadline_us\": 20000000");
+        Map<?, ?> example = (Map<?, ?>) Json.parse(text.getBytes(StandardCharsets.UTF_8));
+        InetSocketAddress any = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+        Sidecar sidecar = new Sidecar(new Sidecar.Plan(any, null, new InetSocketAddress(any.getAddress(), 1), 7, 1, 1024,
+                192, Json.parse(("{\"rev\":1,\"all\":true,\"targets\":[" + targets + "]}").getBytes()),
+                SettingsReader.of(example.get("settings"), "example"), false));
+        sidecar.start();
+        return sidecar;
+    }
+
+    private Socket client(Sidecar sidecar) throws IOException {
+        Socket socket = new Socket(sidecar.address().getAddress(), sidecar.address().getPort());
+        socket.setSoTimeout(PATIENCE_MS);
+        toClose.add(socket);
+        return socket;
+    }
+
+    private static void send(Socket socket, String text) throws IOException {
+        socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+    }
+
+    private static String head(String framing) {
+        return "POST /pay/x HTTP/1.1\r\nX-Call-Id: " + Integer.toHexString(CALLS.incrementAndGet())
+                + "\r\nX-Caller: shop-a\r\nX-Budget-Ms: 15000\r\nIdempotency-Key: k\r\n" + framing + "\r\n\r\n";
+    }
+
+    private static byte[] piece(int number, int length) {
+        byte[] piece = new byte[length];
+        for (int i = 0; i < length; i++) {
+            piece[i] = (byte) (number * 31 + i * 7);
+        }
+        return piece;
+    }
+
+    /** Writes a body of so many bytes in odd pieces, chunked or not; its checksum. */
+    private static long write(OutputStream out, int length, boolean chunked) throws IOException {
+        CRC32 sum = new CRC32();
+        for (int at = 0, n = 0; at < length; n++) {
+            byte[] piece = piece(n, Math.min(length - at, n % 5 == 0 ? 3 : 40_000 + n % 7_001));
+            sum.update(piece);
+            out.write(chunked ? Chunks.of(piece) : piece);
+            at += piece.length;
+        }
+        if (chunked) {
+            out.write("0\r\nT: t\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1));
+        }
+        return sum.getValue();
+    }
+
+    private static long sum(Body body, int pauseMs) throws Exception {
+        CRC32 sum = new CRC32();
+        byte[] piece = new byte[50_000];
+        int pauses = 0;
+        for (int read = body.read(piece, 0, piece.length); read >= 0; read = body.read(piece, 0, piece.length)) {
+            sum.update(piece, 0, read);
+            if (pauseMs > 0 && pauses++ < 20) {
+                Thread.sleep(pauseMs);
+            }
+        }
+        return sum.getValue();
+    }
+
+    private static void ok(Socket socket, String body) throws IOException {
+        send(socket, "HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body);
+    }
+
+    @ParameterizedTest
+    @CsvSource({"false,33554432", "true,8388608", "false,65537", "true,65537", "true,65536", "false,65536"})
+    void requestsPassThrough(boolean chunked, int length) throws Exception {
+        int port = host((head, reader, socket) -> ok(socket, Long.toString(sum(reader.body(head), 0))));
+        Socket client = client(sidecar(port));
+        MessageReader in = new MessageReader(client.getInputStream());
+        for (int i = 0; i < 2; i++) {           // and the connection is good for another
+            send(client, head(chunked ? "Transfer-Encoding: chunked" : "Content-Length: " + length));
+            long sum = write(client.getOutputStream(), length, chunked);
+            Head answer = in.response();
+            assertThat(answer.start[1]).isEqualTo("200");
+            assertThat(new String(in.responseBody(answer), StandardCharsets.ISO_8859_1)).isEqualTo("" + sum);
+            assertThat(answer.closes("HTTP/1.1")).isFalse();
+        }
+    }
+
+    @ParameterizedTest
+    @CsvSource({"length,1.1,33554432", "chunked,1.1,8388608", "end,1.1,33554432", "length,1.0,200000",
+        "chunked,1.0,8388608", "end,1.0,200000", "chunked,1.1,50", "end,1.1,50", "chunked,1.0,50"})
+    void answersPassThrough(String framing, String version, int length) throws Exception {
+        AtomicLong sum = new AtomicLong();
+        int port = host((head, reader, socket) -> {
+            sum(reader.body(head), 0);
+            send(socket, "HTTP/1.1 103 Early\r\n\r\nHTTP/1.1 200 OK\r\nX-Kept: yes\r\n"
+                    + (framing.equals("length") ? "Content-Length: " + length + "\r\n"
+                    : framing.equals("chunked") ? "Transfer-Encoding: Chunked\r\n" : "") + "\r\n");
+            sum.set(write(socket.getOutputStream(), length, framing.equals("chunked")));
+            if (framing.equals("end")) {
+                socket.close();
+            }
+        });
+        Socket client = client(sidecar(port));
+        send(client, head("Content-Length: 0").replace("HTTP/1.1", "HTTP/" + version));
+        MessageReader in = new MessageReader(client.getInputStream(), MessageReader.LONGEST_BODY);
+        Head answer = in.response();
+        assertThat(answer.start[1]).isEqualTo("200");
+        assertThat(answer.get("X-Kept")).isEqualTo("yes");
+        if (version.equals("1.0")) {
+            assertThat(answer.get("Transfer-Encoding")).as("not known to HTTP/1.0").isNull();
+        }
+        long got = sum(in.bodyOf(answer), 0);
+        assertThat(got).isEqualTo(sum.get());
+    }
+
+    @Test
+    void manyLongBodiesWithSlowPeersLeaveSmallRequestsInTime() throws Exception {
+        int port = host((head, reader, socket) -> {
+            long sum = sum(reader.body(head), head.get("Slow") == null ? 0 : 20);
+            if (head.get("Down") == null) {
+                ok(socket, "" + sum);
+            } else {
+                send(socket, "HTTP/1.1 200 OK\r\nContent-Length: " + LONG + "\r\n\r\n");
+                write(socket.getOutputStream(), LONG, false);
+            }
+        });
+        Sidecar sidecar = sidecar(port, port, port);
+        List<Thread> long32 = new ArrayList<>();
+        AtomicInteger whole = new AtomicInteger();
+        for (int i = 0; i < 12; i++) {
+            boolean up = i % 2 == 0;
+            Socket client = client(sidecar);
+            Thread thread = new Thread(() -> {
+                try {
+                    send(client, head("Slow: 1\r\n" + (up ? "" : "Down: 1\r\n") + "Content-Length: " + (up ? LONG : 0)));
+                    long sent = up ? write(client.getOutputStream(), LONG, false) : 0;
+                    MessageReader in = new MessageReader(client.getInputStream(), MessageReader.LONGEST_BODY);
+                    Head answer = in.response();
+                    if (answer.start[1].equals("503")) {
+                        whole.incrementAndGet();        // turned away by the decisions, which is an answer too
+                    } else if (up) {
+                        String body = new String(in.responseBody(answer), StandardCharsets.ISO_8859_1);
+                        whole.addAndGet(body.equals("" + sent) ? 1 : 0);
+                    } else {
+                        sum(in.bodyOf(answer), 20);
+                        whole.incrementAndGet();
+                    }
+                } catch (Exception e) {
+                    throw new IllegalStateException(e);
+                }
+            });
+            long32.add(thread);
+            thread.start();
+        }
+        Socket small = client(sidecar);
+        MessageReader in = new MessageReader(small.getInputStream());
+        for (int i = 0; i < 100; i++) {
+            send(small, head("Content-Length: 3") + "abc");
+            Head answer = in.response();
+            in.responseBody(answer);
+            assertThat(answer.start[1]).isIn("200", "503");
+        }
+        for (Thread thread : long32) {
+            thread.join();
+        }
+        assertThat(whole.get()).isEqualTo(12);
+    }
+
+    @Test
+    void whatIsHeldGoesToAnotherHostWhereTheFirstIsGone() throws Exception {
+        ServerSocket gone = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+        gone.close();
+        int port = host((head, reader, socket) -> ok(socket, "" + sum(reader.body(head), 0)));
+        for (int[] ports : new int[][] {{gone.getLocalPort(), port}, {port, gone.getLocalPort()}}) {
+            Socket client = client(sidecar(ports));
+            send(client, head("Content-Length: 300000"));
+            long sum = write(client.getOutputStream(), 300_000, false);
+            MessageReader in = new MessageReader(client.getInputStream());
+            Head answer = in.response();
+            assertThat(answer.start[1]).isEqualTo("200");
+            assertThat(new String(in.responseBody(answer), StandardCharsets.ISO_8859_1)).isEqualTo("" + sum);
+        }
+    }
+
+    /** The host ends its connection after so many bytes; from the last one on the request may have run. */
+    @ParameterizedTest
+    @CsvSource({"200000,503", "1000000,502"})
+    void aHostThatBreaksWithinARequestIsToldApartFromOneThatHadIt(int after, int status) throws Exception {
+        AtomicInteger seen = new AtomicInteger();
+        int port = host((head, reader, socket) -> {
+            seen.incrementAndGet();
+            Body body = reader.body(head);
+            byte[] piece = new byte[1000];
+            for (int sum = 0; sum < after; ) {
+                sum += body.read(piece, 0, Math.min(piece.length, after - sum));
+            }
+            socket.close();
+        });
+        Socket client = client(sidecar(port, port));
+        send(client, head("Content-Length: 1000000"));
+        MessageReader in = new MessageReader(client.getInputStream());
+        write(client.getOutputStream(), 300_000, false);
+        Host.daemon(() -> {
+            Thread.sleep(after < 300_000 ? 500 : 0);
+            write(client.getOutputStream(), 700_000, false);
+        });
+        Head answer = in.response();
+        assertThat(answer.start[1]).isEqualTo("" + status);
+        assertThat(answer.get("Retry-After") != null).isEqualTo(status == 503);
+        assertThat(seen.get()).as("never sent again").isEqualTo(1);
+    }
+
+    @ParameterizedTest
+    @CsvSource({"length,1.1", "chunked,1.1", "chunked,1.0"})
+    void aBreakWithinAnAnswerShows(String framing, String version) throws Exception {
+        int port = host((head, reader, socket) -> {
+            reader.body(head);
+            send(socket, "HTTP/1.1 200 OK\r\n" + (framing.equals("length") ? "Content-Length: 500000"
+                    : "Transfer-Encoding: chunked") + "\r\n\r\n");
+            byte[] piece = piece(1, 200_000);
+            socket.getOutputStream().write(framing.equals("length") ? piece : Chunks.of(piece));
+            socket.close();
+        });
+        Socket client = client(sidecar(port));
+        send(client, head("Content-Length: 0").replace("HTTP/1.1", "HTTP/" + version));
+        MessageReader in = new MessageReader(client.getInputStream(), MessageReader.LONGEST_BODY);
+        Head answer = in.response();
+        assertThat(answer.start[1]).isEqualTo("200");
+        assertThatThrownBy(() -> sum(in.bodyOf(answer), 0)).isInstanceOf(version.equals("1.0") ? SocketException.class
+                : IOException.class);
+    }
+
+    @Test
+    void aClientThatStopsIsToldSoAndItsHostLetGo() throws Exception {
+        int port = host((head, reader, socket) -> sum(reader.body(head), 0));
+        Socket client = client(sidecar(port));
+        send(client, head("Content-Length: 1000000"));
+        client.getOutputStream().write(new byte[70_000]);
+        MessageReader in = new MessageReader(client.getInputStream());
+        assertThat(in.response().start[1]).isEqualTo("408");
+        assertThat(ends.poll(PATIENCE_MS, TimeUnit.MILLISECONDS)).isNotNull();
+    }
+
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void aClientThatLeavesTakesItsLegAlong(boolean whileItSends) throws Exception {
+        CountDownLatch begun = new CountDownLatch(1);
+        int port = host((head, reader, socket) -> {
+            begun.countDown();
+            if (whileItSends) {
+                sum(reader.body(head), 0);
+            } else {
+                send(socket, "HTTP/1.1 200 OK\r\nContent-Length: " + LONG + "\r\n\r\n");
+                write(socket.getOutputStream(), LONG, false);
+            }
+        });
+        Socket client = client(sidecar(port));
+        send(client, head("Content-Length: " + (whileItSends ? 1_000_000 : 0)));
+        client.getOutputStream().write(new byte[whileItSends ? 100_000 : 0]);
+        begun.await();
+        client.close();
+        assertThat(ends.poll(PATIENCE_MS, TimeUnit.MILLISECONDS)).isNotNull();
+    }
+
+    @Test
+    void anAnswerBeforeTheRequestIsWholeEndsItsConnection() throws Exception {
+        int port = host((head, reader, socket) -> {
+            send(socket, "HTTP/1.1 503 No\r\nX-Rejected: 1\r\nContent-Length: 0\r\n\r\n");
+            reader.body(head).read(new byte[1000], 0, 1000);
+            socket.close();
+        });
+        Socket client = client(sidecar(port));
+        send(client, head("Content-Length: 5000000"));
+        Host.daemon(() -> write(client.getOutputStream(), 5_000_000, false));
+        MessageReader in = new MessageReader(client.getInputStream());
+        Head answer = in.response();
+        assertThat(answer.start[1]).isEqualTo("503");
+        assertThat(answer.closes("HTTP/1.1")).isTrue();
+        in.responseBody(answer);
+        assertThat(in.await()).isFalse();
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"\r\nPOST /pay/x HTTP/1.1", "POST http://service.internal/pay/x HTTP/1.1",
+        "POST /pay/x HTTP/1.1\r\nExpect: 100-continue"})
+    void formsOfARequestThatServersHaveToUnderstand(String start) throws Exception {
+        BlockingQueue<String> targets = new LinkedBlockingQueue<>();
+        int port = host((head, reader, socket) -> {
+            targets.add(head.start[1]);
+            ok(socket, "" + sum(reader.body(head), 0));
+        });
+        Socket client = client(sidecar(port));
+        send(client, head("Content-Length: 3").replace("POST /pay/x HTTP/1.1", start));
+        InputStream raw = client.getInputStream();
+        if (start.contains("Expect")) {
+            assertThat(new String(raw.readNBytes(25), StandardCharsets.ISO_8859_1)).startsWith("HTTP/1.1 100 ");
+        }
+        send(client, "abc");
+        assertThat(new MessageReader(raw).response().start[1]).isEqualTo("200");
+        assertThat(targets.poll(PATIENCE_MS, TimeUnit.MILLISECONDS)).isEqualTo("/pay/x");
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"Transfer-Encoding: chunked\r\nContent-Length: 5", "Transfer-Encoding: gzip, chunked",
+        "Content-Length: 5\r\nContent-Length: 6", "Content-Length: +5", "Transfer-Encoding : chunked"})
+    void whatTwoReadingsCouldTakeDifferentlyIsRefused(String framing) throws Exception {
+        int port = host((head, reader, socket) -> ends.add("came"));
+        Socket client = client(sidecar(port));
+        send(client, head(framing) + "0\r\n\r\n");
+        assertThat(new MessageReader(client.getInputStream()).response().start[1]).isEqualTo("400");
+        assertThat(ends).isEmpty();
+    }
+}
