--- a/core/src/test/java/dapplequay/facade/FacadeTest.java
+++ b/core/src/test/java/dapplequay/facade/FacadeTest.java
@@ -144,4 +144,45 @@
         news(Kind.CHANGES, "north", State.DELETED);
         assertThat(facade.passedOver()).isZero();
     }
+
+    private static final Call LONG = new Call("pay", "shop-a", "k", 900_000, 0, false, true);
+
+    @Test
+    void aLongRequestGoesElsewhereOnlyWhileAllThatWentOutIsHeld() {
+        facade.news(new ListNews(Kind.CHANGES, List.of(new Line("s2", "north", 1, State.SERVING, 1, 0))));
+        Decision.Send first = (Decision.Send) facade.pick(1, LONG);
+        assertThat(facade.report(1, 0, first.host(), LegEnd.NOT_CONNECTED, 1, false, null, Upload.COMING))
+                .isInstanceOf(Decision.Send.class);
+        Decision.Send other = (Decision.Send) facade.pick(2, LONG);
+        assertThat(facade.report(2, 0, other.host(), LegEnd.NOT_CONNECTED, 1, false, null, Upload.PASSED_ON))
+                .as("never ran").isInstanceOf(Decision.Refuse.class);
+        Decision.Send third = (Decision.Send) facade.pick(3, LONG);
+        facade.uploaded(3);
+        assertThat(facade.report(3, 0, third.host(), LegEnd.RESET, 1, false, null, Upload.PASSED_ON))
+                .as("may have run").isInstanceOf(Decision.Fail.class);
+    }
+
+    /** A client may send for a minute: that is no silence of the host's, and the request's time begins after it. */
+    @Test
+    void aLegWhoseRequestIsStillComingIsNotTakenForASilentHosts() {
+        facade.news(new ListNews(Kind.CHANGES, List.of(new Line("s2", "north", 1, State.SERVING, 1, 0))));
+        Decision.Send sent = (Decision.Send) facade.pick(1, LONG);
+        for (int i = 0; i < 600; i++) {
+            now.addAndGet(100_000);
+            assertThat(facade.tick()).isEmpty();
+        }
+        assertThat(facade.passedOver()).isZero();
+        facade.uploaded(1);
+        now.addAndGet(400_000);
+        assertThat(facade.report(1, 0, sent.host(), LegEnd.TURNED_AWAY, 1, false, null, Upload.PASSED_ON))
+                .isInstanceOf(Decision.Refuse.class);
+        Decision.Send next = (Decision.Send) facade.pick(2, PAY);
+        for (int i = 0; i < 20; i++) {
+            now.addAndGet(100_000);
+            if (!facade.tick().isEmpty()) {
+                return;                         // a short one's silence still shows
+            }
+        }
+        throw new AssertionError("silence of " + next.host() + " went unseen");
+    }
 }
--- a/lab/src/test/java/dapplequay/lab/ArchitectureTest.java
+++ b/lab/src/test/java/dapplequay/lab/ArchitectureTest.java
@@ -50,6 +50,15 @@
                 .orShould().dependOnClassesThat().haveFullyQualifiedName("dapplequay.BalancerApi$Actions").check(all);
     }
 
+    @Test
+    void theManagementAddressKnowsNothingOfClientsOrHosts() {
+        noClasses().that().resideInAPackage("dapplequay.management..").should().dependOnClassesThat()
+                .resideInAnyPackage("dapplequay", "dapplequay.net..", "dapplequay.facade..", "dapplequay.cli..").check(all);
+        noClasses().that().resideInAnyPackage("dapplequay.http..", "dapplequay.time..").should().dependOnClassesThat()
+                .resideInAnyPackage("dapplequay", "dapplequay.net..", "dapplequay.facade..", "dapplequay.cli..",
+                        "dapplequay.management..").check(all);
+    }
+
     @Test
     void theLaboratorySeesNothingOfTheSidecar() {
         noClasses().that().resideInAPackage("dapplequay.lab..").should().dependOnClassesThat()
