--- a/sidecar/src/test/java/dapplequay/cli/UpgradeTest.java
+++ b/sidecar/src/test/java/dapplequay/cli/UpgradeTest.java
@@ -79,7 +79,7 @@
     }
 
     private void serve(Socket socket) throws Exception {
-        MessageReader reader = new MessageReader(socket.getInputStream());
+        MessageReader reader = new MessageReader(socket.getInputStream(), MessageReader.LONGEST_BODY);
         while (reader.await()) {
             Head head = reader.request();
             byte[] body = reader.requestBody(head);
@@ -190,6 +190,30 @@
         assertThat(turnedBack.get()).isLessThanOrEqualTo(4);
     }
 
+    /** SIGTERM comes in the middle of a long request, whose answer is long too. */
+    @Test
+    void aLongBodyUnderWayIsFinishedByTheProcessThatHasIt() throws Exception {
+        Program old = start(config).awaitReady();
+        try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port())) {
+            socket.setSoTimeout(20_000);
+            byte[] half = new byte[300_000];
+            socket.getOutputStream().write(("POST /pay/1 HTTP/1.1\r\nX-Call-Id: abc\r\nX-Caller: shop-a\r\n"
+                    + "X-Budget-Ms: 15000\r\nIdempotency-Key: k\r\nContent-Length: 600000\r\n\r\n")
+                    .getBytes(StandardCharsets.ISO_8859_1));
+            socket.getOutputStream().write(half);
+            start(config).awaitReady();
+            old.signal("TERM");
+            assertThat(old.process.waitFor(500, TimeUnit.MILLISECONDS)).as("it holds a request").isFalse();
+            socket.getOutputStream().write(half);
+            MessageReader reader = new MessageReader(socket.getInputStream(), MessageReader.LONGEST_BODY);
+            Head head = reader.response();
+            assertThat(head.start[1]).isEqualTo("200");
+            assertThat(reader.responseBody(head)).hasSize(600_000);
+        }
+        assertThat(old.process.waitFor(30, TimeUnit.SECONDS)).isTrue();
+        assertThat(run).hasValue(1);
+    }
+
     @Test
     void aSuccessorThatCannotStartAndAPredecessorKilledLeaveTheOtherServing() throws Exception {
         Program old = start(config).awaitReady();
