Connects keep the socket's own time-out: closing did not wake a connect to a silent host

Silent hosts let connects hang, and the one change on that path was to bound a connect by closing its socket from the timekeeper. Lines at fault: IssuerConnection.connect.

--- a/sidecar/src/main/java/dapplequay/net/IssuerConnection.java
+++ b/sidecar/src/main/java/dapplequay/net/IssuerConnection.java
@@ -181,13 +181,8 @@
             }
             long waitUs = Math.min(side.connectTimeoutUs(), first.untilUs() - side.now());
             socket.setTcpNoDelay(true);
-            // Not with the socket's own time-out: that leaves it in a mode in which each later read takes three calls.
-            Deadlines.Deadline late = side.deadlines().after(Math.max(1_000, waitUs), this::close);
-            try {
-                socket.connect(route.endpoint());
-            } finally {
-                side.deadlines().cancel(late);
-            }
+            // With the socket's own time-out: to close a socket that connects does not everywhere wake its thread.
+            socket.connect(route.endpoint(), (int) Math.max(1, waitUs / 1000));
             // The host may have been told to drain while the connect was under way.
             ready = route.equals(side.routeOf(first.order.host())) || !first.answered(LegEnd.NOT_SENT);
         } finally {
--- a/sidecar/src/main/java/dapplequay/net/IssuerSide.java
+++ b/sidecar/src/main/java/dapplequay/net/IssuerSide.java
@@ -66,10 +66,6 @@
         return deadlines.now();
     }
 
-    Deadlines deadlines() {
-        return deadlines;
-    }
-
     Counts counts() {
         return counts;
     }
