--- a/sidecar/src/test/java/dapplequay/net/SidecarTest.java
+++ b/sidecar/src/test/java/dapplequay/net/SidecarTest.java
@@ -202,9 +202,9 @@
         stranger.send("POST /pay");
         Host.Client next = client(sidecar);
         next.send(pay(2, 900, ""));
-        assertThat(next.answer().status()).isEqualTo(200);
         known.send(pay(3, 900, ""));
         assertThat(known.answer().status()).as("still open").isEqualTo(200);
+        assertThat(next.answer().status()).isEqualTo(200);
         assertThat(stranger.atEnd()).isTrue();
     }
 
@@ -590,6 +590,8 @@
         assertThat(idle.answer().status()).isEqualTo(200);
         Host.Client held = client(sidecar);
         held.send(pay(1, 10_000, ""));
+        assertThat(host.next().head().get("Idempotency-Key")).isEqualTo("k2");
+        assertThat(host.next().head().get("Idempotency-Key")).isEqualTo("k1");
         assertThat(figure(sidecar, "svc_open_requests")).isEqualTo(1);
         assertThat(managed(sidecar, "PUT /-/drain")).startsWith("200");
         assertThat(managed(sidecar, "GET /-/ready")).startsWith("503");
