--- a/sidecar/src/main/java/dapplequay/cli/Config.java
+++ b/sidecar/src/main/java/dapplequay/cli/Config.java
@@ -23,7 +23,12 @@
 
     /** SettingsException, with one plain line, where the configuration is no good. */
     static Sidecar.Plan read(Path file, Map<String, String> environment) {
-        return plan(file.toString(), fields(file), environment, environment.get("EDGE_DISCOVERY"));
+        return read(file.toString(), fields(file), environment);
+    }
+
+    /** The same of a file that has been read. */
+    static Sidecar.Plan read(String place, Map<?, ?> fields, Map<String, String> environment) {
+        return plan(place, fields, environment, environment.get("EDGE_DISCOVERY"));
     }
 
     /**
--- a/sidecar/src/main/java/dapplequay/cli/Main.java
+++ b/sidecar/src/main/java/dapplequay/cli/Main.java
@@ -88,7 +88,7 @@
                     .log(Level.SEVERE, "thread " + thread.getName() + " ended", e));
             Path file = file(environment);
             Map<?, ?> fields = Config.fields(file);
-            Sidecar sidecar = new Sidecar(Config.read(file, environment));
+            Sidecar sidecar = new Sidecar(Config.read(file.toString(), fields, environment));
             Runtime.getRuntime().addShutdownHook(new Thread(() -> {
                 try {
                     sidecar.end();
--- a/sidecar/src/main/java/dapplequay/http/Body.java
+++ b/sidecar/src/main/java/dapplequay/http/Body.java
@@ -46,11 +46,6 @@
         return length;
     }
 
-    /** Bytes read so far. */
-    public long taken() {
-        return taken;
-    }
-
     public Framing framing() {
         return framing;
     }
@@ -143,7 +138,7 @@
             }
             at = 2;
         }
-        return reader.isBuffered(at, "0") ? reader.isBuffered(at, "0\r\n\r\n") : reader.hasLine(at);
+        return reader.isBuffered(at, "0") ? reader.isBuffered(at, "0\r\n\r\n") : reader.lineEnd(at) >= 0;
     }
 
     private BadMessage tooLarge() {
--- a/sidecar/src/main/java/dapplequay/http/MessageReader.java
+++ b/sidecar/src/main/java/dapplequay/http/MessageReader.java
@@ -57,14 +57,14 @@
         return true;
     }
 
-    /** Whether a whole line lies in the buffer from that place on. */
-    boolean hasLine(int from) {
+    /** Where a line ends that lies in the buffer from that place on; -1 where its end is not there. */
+    int lineEnd(int from) {
         for (int at = from; at + 2 <= buffer.size(); at++) {
             if (buffer.at(at) == '\r' && buffer.at(at + 1) == '\n') {
-                return true;
+                return at;
             }
         }
-        return false;
+        return -1;
     }
 
     /** Reads more into the buffer; false at the end of the stream. */
@@ -80,7 +80,7 @@
     /** The same before a request: empty lines that come first, as some clients end a body with one, are passed over. */
     public boolean awaitRequest() throws IOException {
         while (true) {
-            while (buffer.size() >= 2 && buffer.at(0) == '\r' && buffer.at(1) == '\n') {
+            while (isBuffered(0, "\r\n")) {
                 buffer.skip(2);
             }
             if (buffer.size() > 1 || buffer.size() == 1 && buffer.at(0) != '\r') {
@@ -189,20 +189,18 @@
 
     /** A line of a chunked body, without its end. */
     String line(int status) throws IOException {
-        int seen = 0;
-        while (true) {
-            for (; seen + 2 <= buffer.size(); seen++) {
-                if (buffer.at(seen) == '\r' && buffer.at(seen + 1) == '\n') {
-                    byte[] text = buffer.take(seen);
-                    buffer.skip(2);
-                    return new String(text, StandardCharsets.ISO_8859_1);
-                }
-            }
+        int end = lineEnd(0);
+        while (end < 0) {
             if (buffer.size() > MAX_CHUNK_LINE) {
                 throw new BadMessage(status, "line too long");
             }
+            int seen = Math.max(0, buffer.size() - 1);
             more();
+            end = lineEnd(seen);
         }
+        byte[] text = buffer.take(end);
+        buffer.skip(2);
+        return new String(text, StandardCharsets.ISO_8859_1);
     }
 
     private void more() throws IOException {
--- a/sidecar/src/main/java/dapplequay/net/Sidecar.java
+++ b/sidecar/src/main/java/dapplequay/net/Sidecar.java
@@ -80,7 +80,7 @@
         /** Of clients. These are spread over both processes while one replaces the other. */
         int mostAcquirers() {
             return inherits ? Math.max(FEWEST, Math.min(sockets / 3, most(2) * 2 / 3))
-                    : (int) (most(1) * ACQUIRER_SHARE);
+                    : (int) (mostConnections() * ACQUIRER_SHARE);
         }
 
         /**
@@ -93,7 +93,7 @@
 
         /** To issuer hosts, by this process alone: its successor, or predecessor, may have as many. */
         int mostIssuers() {
-            return inherits ? Math.max(FEWEST, (most(2) - sockets / 3) / 2) : most(1) - mostAcquirers();
+            return inherits ? Math.max(FEWEST, (most(2) - sockets / 3) / 2) : mostConnections() - mostAcquirers();
         }
     }
 
--- a/sidecar/src/test/java/dapplequay/cli/UpgradeTest.java
+++ b/sidecar/src/test/java/dapplequay/cli/UpgradeTest.java
@@ -4,6 +4,7 @@
 
 import dapplequay.http.Head;
 import dapplequay.http.MessageReader;
+import dapplequay.net.Host;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
@@ -47,10 +48,10 @@
                 .replace("127.0.0.1:8500", "127.0.0.1:1").replace("127.0.0.1:9001", "127.0.0.1:" + host.getLocalPort())
                 .replace("127.0.0.1:9002", "127.0.0.1:" + host.getLocalPort())
                 .replaceAll("\"deadline_us\": \\d+", "\"deadline_us\": 20000000"));
-        daemon(() -> {
+        Host.daemon(() -> {
             while (true) {
                 Socket socket = host.accept();
-                daemon(() -> serve(socket));
+                Host.daemon(() -> serve(socket));
             }
         });
     }
@@ -62,22 +63,6 @@
         platform.close();
     }
 
-    private interface Work {
-        void run() throws Exception;
-    }
-
-    private static void daemon(Work work) {
-        Thread thread = new Thread(() -> {
-            try {
-                work.run();
-            } catch (Exception e) {
-                // the other end is gone, or the test is over
-            }
-        });
-        thread.setDaemon(true);
-        thread.start();
-    }
-
     private void serve(Socket socket) throws Exception {
         MessageReader reader = new MessageReader(socket.getInputStream(), MessageReader.LONGEST_BODY);
         while (reader.await()) {
--- a/sidecar/src/test/java/dapplequay/net/Host.java
+++ b/sidecar/src/test/java/dapplequay/net/Host.java
@@ -13,7 +13,7 @@
 import java.util.concurrent.TimeUnit;
 
 /** The far end of a test: a scripted server, and a client's connection, both on real sockets. */
-final class Host implements AutoCloseable {
+public final class Host implements AutoCloseable {
     static final int PATIENCE_S = 20;
 
     /** What a host does with a request; null: close the connection with no answer. */
@@ -39,11 +39,11 @@
         });
     }
 
-    interface Work {
+    public interface Work {
         void run() throws Exception;
     }
 
-    static void daemon(Work work) {
+    public static void daemon(Work work) {
         Thread thread = new Thread(() -> {
             try {
                 work.run();
