Pushed lists are watched from the first moment on: nobody had ever called the agent

Cause: in the module's words a pushed list comes by itself, so Balance.fleet asked for none (RESTORED with onRequest false sets no timer) and Facade.awaitWatch waited for good; the sidecar ran on the list it was started with. On sockets the list is at an agent beside the sidecar, and what that holds counts as told.

The facade wants the watch from its start where lists are pushed, and after SIGHUP brings that; after a failed call AskPace takes a pause of an eighth of the drain's grace at most, not a second. Ruled out: late writes after the word (Conductor and routeOf check again; with the list arriving the rule is kept).

--- a/core/src/main/java/dapplequay/Balance.java
+++ b/core/src/main/java/dapplequay/Balance.java
@@ -240,7 +240,7 @@
         haste = Math.min(1, shortest / FITTED_AIM_US);
         setTook = setTook == 0 ? AIM_TH_U * shortest : setTook;
         cold = new ColdBudget(next.coldStart());
-        askPace = new AskPace(next.discovery().askWithinUs(), Scatter.fraction(next.position()), random);
+        askPace = new AskPace(next.discovery(), Scatter.fraction(next.position()), random);
         tenants = new TenantMix(next.tenants(), next.overShareWorth());
     }
 
--- a/core/src/main/java/dapplequay/BalancerApi.java
+++ b/core/src/main/java/dapplequay/BalancerApi.java
@@ -45,9 +45,10 @@
 
     /**
      * When the list has to be asked for, an instance that neither watches nor asks for so long counts as
-     * told.
+     * told. Where it is pushed, an agent beside the instance holds it, and whatever the agent has counts as told;
+     * sends to what drains or is gone end {@code drainGraceUs} after being told.
      */
-    record Discovery(boolean onRequest, long askWithinUs) { }
+    record Discovery(boolean onRequest, long askWithinUs, long drainGraceUs) { }
 
     record Limits(int sendCap, boolean mayCancel, boolean secondCopies, boolean probing, boolean retryAfter,
                   long maxRetryAfterUs) { }
--- a/core/src/main/java/dapplequay/facade/Facade.java
+++ b/core/src/main/java/dapplequay/facade/Facade.java
@@ -53,6 +53,13 @@
         this.clock = clock;
         this.log = log;
         module = new Balance(setup.settings(), seed, new Taken());
+        watchWanted = isPushed(setup);
+    }
+
+    // In the simulator's words a pushed list comes by itself, and the module asks for none. Here an agent holds it for
+    // whoever asks, and what it holds counts as told: asked from the first moment on, not from the first news on.
+    private static boolean isPushed(Setup setup) {
+        return !setup.settings().discovery().onRequest();
     }
 
     /**
@@ -71,6 +78,9 @@
         begin(0, 0);
         module.retune(clock.getAsLong(), next.settings());
         setup = next;
+        if (isPushed(next)) {
+            watchAnew();
+        }
     }
 
     /** The first decision for a new request; one whose class or tenant has just vanished is refused. */
--- a/core/src/main/java/dapplequay/membership/AskPace.java
+++ b/core/src/main/java/dapplequay/membership/AskPace.java
@@ -1,11 +1,13 @@
 package dapplequay.membership;
 
+import dapplequay.BalancerApi.Discovery;
 import java.util.SplittableRandom;
 
 /**
- * When one of many instances asks a discovery service that does not grow with them. Pure: no clock; pauses are in
+ * When an instance asks for the list. One of many asks a discovery service that does not grow with them. Pure: no clock; pauses are in
  * microseconds. The first questions of all instances are spread over half of the time within which each has to ask,
- * by the instance's number; after a failure an instance backs off, doubling, with jitter over half of the pause.
+ * by the instance's number; after a failure an instance backs off, doubling, with jitter over half of the pause. An agent of its own, to which lists are pushed, it asks at once: what the agent has
+ * counts as told, so that a pause after a failed call takes from the drain's grace.
  */
 public final class AskPace {
     /** Share of ask_within over which the first questions are spread: the rest is room for failures. */
@@ -13,22 +15,28 @@
     /** First pause after a failed question, us; doubles up to the spread. */
     private static final long BACKOFF_US = 1_000_000;
     private static final int MOST_DOUBLINGS = 10;
+    /** Share of the drain's grace that the longest pause of one who asks an agent takes: the rest is for the call. */
+    private static final double AGENT_SHARE = 0.125;
+    /** First pause after a failed call to an agent, us: that costs nobody anything. */
+    private static final long AGENT_BACKOFF_US = 5_000;
 
+    private final boolean asksService;
     private final long spreadUs;
     private final double turn;
     private final SplittableRandom random;
     private int failures;
 
     /** {@code turn}: from 0 up to 1, evenly spread over the instances. */
-    public AskPace(long askWithinUs, double turn, SplittableRandom random) {
-        spreadUs = (long) (askWithinUs * SPREAD);
+    public AskPace(Discovery discovery, double turn, SplittableRandom random) {
+        asksService = discovery.onRequest();
+        spreadUs = (long) (asksService ? discovery.askWithinUs() * SPREAD : discovery.drainGraceUs() * AGENT_SHARE);
         this.turn = turn;
         this.random = random;
     }
 
     /** The pause before the first question after a start, at least 1. */
     public long firstUs() {
-        return 1 + (long) (spreadUs * turn);
+        return asksService ? 1 + (long) (spreadUs * turn) : 1;
     }
 
     /** Discovery answered. */
@@ -38,7 +46,7 @@
 
     /** A question failed: the pause before the next one. */
     public long failedUs() {
-        long pause = Math.min(BACKOFF_US << Math.min(failures++, MOST_DOUBLINGS), Math.max(1, spreadUs));
+        long pause = Math.min((asksService ? BACKOFF_US : AGENT_BACKOFF_US) << Math.min(failures++, MOST_DOUBLINGS), Math.max(1, spreadUs));
         return pause / 2 + random.nextLong(pause / 2 + 1);
     }
 }
--- a/core/src/main/java/dapplequay/settings/SettingsReader.java
+++ b/core/src/main/java/dapplequay/settings/SettingsReader.java
@@ -37,6 +37,8 @@
     /** Only the network needs these two; where the settings leave them out, cautious figures stand in. */
     private static final long CONNECT_TIMEOUT_US = 250_000;
     private static final long CONN_IDLE_US = 10_000_000;
+    /** Where the settings do not say how long sends to a draining host may go on, us: as good as not at all. */
+    private static final long DRAIN_GRACE_US = 100_000;
 
     private final String place;
     private final Map<String, Object> fields;
@@ -86,7 +88,8 @@
         boolean ask = choice("discovery", "pushed", "on_request") == 1;
         Settings settings = new Settings((int) whole("position"), (int) whole("balancers"), zone, zones,
                 classes, tenants, real("over_share_worth", 1),
-                new Discovery(ask, rules.whole("ask_within_us", 0)),
+                new Discovery(ask, rules.whole("ask_within_us", 0),
+                        rules.whole("drain_grace_us", DRAIN_GRACE_US)),
                 new Limits((int) limits.whole("send_cap"), limits.truth("may_cancel"),
                         limits.truth("second_copies"), limits.truth("probing"), limits.truth("retry_after"),
                         limits.whole("max_retry_after_us", 0)),
--- a/core/src/test/java/dapplequay/Bench.java
+++ b/core/src/test/java/dapplequay/Bench.java
@@ -54,7 +54,7 @@
                     type("keyed-all", Semantics.DEDUP, Group.ALL), type("keyed-zone", Semantics.DEDUP, Group.ZONE),
                     type("keyed-cell", Semantics.DEDUP, Group.CELL));
             return new Settings(position, balancers, 0, names, all, tenants, 0.1,
-                    new Discovery(onRequest, 10_000_000),
+                    new Discovery(onRequest, 10_000_000, 2_500_000),
                     new Limits(sendCap, true, secondCopies, false, true, 1_500_000),
                     new ColdStart(0.15, 20_000_000, 3, 1_500_000), new Prices(crossPrice, 0.02, 0.05, 0, 0));
         }
--- a/core/src/test/java/dapplequay/LargerFleetTest.java
+++ b/core/src/test/java/dapplequay/LargerFleetTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import dapplequay.BalancerApi.ColdStart;
+import dapplequay.BalancerApi.Discovery;
 import dapplequay.BalancerApi.FleetEntry;
 import dapplequay.BalancerApi.HostState;
 import dapplequay.BalancerApi.ListKind;
@@ -123,7 +124,7 @@
         int[] first = new int[51];
         int[] second = new int[80];
         for (int i = 0; i < instances; i++) {
-            AskPace pace = new AskPace(10_000_000, Scatter.fraction(i), new SplittableRandom(i));
+            AskPace pace = new AskPace(new Discovery(true, 10_000_000, 2_500_000), Scatter.fraction(i), new SplittableRandom(i));
             long asked = pace.firstUs();
             first[(int) (asked / 100_000)]++;
             second[(int) ((asked + pace.failedUs()) / 100_000)]++;
--- a/core/src/test/java/dapplequay/facade/FacadeTest.java
+++ b/core/src/test/java/dapplequay/facade/FacadeTest.java
@@ -95,6 +95,24 @@
         facade.awaitWatch();
     }
 
+    /**
+     * Where lists are pushed the module asks for none: nobody ever called the agent, and all it had counted as told. A
+     * call that failed is followed by another well within the grace of a drain.
+     */
+    @Test
+    @Timeout(30)
+    void pushedListIsWatchedFromTheStartAndSoonAgainAfterAFailure() throws Exception {
+        Setup pushed = changed("\"discovery\": \"on_request\"", "\"discovery\": \"pushed\"");
+        facade = new Facade(pushed, 7, now::get, line -> { });
+        facade.awaitWatch();
+        for (int i = 0; i < 20; i++) {
+            facade.news(ListNews.failed());
+            now.addAndGet(pushed.settings().discovery().drainGraceUs() / 8);
+            facade.tick();
+            facade.awaitWatch();
+        }
+    }
+
     private static Setup changed(String find, String replace) throws IOException {
         String text = Files.readString(Path.of("example/config.json"));
         assertThat(text).contains(find);
