Decisions fit many classes and cores: paces, a bound on queues, an order by key

Change: TH_u, TH_f, TH_v in times that the set takes for a request; nobody holds more than the shortest aim can wait for at the set's pace; silence by what the classes of the legs out usually take; the mean of what others hold by how often reports change; the walk over the buddies begins at the key's place where hosts remember keys. A balancer's first send to a cold host waits for a part of its pause.

--- a/core/src/main/java/dapplequay/Balance.java
+++ b/core/src/main/java/dapplequay/Balance.java
@@ -34,43 +34,33 @@
     private static final long SHRINK_US = 2_000_000;
     /** Buddies of other zones at least, where there are other zones, so that an overloaded zone can spill. */
     private static final int FOREIGN_BUDDIES = 6;
-    /** Thresholds as shares of the aim: past TH_v in this sense, long-tailed work begins to miss it. */
-    private static final double AIM_TH_U = 0.1;
-    private static final double AIM_TH_F = 0.14;
-    private static final double AIM_TH_V = 0.18;
-    // A send is refused whose figure is past a share of its aim: this over the share of recent answers that
-    // came too late, within the bounds below: figures are old, and alone no reason to refuse.
-    private static final double ADMIT_LOSS = 0.12;
-    private static final double ADMIT_MIN = 0.4;
-    private static final double ADMIT_MAX = 3;
-    /** Weight of the newest answer in the share that came too late: about the last half dozen. */
-    private static final double LATE_GAIN = 0.15;
-    /** What an answer past its aim counts in it: the queue was too long, or only the request heavy. */
-    private static final double LATE_ANSWER = 0.5;
-    // Balancers spread their thresholds, by number: with one for all, those that share a server see the same late
-    // figure and turn away, and back, together.
-    private static final double SPREAD_LOW = 0.7;
-    private static final double SPREAD_WIDTH = 0.6;
-    /** What a report tells fades with this time constant, us, towards what its zone's buddies mostly held, */
+    // Thresholds in times that the set takes for a request with nobody before it: the same for all classes, as they
+    // wait in the same queue. Past TH_v a send would begin to wait.
+    private static final double TH_U = 1;
+    private static final double TH_F = 1.3;
+    private static final double TH_V = 1.5;
+    /** The first guess at what an answer takes, as a share of its class's aim. */
+    private static final double GUESS_SHARE = 0.1;
+    // Nobody is sent more than takes, at the set's pace, this share of the shortest aim: all classes wait in one queue,
+    // and a server that has held far more than it works on for a second or two slows down, for long.
+    private static final double QUEUE_SHARE = 0.6;
+    /** The share of that room that is there for a request worth nothing: the rest is kept for better ones. */
+    private static final double LITTLE_WORTH = 0.5;
+    /** With keys that servers remember, one whose figure is so many times the set's mean at most has room. */
+    private static final double ROOM = 1.1;
+    /** What a report tells fades with this time constant, us: a queue nobody feeds is worked off. */
     private static final double FADE_US = 8_000_000;
-    /** which fades towards nothing with this one, us: a queue nobody feeds is worked off. */
-    private static final double ZONE_FADE_US = 3_000_000;
-    // Time constant, us, of the mean of what a server holds for others: one sent little would keep a bad name by count.
+    // Time constant of the mean of what a server holds for others, in times that its reports usually stay the same, and
+    // the longest, us: one sent little would keep a bad name by count.
+    private static final double OTHERS_REFRESHES = 2;
     private static final double OTHERS_US = 3_000_000;
+    private static final double REFRESH_US = 1_000_000;
     /** A request of a greater share of its worth may ask a server anew that nothing would be sent to. */
     private static final double ASKING_WORTH = 0.5;
     /** A cleared flag is set again after this, us: one diverted send then tells how the server is. */
     private static final long FLAG_TIMER_US = 2_000_000;
     /** The same for a buddy new to the set: soon, as its first figures come only with a send. */
     private static final long NEW_FLAG_US = 300_000;
-    // A refusal or time-out brings no report, so it stands for one: a figure of this share of the aim, for so
-    // long, us, doubled, as the flag timer, for each further one (an answer takes one back) up to so many times.
-    private static final double HOLD_SHARE = 1.2;
-    private static final long HOLD_US = 300_000;
-    // After a time-out, which costs far more to repeat.
-    private static final long TIMEOUT_HOLD_US = 1_000_000;
-    private static final int LOST = 3;
-    private static final int HOLD_DOUBLINGS = 3;
     // A failing server is passed over for so long, us, doubled at each further failure up to the second; a lost
     // zone is tried as often.
     private static final long SHUN_FIRST_US = 1_000_000;
@@ -87,10 +77,9 @@
     private static final double COMMON_MIN = 0.002;
     // A trial's leg is out for this share of the aim, where another server may still take the request in time.
     private static final double TRIAL_SHARE = 0.5;
-    // A server is silent once legs are out and none has been answered for this share of the aim (twice that
-    // with one leg) and so many times as long as its answers are usually apart; it is tried again after this, us.
-    private static final double SILENT_SHARE = 0.5;
-    private static final double SILENT_GAPS = 5;
+    // A server is silent once its legs have together been waited for, since it was last heard of, so many times as long
+    // as answers to their classes usually take: work is long-tailed. It is tried again after this, us.
+    private static final double SILENT_TIMES = 16;
     private static final long SILENT_US = 300_000;
     /** How often that is looked at, as a share of the aim. */
     private static final double WATCH_SHARE = 0.1;
@@ -99,15 +88,13 @@
     private static final long TRIAL_US = 10_000_000;
     /** Buddies kept in lost zones: to try, one after the other, whether they are back. */
     private static final int LOST_BUDDIES = 2;
-    /** From this share of the aim on, a figure loses more than an exponential answer time would. */
-    private static final double SURE_SHARE = 0.5;
     /** Weight of the newest request in the running means of worth and aim: about the last thirty. */
     private static final double MIX_GAIN = 0.03;
-    /** Weight of the newest answer in a server's pace, and the set's pace as that many answers beside it. */
+    /** Weight of the newest answer in what its class takes, */
+    private static final double CLASS_GAIN = 0.03;
+    /** in a server's pace, and the set's pace as that many answers beside it. */
     private static final double PACE_GAIN = 0.15;
     private static final double PACE_PRIOR = 0.5;
-    // A server's own pace fades with this, us: one slow answer would else keep sends, and its mending, away.
-    private static final double PACE_FADE_US = 8_000_000;
     /** Bounds on what a cost hint may make of a request, in requests of the mean: hints can be rough. */
     private static final double MIN_LOAD = 0.3;
     private static final double MAX_LOAD = 4;
@@ -122,37 +109,48 @@
     /** What is known of one server. */
     private static final class Server {
         final String host;
+        final long hash;
         int zone;
         int cell;
         boolean ready;
         boolean draining;
         double weight;
         long startedUs;
-        double size = 1;          // registered weight over the fleet's mean
+        double size = 1;          // registered weight: how many requests it works on at once
         double orderKey;          // place in this balancer's permutation
+        double keyPlace;          // and in that of the key in hand
         boolean buddy;
         int own;                  // own attempts out
         long answeredAt;          // the last answer of any kind
-        double gap;               // usual time between answers while legs are out, us, running mean
+        double awaited;           // by the legs that are out, in times that their answers usually take
         long silentSince;         // while any is out: the last outcome, or the send that ended its idleness
         double reported = Double.NaN;
         double others;            // held for others, as told, running mean
         long reportAt;
+        long changedAt;           // the last report that told another figure
+        double refresh = REFRESH_US;  // usual time between two such, us, running mean
         double heldSeen;          // requests held a unit of size as told with answers, running mean
         double took;              // what those answers took, us, running mean
-        long pacedAt;             // the last of them
         boolean flag;
         long flagSetAt;           // the timer: from then on the flag counts as set
-        long holdUntil;
         int strikes;
         long shunUntil;
         boolean trial;            // failed, and not yet proved sound again
         double doubt = DOUBT_NONE;
-        int badRun;               // refusals and time-outs, less the answers since
         long coldUntil;           // while cold: nothing more before
 
         Server(String host) {
             this.host = host;
+            hash = Scatter.mix(host.hashCode());
+        }
+    }
+
+    /** What an answer to a class's requests usually takes, us: a running mean. */
+    private static final class Usual {
+        double took;
+
+        Usual(double guess) {
+            took = guess;
         }
     }
 
@@ -160,6 +158,7 @@
     private static final class Held {
         final Request request;
         final ServiceClass type;
+        final Usual usual;
         long usefulUntil;         // an answer after this is worth nothing
         final double load;        // its work, in requests of the mean: 1 without a cost hint
         int sendCap;              // attempts that it may have
@@ -172,9 +171,11 @@
         long sentAt;
         int cut;                  // attempts of which the last was given up as its server is silent
 
-        Held(Request request, ServiceClass type, long usefulUntil, double load, double worthShare, int sendCap) {
+        Held(Request request, ServiceClass type, Usual usual, long usefulUntil, double load, double worthShare,
+                int sendCap) {
             this.request = request;
             this.type = type;
+            this.usual = usual;
             this.usefulUntil = usefulUntil;
             this.load = load;
             this.worthShare = worthShare;
@@ -196,12 +197,6 @@
     private final Map<String, Long> longestLeft = new HashMap<>(); // per class: the try that clients grant
     private boolean someRepeatable;
     private double haste;                                          // what the fitted times are multiplied by
-    private final double spread;                                   // own multiple of the thresholds
-    private final double[] lateShare;                              // of recent answers, by zone
-    private final double[] fullShare;                              // of recent attempts turned away, by zone
-    private final double[] zoneHeld;                               // usually held a unit of size, by zone
-    private final long[] zoneAt;
-    private final long[] triedAt;
     private final ZoneLoss zoneLoss;
     private AskPace askPace;
     private ColdBudget cold;
@@ -211,6 +206,8 @@
     private double meanWorth;
     private double setHeld = 1;                                    // of all answered sends, as per server
     private double setTook;
+    private final Map<String, Usual> usual = new HashMap<>();      // by class, looked up only
+    private double leastAim;
     private int answers = 1;                                       // the guess at the start counts as one
     private double commonFailures;
     private boolean watching;
@@ -221,24 +218,18 @@
     public Balance(Settings settings, long seed, Actions actions) {
         this.actions = actions;
         random = new SplittableRandom(seed);
-        int zones = settings.zones().size();
-        lateShare = new double[zones];
-        fullShare = new double[zones];
-        zoneHeld = new double[zones];
-        triedAt = new long[zones];
-        zoneAt = new long[zones];
         use(settings);
-        spread = SPREAD_LOW + SPREAD_WIDTH * Scatter.unit(Scatter.mix(settings.position() + 1L));
-        zoneLoss = new ZoneLoss(zones, hasty(SHUN_FIRST_US));
+        zoneLoss = new ZoneLoss(settings.zones().size(), hasty(SHUN_FIRST_US));
     }
 
     private void use(Settings next) {
         next.check(settings);
         settings = next;
         someRepeatable = next.classes().stream().anyMatch(c -> c.semantics() != Semantics.FRAGILE);
-        long shortest = next.classes().stream().mapToLong(ServiceClass::aimUs).min().getAsLong();
-        haste = Math.min(1, shortest / FITTED_AIM_US);
-        setTook = setTook == 0 ? AIM_TH_U * shortest : setTook;
+        leastAim = next.classes().stream().mapToLong(ServiceClass::aimUs).min().getAsLong();
+        haste = Math.min(1, leastAim / FITTED_AIM_US);
+        setTook = setTook == 0 ? GUESS_SHARE * leastAim : setTook;
+        next.classes().forEach(c -> usual.putIfAbsent(c.name(), new Usual(GUESS_SHARE * c.aimUs())));
         cold = new ColdBudget(next.coldStart());
         askPace = new AskPace(next.discovery(), Scatter.fraction(next.position()), random);
         tenants = new TenantMix(next.tenants(), next.overShareWorth());
@@ -302,9 +293,7 @@
         }
         boolean ready = e.state() == HostState.READY;
         boolean changed = s.ready != ready || s.weight != e.weight() || s.startedUs != e.startedUs();
-        if (ready && e.startedUs() > s.startedUs) {
-            restart(now, s);          // what was known is about a process that is gone
-        }
+        boolean anew = ready && e.startedUs() > s.startedUs;
         s.ready = ready;
         s.draining = e.state() == HostState.DRAINING;
         if (e.zone() >= 0) {
@@ -313,13 +302,17 @@
             s.weight = e.weight();
             s.startedUs = e.startedUs();
         }
+        if (anew) {
+            restart(now, s);          // what was known is about a process that is gone
+        }
         return changed;
     }
 
     private void restart(long now, Server s) {
         s.reported = Double.NaN;
-        s.strikes = s.badRun = 0;
-        s.shunUntil = s.holdUntil = s.coldUntil = 0;
+        s.strikes = 0;
+        s.shunUntil = 0;
+        s.coldUntil = now + random.nextLong(coldPause(now, s));
         s.trial = false;
         s.doubt = DOUBT_NONE;
         zoneLoss.started(s.zone);
@@ -332,10 +325,10 @@
         List<Server> foreign = new ArrayList<>();
         int home = homeZone();
         listed.stream().filter(s -> s.ready).forEach(s -> (s.zone == home ? local : foreign).add(s));
-        double total = listed.stream().filter(s -> s.ready).mapToDouble(s -> Math.max(0, s.weight)).sum();
+        double least = listed.stream().filter(s -> s.ready && s.weight > 0).mapToDouble(s -> s.weight).min().orElse(1);
         int ready = local.size() + foreign.size();
         for (Server s : listed) {
-            s.size = total > 0 ? Math.max(0.05, s.weight * ready / total) : 1;
+            s.size = Math.max(0.05, s.weight / Math.min(1, least));
             if (Double.isNaN(s.orderKey)) {
                 // The paper permutes orders so that those who share a head do not share a second choice too.
                 long own = s.host.hashCode() * 31L + settings.position() * 0x9E3779B97F4AL;
@@ -366,6 +359,8 @@
             if (!s.buddy) {           // a new buddy starts clear
                 s.flag = false;
                 s.flagSetAt = now + hasty(NEW_FLAG_US) / 2 + random.nextLong(hasty(NEW_FLAG_US));
+                // Else each of many who met it just now would begin with a send at once.
+                s.coldUntil = Math.max(s.coldUntil, now + random.nextLong(coldPause(now, s)));
             }
         }
         buddies.forEach(s -> s.buddy = false);
@@ -385,9 +380,12 @@
     private Server takeIn(long now) {
         // Each answers before the next: where this process itself is late, new connections would make it later.
         if (lastJoined != null && lastJoined.own > 0 && lastJoined.answeredAt < grownAt
-                || buddies.size() < setSize || setSize >= SET_PER_HELD * held.size()
-                || buddies.stream().mapToDouble(s -> s.own).sum()
-                        < OWN_SHARE * buddies.stream().mapToDouble(s -> held(now, s)).sum()) {
+                || buddies.size() < setSize || setSize >= SET_PER_HELD * held.size()) {
+            return null;
+        }
+        // Of those heard of: what the others hold for other balancers is not known, and no reason to take in more.
+        List<Server> known = buddies.stream().filter(s -> !Double.isNaN(s.reported)).toList();
+        if (known.stream().mapToDouble(s -> s.own - OWN_SHARE * held(now, s)).sum() <= 0) {
             return null;
         }
         List<Server> before = buddies;
@@ -433,7 +431,7 @@
             meanHint += (meanHint == 0 ? 1 : MIX_GAIN) * (r.costHintUs() - meanHint);
             load = Math.max(MIN_LOAD, Math.min(MAX_LOAD, r.costHintUs() / meanHint));
         }
-        Held h = new Held(r, type, now + useful, load, worthShare, settings.limits().sendCap());
+        Held h = new Held(r, type, usual.get(type.name()), now + useful, load, worthShare, settings.limits().sendCap());
         held.put(r.id(), h);
         proceed(now, h);
     }
@@ -448,7 +446,8 @@
 
     /** The mechanism's rule, and what departs from it where it would send into a queue that is too long. */
     private Server pick(long now, Held h) {
-        double limit = spread * AIM_TH_V * h.type.aimUs() * h.worthShare;
+        double limit = TH_V * setPace() * h.worthShare;
+        List<Server> order = orderFor(h);
         for (Server s : buddies) {
             if (zoneLoss.isLost(s.zone) && usable(now, h, s)) {
                 return s;             // now and then, else nobody would learn that its zone is back
@@ -459,7 +458,7 @@
         Server unasked = null;
         double leastFigure = 0;
         double askEvery = Math.sqrt(senders) * h.type.aimUs();
-        for (Server s : buddies) {
+        for (Server s : order) {
             if (!usable(now, h, s) || head != null && !worthDiverting(now, h, s, head)) {
                 continue;
             }
@@ -474,7 +473,7 @@
                 least = s;
                 leastFigure = figure;
             }
-            if (s.own == 0 && now - Math.max(s.silentSince, s.reportAt) > askEvery && now >= s.holdUntil
+            if (s.own == 0 && now - Math.max(s.silentSince, s.reportAt) > askEvery
                     && (unasked == null || s.silentSince < unasked.silentSince)) {
                 unasked = s;
             }
@@ -486,19 +485,44 @@
         if (joined != null && usable(now, h, joined) && figure(now, joined, h.load) < leastFigure) {
             least = joined;
         }
+        if (order != buddies) {
+            List<Server> open = order.stream().filter(s -> usable(now, h, s)).toList();
+            double room = ROOM * open.stream().mapToDouble(s -> figure(now, s, h.load)).average().orElse(0);
+            least = open.stream().filter(s -> figure(now, s, h.load) <= room).findFirst().orElse(least);
+        }
         // Past TH_v everywhere the head would take it, and heads that many share would be swamped: the least
         // figure takes it; where even that is late, nobody does: better refused early than failed late.
+        // Where keys are remembered it is the first in the key's order that has room, as balancers who share what they
+        // know would all find the same least figure.
         // One not asked and not heard of for so long is asked first: figures that keep all sends away from everywhere
         // would never be corrected, and the refusals never end.
-        return inTime(now, h, least) ? least : h.worthShare > ASKING_WORTH ? unasked : null;
+        return hasRoom(now, least, h.worthShare) ? least : h.worthShare > ASKING_WORTH ? unasked : null;
+    }
+
+    /**
+     * The buddies, from the one whose turn it is. Where servers work less on keys that they met lately, that is the
+     * key's doing and not the balancer's, so that all balancers turn to the same server with the same key; who is sent
+     * what it has no room for is diverted as ever. Highest random weight (Thaler, Ravishankar 1998): a server that
+     * comes or goes moves its own keys alone.
+     */
+    private List<Server> orderFor(Held h) {
+        if (!settings.warmKeys() || h.request.key() == null) {
+            return buddies;
+        }
+        long key = Scatter.mix(h.request.key().hashCode());
+        buddies.forEach(s -> s.keyPlace = -Math.log(Scatter.unit(Scatter.mix(key ^ s.hash))) / s.size);
+        List<Server> order = new ArrayList<>(buddies);
+        order.sort(Comparator.comparingDouble((Server s) -> s.keyPlace).thenComparing(s -> s.host));
+        return order;
     }
 
-    private boolean inTime(long now, Held h, Server s) {
-        int z = s.zone;
-        double late = lateShare[z] * fresh(now, triedAt[z]);
-        double share = Math.max(ADMIT_MIN, Math.min(ADMIT_MAX, ADMIT_LOSS / Math.max(0.01, late)));
-        // A try that can only be late is often the heavy request that timed out before: it needs an idle one.
-        return figure(now, s, h.load) <= share * h.worthShare * h.type.aimUs();
+    private boolean hasRoom(long now, Server s, double worthShare) {
+        return held(now, s) + 1 <= room(s) * (LITTLE_WORTH + (1 - LITTLE_WORTH) * worthShare);
+    }
+
+    /** The most that a server may hold, for all. */
+    private double room(Server s) {
+        return QUEUE_SHARE * leastAim / setPace() * s.size;
     }
 
     /** Acts when every buddy is failing, on trial or cold: the first in order that the rules allow. */
@@ -513,18 +537,12 @@
             return true;
         }
         // A head that would not get the send at all saves nothing.
-        double lossAtHead = inTime(now, h, head) ? lossGuess(figure(now, head, h.load) / h.type.aimUs()) : 1;
-        double saved = lossAtHead - lossGuess(figure(now, s, h.load) / h.type.aimUs());
-        // Each attempt that crosses is paid for; where most are turned away, it takes several to be served.
-        saved *= 1 - fullShare[s.zone] * fresh(now, triedAt[s.zone]);
+        double lossAtHead = hasRoom(now, head, h.worthShare) ? Math.min(1, figure(now, head, h.load) / h.type.aimUs())
+                : 1;
+        double saved = lossAtHead - Math.min(1, figure(now, s, h.load) / h.type.aimUs());
         return saved * h.type.importance() * h.worthShare > settings.prices().crossZone() * meanWorth;
     }
 
-    /** Chance that a send with this figure misses its aim: exponential answer times, and queues that grow. */
-    private static double lossGuess(double shareOfAim) {
-        return Math.min(1, Math.max(Math.exp(-1 / shareOfAim), shareOfAim - SURE_SHARE));
-    }
-
     private boolean usable(long now, Held h, Server s) {
         if (!maySend(now, h, s) || h.attempts.contains(s) || now < s.shunUntil
                 || zoneLoss.isLost(s.zone) && (!zoneLoss.mayTry(now, s.zone) || !h.attempts.isEmpty())) {
@@ -539,57 +557,45 @@
 
     /** Requests held, as last reported, with own sends and answers since added and taken off. */
     private double held(long now, Server s) {
-        int z = s.zone;
-        double usual = zoneHeld[z] * s.size * fresh(now, zoneAt[z]);
-        if (Double.isNaN(s.reported)) {
-            return Math.max(usual, s.own);
-        }
-        double fresh = Math.exp((s.reportAt - now) / (FADE_US * haste));
-        return fresh * s.others + (1 - fresh) * Math.max(0, usual - s.own) + s.own;
-    }
-
-    /** The lower median of what a zone's buddies told of late: one loaded head must not condemn its zone. */
-    private void noteZone(long now, int zone) {
-        double[] known = buddies.stream().filter(s -> s.zone == zone && !Double.isNaN(s.reported)
-                && now - s.reportAt < ZONE_FADE_US * haste).mapToDouble(s -> s.reported / s.size).sorted().toArray();
-        zoneHeld[zone] = known.length < 2 ? 0 : known[(known.length - 1) / 2];
-        zoneAt[zone] = now;
-    }
-
-    /** How much of what was learnt of a zone at that time still counts. */
-    private double fresh(long now, long learntAt) {
-        return Math.exp((learntAt - now) / (ZONE_FADE_US * haste));
+        return Math.exp((s.reportAt - now) / (FADE_US * haste)) * s.others + s.own;
     }
 
     private void told(long now, Server s, double requests) {
         boolean first = Double.isNaN(s.reported);
+        if (requests != s.reported) {
+            s.refresh += PACE_GAIN * (now - s.changedAt - s.refresh);
+            s.changedAt = now;
+        }
         s.reported = requests;
         double others = Math.max(0, requests - s.own - 1);
-        double gain = first ? 1 : 1 - Math.exp((s.reportAt - now) / (OTHERS_US * haste));
+        double fade = Math.min(OTHERS_US * haste, OTHERS_REFRESHES * s.refresh);
+        double gain = first ? 1 : 1 - Math.exp((s.reportAt - now) / fade);
         s.others += gain * (others - s.others);
         s.reportAt = now;
-        noteZone(now, s.zone);
     }
 
     // The paper's cumulative execution time: what the server holds, with {@code more}, times the pace it
     // shows.
     private double figure(long now, Server s, double more) {
-        double time = (held(now, s) + more) / s.size * pace(now, s) / cold.warmth(now, s.startedUs);
+        double time = (held(now, s) + more) / s.size * pace(s) / cold.warmth(now, s.startedUs);
         if (s.own > 0) {
             // No outcome for so long while own requests are out: a hanging server sends no report to say so.
             time = Math.max(time, now - s.silentSince);
         }
-        return now < s.holdUntil ? Math.max(time, HOLD_SHARE * meanAim) : time;
+        return time;
     }
 
     // Time per request held and unit of size (Little's law), leaning on the whole set where little was sent.
-    private double pace(long now, Server s) {
-        double own = Math.exp((s.pacedAt - now) / (PACE_FADE_US * haste));
-        return (own * s.took + PACE_PRIOR * setTook) / (own * s.heldSeen + PACE_PRIOR * setHeld);
+    private double pace(Server s) {
+        return (s.took + PACE_PRIOR * setTook) / (s.heldSeen + PACE_PRIOR * setHeld);
     }
 
-    private void notePace(long now, Server s, double heldPerSize, double took) {
-        s.pacedAt = now;
+    /** The same over the whole set. */
+    private double setPace() {
+        return setTook / setHeld;
+    }
+
+    private void notePace(Server s, double heldPerSize, double took) {
         s.heldSeen += PACE_GAIN * (heldPerSize - s.heldSeen);
         s.took += PACE_GAIN * (took - s.took);
         double gain = Math.max(PACE_GAIN / 2, 1.0 / ++answers);
@@ -597,9 +603,15 @@
         setTook += gain * (took - setTook);
     }
 
+    /** Between two sends of this balancer to a server that is cold, us; 1 where it is warm. */
+    private long coldPause(long now, Server s) {
+        double warmth = cold.warmth(now, s.startedUs);
+        return warmth >= 1 ? 1 : 1 + cold.pauseUs(pace(s) / s.size, senders, warmth);
+    }
+
     private void clearFlag(long now, Server s) {
         s.flag = false;
-        long timer = hasty(FLAG_TIMER_US << Math.min(s.badRun, HOLD_DOUBLINGS));
+        long timer = hasty(FLAG_TIMER_US);
         s.flagSetAt = now + timer / 2 + random.nextLong(timer);
     }
 
@@ -639,10 +651,7 @@
         }
         s.silentSince = s.own++ == 0 ? now : s.silentSince;
         zoneLoss.sent(now, s.zone);
-        double warmth = cold.warmth(now, s.startedUs);
-        if (warmth < 1) {
-            s.coldUntil = now + cold.pauseUs(pace(now, s) / s.size, senders, warmth);
-        }
+        s.coldUntil = now + coldPause(now, s);
         long timeout = h.usefulUntil - now;
         if (s.trial && buddies.stream().anyMatch(o -> o != s && !o.trial && maySend(now, h, o))) {
             timeout = Math.min(timeout, (long) (TRIAL_SHARE * h.type.aimUs()));
@@ -683,12 +692,9 @@
             boolean silent = outcome == Outcome.TIMEOUT && s.answeredAt <= now - tookUs
                     && (s.own > 0 || s.trial);
             if (outcome == Outcome.OK || outcome == Outcome.ERROR || outcome == Outcome.REFUSED) {
-                s.gap += PACE_GAIN * (now - s.silentSince - s.gap);
                 s.answeredAt = now;
             }
             s.silentSince = now;
-            // Far longer than what the server shows with others: this leg or its connection was lost.
-            boolean queued = outcome == Outcome.TIMEOUT && !silent && tookUs < LOST * figure(now, s, 1);
             // A connect that failed late may be this process's own lateness; one that was refused is not.
             boolean nobody = silent || outcome == Outcome.CONNECT_FAILED && tookUs < TRIAL_SHARE * meanAim;
             boolean met = outcome != Outcome.CONNECT_FAILED && outcome != Outcome.TIMEOUT;
@@ -699,13 +705,13 @@
                 log(now, "zone " + (zoneLoss.isLost(s.zone) ? "lost: " : "back: ") + settings.zones().get(s.zone));
                 formSet(now);
             }
-            judge(now, s, outcome, silent, queued);
+            judge(now, s, outcome, silent);
             noteReport(now, s, report);
-            triedAt[s.zone] = now;
-            fullShare[s.zone] += LATE_GAIN * ((outcome == Outcome.REFUSED ? 1 : 0) - fullShare[s.zone]);
-            if (outcome == Outcome.OK || queued) {
-                long aim = h == null ? Long.MAX_VALUE : h.type.aimUs();
-                noteTime(now, s, outcome == Outcome.OK, tookUs, aim, report);
+            if (outcome == Outcome.OK && h != null) {
+                h.usual.took += CLASS_GAIN * (tookUs - h.usual.took);
+            }
+            if (outcome == Outcome.OK && report != null && s.reportAt == now) {
+                notePace(s, Math.max(1, s.reported / s.size), tookUs);
             }
         }
         if (h == null) {
@@ -725,22 +731,10 @@
         proceed(now, h);
     }
 
-    /** What an answer, or the lack of one, says of the server's pace and of its zone. */
-    private void noteTime(long now, Server s, boolean answered, long tookUs, long aim, LoadReport report) {
-        double late = !answered ? 1 : tookUs > aim ? LATE_ANSWER : 0;
-        lateShare[s.zone] += LATE_GAIN * (late - lateShare[s.zone]);
-        if (!answered) {
-            told(now, s, Math.min(MAX_HELD, HOLD_SHARE * meanAim / Math.max(1, pace(now, s)) * s.size));
-        } else if (report != null && s.reportAt == now) {
-            notePace(now, s, Math.max(1, s.reported) / s.size, tookUs);
-        }
-    }
-
     /** Failure diversion: what an outcome says about the server's health and its flag. */
-    private void judge(long now, Server s, Outcome outcome, boolean silent, boolean queued) {
+    private void judge(long now, Server s, Outcome outcome, boolean silent) {
         switch (outcome) {
             case OK -> {
-                s.badRun = Math.max(0, s.badRun - 1);
                 commonFailures -= COMMON_GAIN * commonFailures;
                 s.doubt = Math.max(DOUBT_NONE, s.doubt - DOUBT_TAKE);
                 if (s.trial && s.doubt < -2 * DOUBT_TAKE) {
@@ -750,20 +744,15 @@
                 }
             }
             case REFUSED -> {
-                // Room may come with the next answer.
-                s.holdUntil = Math.max(s.holdUntil, now + hasty(HOLD_US));
                 clearFlag(now, s);
+                s.others = Math.max(s.others, room(s));       // until it says otherwise, or that has faded
+                s.reportAt = now;
             }
             case TIMEOUT -> {
-                if (!queued) {
-                    if (silent) {
-                        sparedAsSilent(now, s);
-                    }
-                    return;
-                }
-                s.holdUntil = now + hasty(TIMEOUT_HOLD_US << Math.min(s.badRun, HOLD_DOUBLINGS));
-                s.badRun++;
                 clearFlag(now, s);
+                if (silent) {
+                    sparedAsSilent(now, s);
+                }
             }
             case ERROR, RESET, CONNECT_FAILED -> {
                 double odds = FAILING_SHARE / Math.max(COMMON_MIN, commonFailures);
@@ -803,10 +792,15 @@
 
     /** Gives up the legs at servers that have fallen silent, where others may still serve the requests. */
     private void watchLegs(long now) {
+        listed.forEach(s -> s.awaited = 0);
+        for (Held h : held.values()) {
+            if (h.out > 0 && !h.uploading) {
+                Server s = h.attempts.get(h.attempts.size() - 1);
+                s.awaited += (now - Math.max(h.sentAt, s.silentSince)) / h.usual.took;
+            }
+        }
         for (Server s : listed) {
-            double share = s.own > 1 ? SILENT_SHARE : 2 * SILENT_SHARE;
-            double patience = Math.max(share * meanAim, SILENT_GAPS * Math.max(s.gap, setTook));
-            if (s.own == 0 || now < s.shunUntil || now - s.silentSince < patience) {
+            if (now < s.shunUntil || s.awaited < SILENT_TIMES) {
                 continue;
             }
             sparedAsSilent(now, s);
@@ -844,10 +838,10 @@
             return;                   // also NaN: one broken report must not upset the running means for good
         }
         told(now, s, requests);
-        double figure = requests / s.size * pace(now, s);
-        if (figure > spread * AIM_TH_F * meanAim) {
+        double figure = requests / s.size * pace(s) / setPace();
+        if (figure > TH_F) {
             clearFlag(now, s);
-        } else if (figure <= spread * AIM_TH_U * meanAim && !s.trial && now >= s.holdUntil) {
+        } else if (figure <= TH_U && !s.trial) {
             s.flag = true;
         }
     }
--- a/core/src/main/java/dapplequay/BalancerApi.java
+++ b/core/src/main/java/dapplequay/BalancerApi.java
@@ -65,7 +65,7 @@
      */
     record Settings(int position, int balancers, int zone, List<String> zones, List<ServiceClass> classes,
                     List<Tenant> tenants, double overShareWorth, Discovery discovery, Limits limits,
-                    ColdStart coldStart, Prices prices) {
+                    ColdStart coldStart, Prices prices, boolean warmKeys) {
         public Settings {
             zones = List.copyOf(zones);
             classes = List.copyOf(classes);
--- a/core/src/main/java/dapplequay/settings/SettingsReader.java
+++ b/core/src/main/java/dapplequay/settings/SettingsReader.java
@@ -96,7 +96,9 @@
                 new ColdStart(rules.real("cold_from"), rules.whole("warm_up_us"), rules.real("tip_multiple"),
                         rules.whole("tip_after_us")),
                 new Prices(prices.real("cross_zone", 0), prices.real("waste", 0), prices.real("late_fail", 0),
-                        prices.real("probe", 0), prices.real("handshake", 0)));
+                        prices.real("probe", 0), prices.real("handshake", 0)),
+                fields.get("domain") != null && object("domain").fields.get("warm_keys") != null
+                        && object("domain").truth("warm_keys"));
         return new Setup(settings, classIndex, tenantIndex,
                 limits.whole("connect_timeout_us", CONNECT_TIMEOUT_US),
                 limits.whole("conn_idle_us", CONN_IDLE_US));
