What a request is about reaches the module as its key; what does not fit gets 400

An unknown class, a wrong method, a body with a class that is safe to repeat, an obj that is empty, too long or there twice: 400 with a reason, and no host is asked (404 and 405 before). An Idempotency-Key with a class that nobody may repeat passes: a class may become stricter while its clients still send it.

--- a/core/src/main/java/dapplequay/facade/Call.java
+++ b/core/src/main/java/dapplequay/facade/Call.java
@@ -2,8 +2,9 @@
 
 /**
  * What the module is told of one request: class and tenant by name, as their places may change with the settings
- * ({@code tenant} null: none), the time the client still waits, the cost hint (0: none), whether the client marked
- * a retry, and whether its body is still coming and will be passed on as it comes.
+ * ({@code tenant} null: none), what it is about ({@code key}, null: not said), the time the client still waits, the
+ * cost hint (0: none), whether the client marked a retry, and whether its body is still coming and will be passed on
+ * as it comes.
  */
 public record Call(String serviceClass, String tenant, String key, long leftUs, long costHintUs,
                    boolean clientRetry, boolean upload) {
--- a/sidecar/src/main/java/dapplequay/net/AcquirerRequest.java
+++ b/sidecar/src/main/java/dapplequay/net/AcquirerRequest.java
@@ -15,20 +15,27 @@
 /**
  * A request of the acquirer's, checked against the settings: what is wrong with it, no issuer host sees. {@code body}:
  * all of a short one's; of a long one the part that is held, and {@code rest} is what is still to come (else null).
+ * {@code about}: the key that hosts may remember, or null.
  */
-record AcquirerRequest(Head head, byte[] body, Body rest, String className, String tenant, long budgetUs) {
+record AcquirerRequest(Head head, byte[] body, Body rest, String className, String tenant, String about,
+                       long budgetUs) {
     private static final List<String> REPLACED = List.of("host", "x-budget-ms");
+    private static final String ABOUT = "obj=";
+    private static final int LONGEST_ABOUT = 1_024;
 
     static AcquirerRequest check(Head head, byte[] body, Body rest, Setup setup) throws BadMessage {
-        String path = head.start[1].split("\\?", 2)[0];
-        String className = path.substring(1).split("/", 2)[0];
+        String[] target = head.start[1].split("\\?", 2);
+        String className = target[0].substring(1).split("/", 2)[0];
         Integer serviceClass = setup.classes().get(className);
         if (serviceClass == null) {
-            throw new BadMessage(404, "unknown class");
+            throw new BadMessage(400, "unknown class");
         }
         Semantics semantics = setup.settings().classes().get(serviceClass).semantics();
         if (!head.start[0].equals(semantics == Semantics.RETRYABLE ? "GET" : "POST")) {
-            throw new BadMessage(405, "wrong method for this class");
+            throw new BadMessage(400, "wrong method for this class");
+        }
+        if (semantics == Semantics.RETRYABLE && (rest != null || body.length > 0)) {
+            throw new BadMessage(400, "a body with a class that is safe to repeat");
         }
         String key = head.get("Idempotency-Key");
         if (semantics == Semantics.DEDUP && (key == null || key.isEmpty())) {
@@ -45,10 +52,24 @@
         // No client waits for longer than its class grants: a greater figure would hold a leg for good, and
         // make all others look like later tries to the module.
         long longestUs = setup.settings().classes().get(serviceClass).deadlineUs();
-        return new AcquirerRequest(head, body, rest, className, tenant(head, setup),
+        return new AcquirerRequest(head, body, rest, className, tenant(head, setup), about(target),
                 Math.min(Long.parseLong(budget) * 1000, longestUs));
     }
 
+    /** What the request is about, as its query says; null where it does not. */
+    private static String about(String[] target) throws BadMessage {
+        String found = null;
+        for (String pair : target.length < 2 ? new String[0] : target[1].split("&")) {
+            if (pair.startsWith(ABOUT)) {
+                if (found != null || pair.length() == ABOUT.length() || pair.length() > LONGEST_ABOUT) {
+                    throw new BadMessage(400, "obj is empty, too long or there twice");
+                }
+                found = pair.substring(ABOUT.length());
+            }
+        }
+        return found;
+    }
+
     private static String tenant(Head head, Setup setup) throws BadMessage {
         if (setup.tenants().isEmpty()) {
             return null;
@@ -75,7 +96,7 @@
                 }
             }
         }
-        return new Call(className, tenant, head.get("Idempotency-Key"), leftUs, hint,
+        return new Call(className, tenant, about, leftUs, hint,
                 "1".equals(head.get("X-Again")), isLong());
     }
 
--- a/sidecar/src/main/java/dapplequay/net/WarmUp.java
+++ b/sidecar/src/main/java/dapplequay/net/WarmUp.java
@@ -96,9 +96,10 @@
         var tenants = setup.settings().tenants();
         String tenant = tenants.isEmpty() ? ""
                 : "X-Caller: " + tenants.get(number % tenants.size()).name() + "\r\n";
-        return (type.semantics() == Semantics.RETRYABLE ? "GET /" : "POST /") + type.name()
-                + "/1?a=b HTTP/1.1\r\nHost: w\r\nX-Call-Id: " + Integer.toHexString(number) + "\r\n" + tenant
-                + "X-Budget-Ms: " + Math.max(1, type.deadlineUs() / 1000) + "\r\nIdempotency-Key: k\r\n"
-                + "Content-Length: 4\r\n\r\nbody";
+        boolean get = type.semantics() == Semantics.RETRYABLE;
+        return (get ? "GET /" : "POST /") + type.name() + "/1?obj=w" + number
+                + " HTTP/1.1\r\nHost: w\r\nX-Call-Id: " + Integer.toHexString(number) + "\r\n" + tenant
+                + "X-Budget-Ms: " + Math.max(1, type.deadlineUs() / 1000) + "\r\n"
+                + (get ? "\r\n" : "Idempotency-Key: k\r\nContent-Length: 4\r\n\r\nbody");
     }
 }
