--- a/core/src/main/java/dapplequay/facade/Facade.java
+++ b/core/src/main/java/dapplequay/facade/Facade.java
@@ -9,19 +9,30 @@
 import dapplequay.BalancerApi.LoadReport;
 import dapplequay.BalancerApi.Request;
 import dapplequay.settings.SettingsReader.Setup;
+import java.io.PrintWriter;
+import java.io.StringWriter;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.PriorityQueue;
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.function.Consumer;
+import java.util.function.Function;
 import java.util.function.LongSupplier;
 
 /**
  * The decision module in blocking style: each call takes the one lock, tells the module, and returns what is
- * to be done. No call waits for anything but the lock, save {@link #awaitWatch}. It knows no protocol.
+ * to be done. No call waits for anything but the lock, save {@link #awaitWatch}. It knows no protocol. What the module
+ * throws ends here: it is counted and told with its trace, the request in hand fails, and the next is decided as ever.
  */
 public final class Facade {
+    /** A timer whose event the module could not take comes again after this, us: what repeats must not stop. */
+    private static final long TIMER_AGAIN_US = 1_000_000;
+    /** At least this long between two faults that are told with their traces, us; all are counted. */
+    private static final long FAULT_GAP_US = 1_000_000;
+    /** How a line begins that tells of a fault. */
+    public static final String FAULT = "the decision module threw: ";
+
     private Setup setup;
     private final LongSupplier clock;
     private final Consumer<String> log;
@@ -35,6 +46,8 @@
     private int sends;
     private Decision decided;
     private boolean watchWanted;
+    private long faults;
+    private long nextFaultAt = Long.MIN_VALUE;
 
     /** A leg that is not to be waited for any longer; its end is reported like any other. */
     public record Cut(long id, int leg) { }
@@ -49,10 +62,15 @@
 
     /** {@code clock}: Unix time in microseconds; {@code log}: takes the module's lines, outside the lock. */
     public Facade(Setup setup, long seed, LongSupplier clock, Consumer<String> log) {
+        this(setup, clock, log, actions -> new Balance(setup.settings(), seed, actions));
+    }
+
+    /** With another module, as tests have it. */
+    Facade(Setup setup, LongSupplier clock, Consumer<String> log, Function<BalancerApi.Actions, BalancerApi> module) {
         this.setup = setup;
         this.clock = clock;
         this.log = log;
-        module = new Balance(setup.settings(), seed, new Taken());
+        this.module = module.apply(new Taken());
         watchWanted = isPushed(setup);
     }
 
@@ -75,9 +93,11 @@
      * IllegalArgumentException, and no change, where they make no sense, or would change the zones.
      */
     public synchronized void retune(Setup next) {
+        next.settings().check(setup.settings());
         begin(0, 0);
-        module.retune(clock.getAsLong(), next.settings());
+        // Classes and tenants go by their places in the settings: both sides go over, or each call would meet another.
         setup = next;
+        guarded(() -> module.retune(clock.getAsLong(), next.settings()));
         if (isPushed(next)) {
             watchAnew();
         }
@@ -93,18 +113,50 @@
         }
         begin(id, 0);
         long now = clock.getAsLong();
-        module.request(now, new Request(id, serviceClass, tenant, call.key(), call.leftUs(), call.costHintUs(),
-                call.clientRetry()));
-        if (call.upload() && decided instanceof Decision.Send) {
-            module.body(now, id, BodyStage.COMING);
+        boolean sound = guarded(() -> {
+            module.request(now, new Request(id, serviceClass, tenant, call.key(), call.leftUs(), call.costHintUs(),
+                    call.clientRetry()));
+            if (call.upload() && decided instanceof Decision.Send) {
+                module.body(now, id, BodyStage.COMING);
+            }
+        });
+        return sound ? decided : givenUp(now, id, false);
+    }
+
+    /** What the module owes an answer for and can't decide: nothing more of it goes out. */
+    private Decision givenUp(long now, long id, boolean over) {
+        begin(0, 0);
+        guarded(() -> module.gone(now, id));
+        return over ? new Decision.Rest() : new Decision.Fail();
+    }
+
+    /** One call of the module's; false where it threw. */
+    private boolean guarded(Runnable call) {
+        try {
+            call.run();
+            return true;
+        } catch (RuntimeException e) {
+            faults++;
+            long now = clock.getAsLong();
+            if (now >= nextFaultAt) {
+                nextFaultAt = now + FAULT_GAP_US;
+                StringWriter trace = new StringWriter();
+                e.printStackTrace(new PrintWriter(trace, true));
+                lines.add(FAULT + trace.toString().strip());
+            }
+            return false;
         }
-        return decided;
+    }
+
+    /** How often the module has thrown since the start. */
+    public synchronized long faults() {
+        return faults;
     }
 
     /** The last byte of a long request was written to its leg: its time begins now. */
     public synchronized void uploaded(long id) {
         begin(0, 0);
-        module.body(clock.getAsLong(), id, BodyStage.WHOLE);
+        guarded(() -> module.body(clock.getAsLong(), id, BodyStage.WHOLE));
     }
 
     /**
@@ -115,15 +167,18 @@
                                         HostLoad load, Upload body) {
         begin(id, leg + 1);
         long now = clock.getAsLong();
-        if (body == Upload.PASSED_ON) {
-            module.body(now, id, BodyStage.PASSED_ON);
-        }
-        module.outcome(now, id, leg, host, end.outcome, tookUs, over || end == LegEnd.SERVED,
-                load == null ? null : new LoadReport(load.queue(), load.inFlight()));
-        if (body == Upload.COMING && decided instanceof Decision.Send) {
-            module.body(now, id, BodyStage.COMING);
-        }
-        return decided;
+        boolean answered = over || end == LegEnd.SERVED;
+        boolean sound = guarded(() -> {
+            if (body == Upload.PASSED_ON) {
+                module.body(now, id, BodyStage.PASSED_ON);
+            }
+            module.outcome(now, id, leg, host, end.outcome, tookUs, answered,
+                    load == null ? null : new LoadReport(load.queue(), load.inFlight()));
+            if (body == Upload.COMING && decided instanceof Decision.Send) {
+                module.body(now, id, BodyStage.COMING);
+            }
+        });
+        return sound ? decided : givenUp(now, id, answered);
     }
 
     /** The same for a request that was held whole. */
@@ -134,12 +189,14 @@
     /** The client has left; a leg that is still out is reported when it has ended. */
     public synchronized void clientGone(long id) {
         begin(0, 0);
-        module.gone(clock.getAsLong(), id);
+        guarded(() -> module.gone(clock.getAsLong(), id));
     }
 
-    /** How many listed hosts get no ordinary traffic at present. */
+    /** How many listed hosts get no ordinary traffic at present; 0 where the module can't say. */
     public synchronized int passedOver() {
-        return module.passedOver();
+        int[] count = new int[1];
+        guarded(() -> count[0] = module.passedOver());
+        return count[0];
     }
 
     /** IllegalArgumentException, and no change, where a line names a zone that the settings do not. */
@@ -168,7 +225,9 @@
             watchWanted = false;
         }
         begin(0, 0);
-        module.fleet(clock.getAsLong(), kind, entries);
+        if (!guarded(() -> module.fleet(clock.getAsLong(), kind, entries))) {
+            throw new IllegalStateException("the list could not be taken over");
+        }
     }
 
     /** Gives the module its timers that are due; returns the legs that are to be cut now. */
@@ -186,7 +245,10 @@
         long now = clock.getAsLong();
         while (!timers.isEmpty() && timers.peek().atUs() <= now) {
             begin(0, 0);
-            module.timer(now, timers.poll().token());
+            long token = timers.poll().token();
+            if (!guarded(() -> module.timer(now, token))) {
+                timers.add(new Timer(now + TIMER_AGAIN_US, timersSet++, token));
+            }
         }
         cutNow.addAll(cuts);
         cuts.clear();
--- a/core/src/test/java/dapplequay/facade/FacadeTest.java
+++ b/core/src/test/java/dapplequay/facade/FacadeTest.java
@@ -3,6 +3,8 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
+import dapplequay.Balance;
+import dapplequay.BalancerApi;
 import dapplequay.facade.ListNews.Kind;
 import dapplequay.facade.ListNews.Line;
 import dapplequay.facade.ListNews.State;
@@ -10,11 +12,14 @@
 import dapplequay.settings.SettingsReader;
 import dapplequay.settings.SettingsReader.Setup;
 import java.io.IOException;
+import java.lang.reflect.Proxy;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -113,6 +118,69 @@
         }
     }
 
+    /** The module, as one that throws at whatever it is told while it is broken. */
+    private static BalancerApi breakable(BalancerApi module, AtomicBoolean broken) {
+        return (BalancerApi) Proxy.newProxyInstance(BalancerApi.class.getClassLoader(),
+                new Class<?>[] {BalancerApi.class}, (proxy, method, arguments) -> {
+                    if (broken.get()) {
+                        throw new IllegalStateException("broken at " + method.getName());
+                    }
+                    return method.invoke(module, arguments);
+                });
+    }
+
+    /** What the module threw left its caller without an answer, and its timers without their next turn. */
+    @Test
+    @Timeout(30)
+    void whatTheModuleThrowsFailsTheRequestInHandAlone() throws Exception {
+        AtomicBoolean broken = new AtomicBoolean();
+        List<String> lines = new ArrayList<>();
+        Setup setup = changed("\"send_cap\": 3", "\"send_cap\": 3");
+        facade = new Facade(setup, now::get, lines::add,
+                actions -> breakable(new Balance(setup.settings(), 7, actions), broken));
+        news(Kind.RESTORED, "north", State.SERVING);
+        Decision.Send before = (Decision.Send) facade.pick(1, PAY);
+        broken.set(true);
+        assertThat(facade.pick(2, PAY)).isEqualTo(new Decision.Fail());
+        assertThat(facade.report(1, 0, before.host(), LegEnd.RESET, 1, false, null)).isEqualTo(new Decision.Fail());
+        assertThat(facade.report(1, 0, before.host(), LegEnd.SERVED, 1, true, null)).isEqualTo(new Decision.Rest());
+        facade.clientGone(1);
+        assertThat(facade.passedOver()).isZero();
+        assertThatThrownBy(() -> news(Kind.WHOLE, "north", State.SERVING)).isInstanceOf(IllegalStateException.class);
+        now.addAndGet(10_000_000);
+        assertThat(facade.tick()).isEmpty();
+        assertThat(facade.faults()).isGreaterThan(8);
+        assertThat(lines).as("one a second").hasSize(2);
+        assertThat(lines.get(0)).startsWith(Facade.FAULT).contains("broken at request").contains("\tat ");
+        broken.set(false);
+        assertThat(facade.pick(3, PAY)).isInstanceOf(Decision.Send.class);
+        now.addAndGet(1_000_000);
+        facade.tick();
+        facade.awaitWatch();                // the timer that met the fault came again
+    }
+
+    /** New settings whose taking over failed half-way left one side with the classes of the other. */
+    @Test
+    void settingsThatTheModuleChokesOnLeaveBothSidesWithTheSame() throws IOException {
+        Setup setup = changed("\"send_cap\": 3", "\"send_cap\": 3");
+        facade = new Facade(setup, now::get, line -> { }, actions -> {
+            BalancerApi module = new Balance(setup.settings(), 7, actions);
+            return (BalancerApi) Proxy.newProxyInstance(BalancerApi.class.getClassLoader(),
+                    new Class<?>[] {BalancerApi.class}, (proxy, method, arguments) -> {
+                        Object result = method.invoke(module, arguments);
+                        if (method.getName().equals("retune")) {
+                            throw new IllegalStateException("after it went over");
+                        }
+                        return result;
+                    });
+        });
+        news(Kind.RESTORED, "north", State.SERVING);
+        facade.retune(changed("\"name\": \"quote\"", "\"name\": \"ask\""));
+        assertThat(facade.faults()).isOne();
+        assertThat(facade.pick(1, new Call("ask", "shop-a", null, 900_000, 0, false)))
+                .isInstanceOf(Decision.Send.class);
+    }
+
     private static Setup changed(String find, String replace) throws IOException {
         String text = Files.readString(Path.of("example/config.json"));
         assertThat(text).contains(find);
--- a/lab/src/main/java/dapplequay/lab/experiment/SidecarConfig.java
+++ b/lab/src/main/java/dapplequay/lab/experiment/SidecarConfig.java
@@ -35,7 +35,8 @@
         ObjectNode settings = JSON.createObjectNode();
         int zone = spec.fleet().viewZones().get(place);
         settings.put("balancers", spec.sidecars().count()).put("position", place)
-                .put("locality", spec.fleet().zones().get(zone)).put("discovery", "on_request")
+                .put("locality", spec.fleet().zones().get(zone))
+                .put("discovery", spec.fleet().pushed() ? "pushed" : "on_request")
                 .put("over_share_worth", 0.05);
         ArrayNode zones = settings.putArray("zones");
         spec.fleet().zones().forEach(zones::add);
@@ -53,6 +54,7 @@
                     .put("quota_per_s", tenant.share() * load.ratePerS() * 1.2);
         }
         HostSpec host = spec.fleet().hosts().get(0).spec();
+        settings.putObject("domain").put("warm_keys", host.keys().gain() > 0);
         settings.putObject("limits").put("send_cap", spec.sidecars().sendCap()).put("may_cancel", true)
                 .put("second_copies", spec.sidecars().secondCopies()).put("probing", spec.fleet().probes())
                 .put("retry_after", true).put("max_retry_after_us", 1_500_000)
--- a/lab/src/main/java/dapplequay/lab/fleet/Discovery.java
+++ b/lab/src/main/java/dapplequay/lab/fleet/Discovery.java
@@ -29,6 +29,7 @@
     private final FleetLog log;
     private final ListState list = new ListState();
     private final List<ListState.Entry> heldBack = new ArrayList<>();
+    private final List<Runnable> unanswered = new ArrayList<>();
     private final ServerSocketChannel[] listeners;
     private final int[] ports;
     private final Set<Call> calls = new LinkedHashSet<>();
@@ -115,7 +116,9 @@
             case LIST_SLOW -> callTimes = begins ? fault.amount() : 1;
             case LIST_DOWN -> {
                 down = begins;
-                if (begins) {
+                if (fleet.pushed()) {
+                    agents(begins);
+                } else if (begins) {
                     close();
                 } else {
                     listen();
@@ -125,6 +128,19 @@
         }
     }
 
+    /** An agent is there all the time; while discovery is down nothing reaches it, and it says nothing. */
+    private void agents(boolean silent) {
+        stale = silent;
+        if (!silent) {
+            List<ListState.Entry> late = List.copyOf(heldBack);
+            heldBack.clear();
+            late.forEach(this::publish);
+            List<Runnable> asked = List.copyOf(unanswered);
+            unanswered.clear();
+            asked.forEach(Runnable::run);
+        }
+    }
+
     void close() throws IOException {
         for (ServerSocketChannel listener : listeners) {
             listener.close();
@@ -156,6 +172,10 @@
             if (request == null) {
                 return;
             }
+            if (fleet.pushed()) {
+                serve(request);
+                return;
+            }
             long now = Loop.nowUs();
             long starts = Math.max(now, freeAtUs);
             if (starts - now > fleet.listWaitUs()) {
@@ -167,6 +187,9 @@
         }
 
         private void serve(Message request) {
+            if (!isClosed() && down && fleet.pushed()) {
+                unanswered.add(() -> serve(request));
+            }
             if (isClosed() || down) {
                 return;
             }
@@ -189,7 +212,11 @@
             watching = true;
             until = loop.at(Loop.nowUs() + waitMs * 1000, () -> {
                 watching = false;
-                answer(list.after(after));
+                if (down) {
+                    unanswered.add(() -> answer(list.after(after)));
+                } else {
+                    answer(list.after(after));
+                }
             });
         }
 
--- a/lab/src/main/java/dapplequay/lab/fleet/Fleet.java
+++ b/lab/src/main/java/dapplequay/lab/fleet/Fleet.java
@@ -59,7 +59,7 @@
     private ListState.Entry entry(int place, HostServer host, String state, long bootMs) {
         FleetSpec.Host is = spec.hosts().get(place);
         return new ListState.Entry(host.uid(), host.endpoints(), spec.zones().get(is.zone()), is.kind(), is.pod(),
-                state, 1, bootMs);
+                state, is.spec().cores(), bootMs);
     }
 
     public FleetSpec spec() {
--- a/lab/src/main/java/dapplequay/lab/fleet/FleetSpec.java
+++ b/lab/src/main/java/dapplequay/lab/fleet/FleetSpec.java
@@ -24,10 +24,13 @@
  * @param idleUs         hosts close connections that were idle this long
  * @param plain          whether hosts serve requests that carry no call id
  * @param probes         whether hosts answer probes
+ * @param pushed         whether each view has an agent of its own that lists are pushed to: calls cost nothing, and
+ *                       while discovery is down the agent says nothing
  */
 public record FleetSpec(List<Host> hosts, List<String> zones, long zoneLatencyUs, int views,
                         List<Integer> viewZones, long listDelayUs, long listCallUs, long listWaitUs,
-                        long workLeastUs, long workMostUs, long idleUs, boolean plain, boolean probes) {
+                        long workLeastUs, long workMostUs, long idleUs, boolean plain, boolean probes,
+                        boolean pushed) {
     /** One host: its name, zone, pod, kind and behaviour. */
     public record Host(String uid, int zone, int pod, String kind, HostSpec spec) { }
 
@@ -79,7 +82,7 @@
                 fleet.duration("list_delay", 500_000), fleet.duration("list_call", 1_000),
                 fleet.duration("list_wait", 2_000_000), Math.round(work.get(0) * 1e3),
                 Math.round(work.get(1) * 1e3), fleet.duration("idle", 10_000_000), fleet.truth("plain", false),
-                fleet.truth("probes", false));
+                fleet.truth("probes", false), fleet.truth("pushed", false));
     }
 
     private static void shuffle(List<HostSpec> specs, List<String> kinds, UniformRandomProvider random) {
@@ -102,6 +105,11 @@
                         table.duration("report_delay", 0), table.real("report_noise", 0.05, 0, 1))
                 .errors(table.real("errors", 0, 0, 1), table.duration("error_takes", 2_000))
                 .stopsOnCancel(table.truth("stops_on_cancel", true))
-                .tips(table.real("tip_multiple", 3, 0, 1000), table.duration("tip_after", 3_000_000)).build();
+                .tips(table.real("tip_multiple", 3, 0, 1000), table.duration("tip_after", 3_000_000))
+                .chokes(new HostSpec.Choke(table.real("choke_at", 0, 0, 1e6), table.duration("choke_after", 2_000_000),
+                        table.real("choke_slower", 2.5, 1, 1000), table.real("choke_below", 0.3, 0, 1),
+                        table.duration("choke_rest", 3_000_000), table.duration("choke_most", 25_000_000)))
+                .remembers(new HostSpec.Keys(table.real("key_gain", 0, 0, 1), table.duration("key_for", 6_000_000),
+                        table.whole("keys", 150, 1, 1_000_000))).build();
     }
 }
--- a/lab/src/main/java/dapplequay/lab/fleet/HostServer.java
+++ b/lab/src/main/java/dapplequay/lab/fleet/HostServer.java
@@ -345,6 +345,7 @@
         private boolean counted;
         private boolean refused;
         private boolean mute;
+        private String about;
         private long requestInModel = -1;
         private long firstByteUs;
         private long quietSinceUs = Loop.nowUs();
@@ -416,6 +417,7 @@
             FleetLog.Visit visit = new FleetLog.Visit(name, key, place, uid, host.pod(), callerZone, first, whole,
                     work(request, key == null ? name : key));
             log.add(visit);
+            about = request.query("obj");
             begin(visit);
         }
 
@@ -444,7 +446,7 @@
                 return;
             }
             long id = ++lastId;
-            HostModel.Admission admission = model.offer(Loop.nowUs(), id, visit.askedUs, ended);
+            HostModel.Admission admission = model.offer(Loop.nowUs(), id, visit.askedUs, about, ended);
             switch (admission) {
                 case WORKING, WAITING -> {
                     requestInModel = id;
--- a/lab/src/main/java/dapplequay/lab/load/Arrival.java
+++ b/lab/src/main/java/dapplequay/lab/load/Arrival.java
@@ -10,8 +10,9 @@
  * @param target   place of the sidecar that gets it
  * @param workUs   work that it costs a host
  * @param key      its order key, or null
+ * @param about    what it is about, or null
  * @param call     id of the first try; later tries count on from it
  * @param patience share of the class's deadline that the client waits
  */
 public record Arrival(int number, long dueUs, int service, int tenant, int target, long workUs, String key,
-                      long call, double patience) { }
+                      String about, long call, double patience) { }
--- a/lab/src/main/java/dapplequay/lab/load/Generator.java
+++ b/lab/src/main/java/dapplequay/lab/load/Generator.java
@@ -241,7 +241,8 @@
                 Profile.Service service = profile.services().get(a.service());
                 StringBuilder text = new StringBuilder(256)
                         .append(service.isRetryable() ? "GET /" : "POST /").append(service.name()).append('/')
-                        .append(a.number()).append("?w=").append(a.workUs()).append(" HTTP/1.1\r\nHost: ")
+                        .append(a.number()).append("?w=").append(a.workUs())
+                        .append(a.about() == null ? "" : "&obj=" + a.about()).append(" HTTP/1.1\r\nHost: ")
                         .append(host(a.target())).append("\r\nX-Call-Id: ").append(row.call)
                         .append("\r\nX-Budget-Ms: ").append(Math.max(1, (row.giveUpUs - Loop.nowUs()) / 1000));
                 if (a.tenant() >= 0) {
--- a/lab/src/main/java/dapplequay/lab/load/Profile.java
+++ b/lab/src/main/java/dapplequay/lab/load/Profile.java
@@ -17,11 +17,14 @@
  * @param retryWaitUs   its wait before a try
  * @param retriesMarked whether a client marks its retries
  * @param timeoutUs     patience with a plain request
+ * @param objects       what requests can be about, one after the other less popular; 0: they do not say
+ * @param objectSkew    how much less: the share of object i is 1 / (i + 1)^skew
  * @param lagBoundUs    the generator counts as behind where the 99th percentile of its send lag is over this
  */
 public record Profile(double ratePerS, long forUs, Shape shape, Path trace, List<Service> services,
                       List<Tenant> tenants, double targetSkew, int retries, long retryWaitUs,
-                      boolean retriesMarked, double patienceLeast, long timeoutUs, long lagBoundUs) {
+                      boolean retriesMarked, double patienceLeast, long timeoutUs, int objects, double objectSkew,
+                      long lagBoundUs) {
     /** One class of requests. {@code repeats}: retryable, dedup or fragile. */
     public record Service(String name, double share, long workLeastUs, long workMostUs, long aimUs,
                           long deadlineUs, double worth, double lateWorth, String repeats, String group,
@@ -41,12 +44,12 @@
     /** Plain {@code GET /} at this rate. */
     public static Profile plain(double ratePerS, long forUs) {
         return new Profile(ratePerS, forUs, Shape.plain(Shape.Kind.STEADY), null, List.of(), List.of(), 0, 0, 0,
-                false, 1, 10_000_000, 10_000);
+                false, 1, 10_000_000, 0, 0, 10_000);
     }
 
     public Profile with(double newRate, long newForUs) {
         return new Profile(newRate, newForUs, shape, trace, services, tenants, targetSkew, retries, retryWaitUs,
-                retriesMarked, patienceLeast, timeoutUs, lagBoundUs);
+                retriesMarked, patienceLeast, timeoutUs, objects, objectSkew, lagBoundUs);
     }
 
     /** Reads the table {@code [load]}; a trace is looked for beside the file. */
@@ -80,6 +83,7 @@
                 services, tenants, load.real("target_skew", 0, 0, 5), load.whole("retries", 0, 0, 10),
                 load.duration("retry_wait", 300_000), load.truth("retries_marked", true),
                 load.real("patience", 0.7, 0.01, 1), load.duration("timeout", 10_000_000),
+                load.whole("objects", 0, 0, 1_000_000), load.real("object_skew", 0.8, 0, 5),
                 load.duration("lag_bound", 10_000));
     }
 }
--- a/lab/src/main/java/dapplequay/lab/load/Schedule.java
+++ b/lab/src/main/java/dapplequay/lab/load/Schedule.java
@@ -1,6 +1,7 @@
 package dapplequay.lab.load;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Locale;
 import org.apache.commons.rng.UniformRandomProvider;
@@ -24,16 +25,17 @@
         }
         double[] classShares = profile.services().stream().mapToDouble(Profile.Service::share).toArray();
         double[] tenantShares = profile.tenants().stream().mapToDouble(Profile.Tenant::load).toArray();
+        Objects about = new Objects(profile, seed);
         if (profile.trace() != null) {
             for (Trace.Line line : Trace.read(profile.trace(), profile)) {
                 arrivals.add(arrival(profile, arrivals.size(), line.dueUs(), line.service(), line.tenant(),
-                        pick(targetShares, what), line.workUs(), line.key(), what));
+                        pick(targetShares, what), line.workUs(), line.key(), about.next(), what));
             }
             return new Schedule(List.copyOf(arrivals), targets);
         }
         for (long due : dues(profile, times)) {
             arrivals.add(arrival(profile, arrivals.size(), due, pick(classShares, what),
-                    pick(tenantShares, what), pick(targetShares, what), -1, null, what));
+                    pick(tenantShares, what), pick(targetShares, what), -1, null, about.next(), what));
         }
         return new Schedule(List.copyOf(arrivals), targets);
     }
@@ -59,19 +61,44 @@
     }
 
     private static Arrival arrival(Profile profile, int number, long dueUs, int service, int tenant, int target,
-                                   long workUs, String key, UniformRandomProvider random) {
+                                   long workUs, String key, String about, UniformRandomProvider random) {
         double workShare = random.nextDouble();
         long call = random.nextLong() >>> 8 << 4;
         double patience = profile.patienceLeast() + (1 - profile.patienceLeast()) * random.nextDouble();
         String drawnKey = Long.toHexString(random.nextLong());
         if (profile.services().isEmpty()) {
-            return new Arrival(number, dueUs, 0, -1, Math.max(0, target), 0, null, call, 1);
+            return new Arrival(number, dueUs, 0, -1, Math.max(0, target), 0, null, null, call, 1);
         }
         Profile.Service is = profile.services().get(service);
         long work = workUs >= 0 ? workUs
                 : Math.round(is.workLeastUs() + workShare * (is.workMostUs() - is.workLeastUs()));
         return new Arrival(number, dueUs, service, tenant, target, work,
-                is.isKeyed() ? key == null ? drawnKey : key : null, call, patience);
+                is.isKeyed() ? key == null ? drawnKey : key : null, about, call, patience);
+    }
+
+    /** What requests are about, drawn apart from all else. */
+    private static final class Objects {
+        private final UniformRandomProvider random;
+        private final double[] upTo;
+
+        Objects(Profile profile, long seed) {
+            random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed * 31 + 3);
+            upTo = new double[profile.objects()];
+            double sum = 0;
+            for (int i = 0; i < upTo.length; i++) {
+                sum += Math.pow(i + 1, -profile.objectSkew());
+                upTo[i] = sum;
+            }
+        }
+
+        /** The next one; null where requests are about nothing. */
+        String next() {
+            if (upTo.length == 0) {
+                return null;
+            }
+            int at = Arrays.binarySearch(upTo, random.nextDouble() * upTo[upTo.length - 1]);
+            return "o" + (at < 0 ? -at - 1 : at);
+        }
     }
 
     /** A place by its share; -1 where there is none to pick. */
--- a/lab/src/main/java/dapplequay/lab/model/HostModel.java
+++ b/lab/src/main/java/dapplequay/lab/model/HostModel.java
@@ -23,6 +23,7 @@
  */
 public final class HostModel {
     static final long WARM_STEP_US = 20_000;
+    private static final double NEVER = Double.NaN;
     /** Weight of the newest service time in the reported one. */
     private static final double LATENCY_WEIGHT = 0.1;
 
@@ -85,6 +86,11 @@
     private double slowness = 1;
     private double errorShare;
     private long reportDelayUs;
+    private final LinkedHashMap<String, Double> met = new LinkedHashMap<>();
+    private double overSinceUs = NEVER;
+    private double chokedAtUs = NEVER;
+    private double restsSinceUs = NEVER;
+    private int chokes;
 
     /** Starts now: cold, or as if it had run for long. */
     public HostModel(HostSpec spec, UniformRandomProvider random, long nowUs, boolean cold) {
@@ -116,6 +122,21 @@
         reportDelayUs = us;
     }
 
+    /** The same for a request about {@code key}, which a host that met it lately has less work with; null: no key. */
+    public Admission offer(long atUs, long id, double workUs, String key, Collection<Ended> ended) {
+        advance(atUs, ended);
+        if (key == null || spec.keys().gain() <= 0) {
+            return offer(atUs, id, workUs, ended);
+        }
+        Double before = met.remove(key);
+        met.put(key, nowUs);
+        if (met.size() > spec.keys().most()) {
+            met.remove(met.keySet().iterator().next());
+        }
+        boolean remembered = before != null && nowUs - before <= spec.keys().forUs();
+        return offer(atUs, id, remembered ? workUs * (1 - spec.keys().gain()) : workUs, ended);
+    }
+
     /** A request has come whole; {@code id} is 0 or more and no other's that is held. */
     public Admission offer(long atUs, long id, double workUs, Collection<Ended> ended) {
         advance(atUs, ended);
@@ -217,9 +238,10 @@
         double until = Math.max(nowUs, atUs - originUs);
         while (nowUs < until) {
             double stop = Math.min(until, nextSnapshotUs);
-            if (isWarming()) {
+            if (isWarming() || spec.choke().at() > 0) {
                 stop = Math.min(stop, nowUs + WARM_STEP_US);
             }
+            lookAtChoke();
             double pace = pace();
             Job first = inWork.isEmpty() ? null : inWork.first();
             double endsIn = first == null ? Double.MAX_VALUE : (first.endProgress - progress) / pace;
@@ -243,6 +265,39 @@
         }
     }
 
+    private void lookAtChoke() {
+        HostSpec.Choke choke = spec.choke();
+        if (choke.at() <= 0) {
+            return;
+        }
+        if (!isChoked()) {
+            boolean over = held() - spec.cores() > choke.at() * spec.cores();
+            overSinceUs = !over ? NEVER : Double.isNaN(overSinceUs) ? nowUs : overSinceUs;
+            if (over && nowUs - overSinceUs >= choke.afterUs()) {
+                chokedAtUs = nowUs;
+                restsSinceUs = NEVER;
+                chokes++;
+            }
+            return;
+        }
+        boolean rests = held() <= choke.below() * spec.cores();
+        restsSinceUs = !rests ? NEVER : Double.isNaN(restsSinceUs) ? nowUs : restsSinceUs;
+        if (rests && nowUs - restsSinceUs >= choke.restUs() || nowUs - chokedAtUs >= choke.mostUs()) {
+            chokedAtUs = NEVER;
+            overSinceUs = NEVER;
+        }
+    }
+
+    /** Whether too much has slowed it down, and it has not rested since. */
+    public boolean isChoked() {
+        return !Double.isNaN(chokedAtUs);
+    }
+
+    /** How often too much has slowed it down. */
+    public int chokes() {
+        return chokes;
+    }
+
     /** Requests held, in work or waiting. */
     public int held() {
         return waiting.size() + slotsTaken;
@@ -278,7 +333,7 @@
 
     /** Work per microsecond at this moment, all cores together, if nothing crowds the host. */
     public double capacity() {
-        return spec.fullCapacity() * warmth() / slowness;
+        return spec.fullCapacity() * warmth() / slowness / (isChoked() ? spec.choke().slower() : 1);
     }
 
     private boolean isWarming() {
@@ -297,7 +352,7 @@
         }
         int sharing = inWork.size();
         double ofCore = sharing <= spec.cores() ? 1 : (double) spec.cores() / sharing;
-        return spec.speed() * warmth() / slowness * crowding * ofCore;
+        return spec.speed() * warmth() / slowness / (isChoked() ? spec.choke().slower() : 1) * crowding * ofCore;
     }
 
     private void aside(double workUs) {
--- a/lab/src/main/java/dapplequay/lab/model/HostSpec.java
+++ b/lab/src/main/java/dapplequay/lab/model/HostSpec.java
@@ -22,11 +22,34 @@
  * @param stopsOnCancel    whether work stops when its request is given up
  * @param tipMultiple      a cold host that is sent more than this multiple of its capacity falls over; 0: never
  * @param tipAfterUs       if it is sent that much over this time
+ * @param choke            what too much does to it
+ * @param keys             what it remembers
  */
 public record HostSpec(int cores, double speed, int slots, int room, int crowdFrom, double crowdLoss,
                        double coldFrom, long warmUpUs, int connectionCap, long handshakeUs, long probeUs,
                        long reportEveryUs, long reportDelayUs, double reportNoise, double errorShare,
-                       long errorTakesUs, boolean stopsOnCancel, double tipMultiple, long tipAfterUs) {
+                       long errorTakesUs, boolean stopsOnCancel, double tipMultiple, long tipAfterUs,
+                       Choke choke, Keys keys) {
+    /**
+     * A host that held far more than it works on slows down, and stays so for long.
+     *
+     * @param at      requests waiting for each core beyond which it is too much; 0: never
+     * @param afterUs once that has lasted for so long
+     * @param slower  everything takes so many times as long
+     * @param below   until it has held no more than this share of its cores
+     * @param restUs  for so long,
+     * @param mostUs  or so long has passed
+     */
+    public record Choke(double at, long afterUs, double slower, double below, long restUs, long mostUs) { }
+
+    /**
+     * What it remembers.
+     *
+     * @param gain  share of the work that is saved on a key met lately; 0: none
+     * @param forUs how long it remembers one
+     * @param most  keys that it remembers
+     */
+    public record Keys(double gain, long forUs, int most) { }
 
     public HostSpec {
         require(cores >= 1, "cores", cores);
@@ -75,6 +98,18 @@
         private boolean stopsOnCancel = true;
         private double tipMultiple;
         private long tipAfterUs = 3_000_000;
+        private Choke choke = new Choke(0, 0, 1, 0, 0, 0);
+        private Keys keys = new Keys(0, 0, 0);
+
+        public Builder chokes(Choke value) {
+            choke = value;
+            return this;
+        }
+
+        public Builder remembers(Keys value) {
+            keys = value;
+            return this;
+        }
 
         public Builder cores(int value) {
             cores = value;
@@ -146,7 +181,7 @@
         public HostSpec build() {
             return new HostSpec(cores, speed, slots, room, crowdFrom, crowdLoss, coldFrom, warmUpUs,
                     connectionCap, handshakeUs, probeUs, reportEveryUs, reportDelayUs, reportNoise, errorShare,
-                    errorTakesUs, stopsOnCancel, tipMultiple, tipAfterUs);
+                    errorTakesUs, stopsOnCancel, tipMultiple, tipAfterUs, choke, keys);
         }
     }
 }
--- a/lab/src/test/java/dapplequay/lab/fleet/FleetTest.java
+++ b/lab/src/test/java/dapplequay/lab/fleet/FleetTest.java
@@ -328,6 +328,29 @@
         }
     }
 
+    /** An agent answers at once, costs nothing, and says nothing while discovery is down; then it does. */
+    @Test
+    void anAgentSaysNothingWhileDiscoveryIsDown() throws Exception {
+        try (Fleet fleet = new Fleet(spec("pushed = true|list_call = '20s'"), 1)) {
+            assertThat(list(fleet, 0, "")).contains("\"all\":true");
+            play(fleet, "kind = 'list_down'|at = '0s'|for = '3s'");
+            for (boolean silent = false; !silent; ) {
+                try (Socket call = connect(fleet.discoveryAt(0))) {
+                    call.getOutputStream().write("GET /v1/servers HTTP/1.1\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+                    call.setSoTimeout(300);
+                    read(call.getInputStream());
+                } catch (SocketTimeoutException e) {
+                    silent = true;
+                }
+            }
+            try (Socket call = connect(fleet.discoveryAt(0))) {
+                call.getOutputStream().write("GET /v1/servers HTTP/1.1\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+                call.setSoTimeout(20_000);
+                assertThat(read(call.getInputStream())).as("asked while it was silent").contains("\"all\":true");
+            }
+        }
+    }
+
     @Test
     void callersFromAnotherZoneAreFurtherAway() throws Exception {
         try (Fleet fleet = new Fleet(spec("zone_latency = '150ms'"), 1)) {
--- a/lab/src/test/java/dapplequay/lab/load/GeneratorTest.java
+++ b/lab/src/test/java/dapplequay/lab/load/GeneratorTest.java
@@ -97,7 +97,7 @@
     void aTargetThatAcceptsNothingIsToldAsBehind() throws Exception {
         try (ServerSocket deaf = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             Profile profile = new Profile(100, 1_000_000, Shape.plain(Shape.Kind.STEADY), null, List.of(), List.of(),
-                    0, 0, 0, false, 1, 500_000, 10_000);
+                    0, 0, 0, false, 1, 500_000, 0, 0, 10_000);
             LoadResult result = play(profile, 50, deaf);
             assertThat(result.scheduled()).isEqualTo(100);
             assertThat(result.answered()).isZero();
--- a/lab/src/test/java/dapplequay/lab/model/HostModelTest.java
+++ b/lab/src/test/java/dapplequay/lab/model/HostModelTest.java
@@ -36,6 +36,43 @@
         assertThat(model.nextEndUs()).isEqualTo(Long.MAX_VALUE);
     }
 
+    /** Six requests on one core wait five deep: too much for a second, then two and a half times as slow until it rests. */
+    @Test
+    void aHostThatHeldTooMuchForLongIsSlowUntilItHasRested() {
+        HostModel model = warm(new HostSpec.Builder().cores(1).slots(1)
+                .chokes(new HostSpec.Choke(4, 1_000_000, 2.5, 0.5, 500_000, 60_000_000)).build());
+        for (int i = 0; i < 6; i++) {
+            model.offer(T0, i, 2_000_000, ended);
+        }
+        model.advance(T0 + 900_000, ended);
+        assertThat(model.isChoked()).isFalse();
+        model.advance(T0 + 1_100_000, ended);
+        assertThat(model.isChoked()).isTrue();
+        assertThat(model.capacity()).isEqualTo(0.4);
+        model.advance(T0 + 1_000_000 + 27_400_000, ended);
+        assertThat(ended).as("11 s of work at 0.4 from the first second on").hasSize(5);
+        assertThat(model.isChoked()).as("it still works").isTrue();
+        model.advance(T0 + 29_300_000, ended);
+        assertThat(ended).hasSize(6);
+        assertThat(model.isChoked()).isFalse();
+        assertThat(model.chokes()).isOne();
+    }
+
+    @Test
+    void aKeyMetLatelyIsLessWorkUntilItIsForgotten() {
+        HostModel model = warm(new HostSpec.Builder().cores(1).remembers(new HostSpec.Keys(0.5, 1_000_000, 2)).build());
+        long at = T0;
+        long id = 0;
+        // met before, not known, met before, pushed out by the third of two, and too long ago
+        for (String key : List.of("a", "a", "b", "a", "c", "b", "late", "late")) {
+            at += key.equals("late") ? 2_000_000 : 200_000;
+            model.offer(at, id++, 100_000, key, ended);
+            model.advance(at + 200_000, ended);
+        }
+        assertThat(ended).extracting(Ended::workUs).containsExactly(100_000.0, 50_000.0, 100_000.0, 50_000.0,
+                100_000.0, 100_000.0, 100_000.0, 100_000.0);
+    }
+
     @Test
     void requestsInWorkShareTheCoresEvenly() {
         HostModel model = warm(new HostSpec.Builder().cores(1).slots(2).build());
--- a/sidecar/src/main/java/dapplequay/cli/Main.java
+++ b/sidecar/src/main/java/dapplequay/cli/Main.java
@@ -16,6 +16,7 @@
 import org.kohsuke.args4j.spi.SubCommandHandler;
 import org.kohsuke.args4j.spi.SubCommands;
 import sun.misc.Signal;
+import sun.misc.SignalHandler;
 
 /** The command line of the jar. */
 public final class Main {
@@ -87,6 +88,7 @@
             Thread.setDefaultUncaughtExceptionHandler((thread, e) -> Logger.getLogger(Main.class.getName())
                     .log(Level.SEVERE, "thread " + thread.getName() + " ended", e));
             Path file = file(environment);
+            ChangedFile changed = new ChangedFile(file);
             Map<?, ?> fields = Config.fields(file);
             Sidecar sidecar = new Sidecar(Config.read(file.toString(), fields, environment));
             Runtime.getRuntime().addShutdownHook(new Thread(() -> {
@@ -98,7 +100,14 @@
             }, "ending"));
             // Left to the system, this signal would end the process in the middle of its work.
             Reload reload = new Reload(file, environment, sidecar, fields);
-            Signal.handle(new Signal("HUP"), signal -> reload.run());
+            if (Signal.handle(new Signal("HUP"), signal -> reload.run()) == SignalHandler.SIG_IGN) {
+                // Who started this process had it ignored, and the JVM leaves that as it is, without a word.
+                Logger.getLogger(Main.class.getName()).warning("SIGHUP was ignored by who started this process: "
+                        + file + " is read again when it changes");
+                Thread watch = new Thread(() -> changed.watch(reload::run), "changed-file");
+                watch.setDaemon(true);
+                watch.start();
+            }
             sidecar.start();
             return 0;
         }
--- a/sidecar/src/main/java/dapplequay/management/Exposition.java
+++ b/sidecar/src/main/java/dapplequay/management/Exposition.java
@@ -13,7 +13,7 @@
     private Exposition() { }
 
     /** What is known beside the counts, as it stands now. */
-    public record Gauges(int registryEntries, int outOfRotation, long cfgAccepted, long cfgInvalid) { }
+    public record Gauges(int registryEntries, int outOfRotation, long cfgAccepted, long cfgInvalid, long faults) { }
 
     /** All figures at one reading. */
     public static String text(Counts.Reading counts, Gauges gauges) {
@@ -27,6 +27,7 @@
         text.one("out_of_rotation", "gauge", "Listed upstreams that are avoided now.", gauges.outOfRotation());
         text.one("cfg_accepted_total", "counter", "Configurations taken at SIGHUP.", gauges.cfgAccepted());
         text.one("cfg_invalid_total", "counter", "Configurations turned down at SIGHUP.", gauges.cfgInvalid());
+        text.one("module_faults_total", "counter", "Times that the decision module threw.", gauges.faults());
         return text.out.toString();
     }
 
--- a/sidecar/src/main/java/dapplequay/net/Sidecar.java
+++ b/sidecar/src/main/java/dapplequay/net/Sidecar.java
@@ -103,7 +103,7 @@
         UnixClock clock = new UnixClock();
         deadlines = new Deadlines(clock);
         setup = plan.setup();
-        facade = new Facade(setup, plan.seed(), clock, LOG::info);
+        facade = new Facade(setup, plan.seed(), clock, Sidecar::tell);
         lifetime = new Lifetime(clock);
         headroom = new Headroom(plan.cores());
         counts.know(setup.classes().keySet());
@@ -114,6 +114,10 @@
         watch = new Watch(plan.discovery(), table, facade, issuers);
     }
 
+    private static void tell(String line) {
+        LOG.log(line.startsWith(Facade.FAULT) ? Level.SEVERE : Level.INFO, "{0}", line);
+    }
+
     private static RoutingTable restored(Plan plan, Facade facade) throws IOException {
         RoutingTable table = new RoutingTable();
         List<ListNews.Line> lines = List.of();
@@ -128,7 +132,7 @@
 
     /** Whether a sidecar could be made of this, as far as that shows without listening. */
     public static void check(Plan plan) throws IOException {
-        restored(plan, new Facade(plan.setup(), plan.seed(), new UnixClock(), LOG::info));
+        restored(plan, new Facade(plan.setup(), plan.seed(), new UnixClock(), Sidecar::tell));
     }
 
     public InetSocketAddress address() {
@@ -170,7 +174,8 @@
         @Override
         public String figures() {
             return Exposition.text(counts.read(),
-                    new Exposition.Gauges(table.size(), passedOver, cfgAccepted.get(), cfgInvalid.get()));
+                    new Exposition.Gauges(table.size(), passedOver, cfgAccepted.get(), cfgInvalid.get(),
+                            facade.faults()));
         }
 
         @Override
--- a/sidecar/src/main/java/dapplequay/net/Watch.java
+++ b/sidecar/src/main/java/dapplequay/net/Watch.java
@@ -24,6 +24,8 @@
     /** What discovery has to tell counts as told 2 s after a call's wait is over: no use in waiting on. */
     private static final int MARGIN_MS = 2_000;
     private static final int CONNECT_MS = 2_000;
+    /** For so long, ns, a list older than the one known is taken for a mistake of who gave it. */
+    private static final long OLDER_NS = 30_000_000_000L;
 
     private final RoutingTable table;
     private final Facade facade;
@@ -33,6 +35,9 @@
     private Socket socket;
     private InetSocketAddress asked;
     private boolean whole;
+    private boolean anyVersion = true;      // of a start, or at another address
+    private String fault;
+    private long olderSinceNs;
     private MessageReader reader;
 
     Watch(InetSocketAddress discovery, RoutingTable table, Facade facade, IssuerSide issuers) {
@@ -50,12 +55,19 @@
                 try {
                     // Handed over before anything else is done: a drain counts as told once its bytes came.
                     hear(call());
+                    if (fault != null) {
+                        fault = null;
+                        LOG.info("discovery answers again");
+                    }
                 } catch (IOException | RuntimeException | OutOfMemoryError e) {
                     drop();
                     if (hasMoved()) {
                         continue;       // no failure of discovery's: the next call goes to the new address
                     }
-                    LOG.log(Level.WARNING, "discovery call failed: {0}", e.toString());
+                    if (!e.toString().equals(fault)) {       // one line a cause: an agent is asked again very soon
+                        fault = e.toString();
+                        LOG.log(Level.WARNING, "discovery call failed: {0}", fault);
+                    }
                     facade.news(ListNews.failed());
                 }
             }
@@ -96,7 +108,9 @@
                 return socket;
             }
             drop();
-            whole |= asked != null && hasMoved();
+            boolean moved = asked != null && hasMoved();
+            anyVersion |= moved;
+            whole |= moved;
             asked = discovery;
             socket = now = new Socket();
         }
@@ -106,9 +120,31 @@
         return now;
     }
 
-    private void hear(RoutingTable.Update update) {
+    /**
+     * What is older than what is known takes nothing back that was told since. A discovery that has lost its count goes
+     * on so, and is believed after a while.
+     */
+    private void hear(RoutingTable.Update update) throws IOException {
+        if (!anyVersion && update.revision() < table.revision()) {
+            long now = System.nanoTime();
+            olderSinceNs = olderSinceNs == 0 ? now : olderSinceNs;
+            if (now - olderSinceNs < OLDER_NS) {
+                throw new IOException("a list older than the one known");
+            }
+            if (update.news().kind() == ListNews.Kind.CHANGES) {
+                whole = true;       // changes to a list that is not known here: all of it is needed
+                return;
+            }
+        }
+        olderSinceNs = 0;
+        anyVersion = false;
         var drained = table.take(update);
-        facade.news(update.news());
+        try {
+            facade.news(update.news());
+        } catch (RuntimeException e) {
+            whole = true;           // the table has what the module does not: both need all of it
+            throw e;
+        }
         issuers.closeIdle(drained);
     }
 
--- a/sidecar/src/test/java/dapplequay/cli/Program.java
+++ b/sidecar/src/test/java/dapplequay/cli/Program.java
@@ -28,10 +28,20 @@
 
     /** {@code socket}: its descriptor 0, or null; {@code management}: a port that is free, or 0 for none. */
     Program(Path config, ServerSocketChannel socket, int management) throws Exception {
+        this(config, socket, management, false, List.of());
+    }
+
+    /** {@code ignoringHup}: as a shell starts it that ignores SIGHUP; {@code launcher}: what starts it in turn. */
+    Program(Path config, ServerSocketChannel socket, int management, boolean ignoringHup, List<String> launcher)
+            throws Exception {
         this.management = management;
         List<String> command = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
                 "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx64m", "-cp", System.getProperty("java.class.path"),
                 "dapplequay.cli.Main", "serve", "--config", config.toString()));
+        command.addAll(0, launcher);
+        if (ignoringHup) {
+            command.addAll(0, List.of("sh", "-c", "trap '' HUP; exec \"$@\"", "sh"));
+        }
         ProcessBuilder builder = new ProcessBuilder(command);
         builder.environment().keySet().removeIf(name -> name.startsWith("EDGE_"));
         if (management != 0) {
--- a/sidecar/src/test/java/dapplequay/cli/ProgramTest.java
+++ b/sidecar/src/test/java/dapplequay/cli/ProgramTest.java
@@ -124,6 +124,44 @@
         }
     }
 
+    /**
+     * Started by a shell that ignores SIGHUP, the program never heard of new settings, and said nothing of it: a class
+     * that came with them was unknown for the rest of the day.
+     */
+    @Test
+    void newSettingsComeInThoughSighupWasIgnoredAtTheStart() throws Exception {
+        Path file = config("00c0ffee", "00c0ffee");
+        try (Program program = new Program(file, null, Program.freePort(), true, List.of()).awaitReady()) {
+            awaitLog(program, "SIGHUP was ignored");
+            Files.writeString(file, Files.readString(file).replace("\"name\": \"quote\"", "\"name\": \"ask\""));
+            program.signal("HUP");
+            awaitLog(program, "configuration read again");
+            Files.writeString(file, "{");
+            awaitLog(program, "configuration kept as it was");
+        }
+    }
+
+    /** The deployment's own line takes the signal back, so that a file counts when the signal comes and not before. */
+    @Test
+    void theDeploymentsLineHearsSighupWhoeverStartsIt() throws Exception {
+        String run = Files.readAllLines(Path.of("deploy/balancer.toml")).stream()
+                .filter(line -> line.startsWith("run = \"exec ")).findFirst().orElseThrow();
+        List<String> launcher = List.of(run.substring("run = \"exec ".length(), run.indexOf(" java ")).split(" "));
+        Path file = config("00c0ffee", "00c0ffee");
+        try (Program program = new Program(file, null, Program.freePort(), true, launcher).awaitReady()) {
+            program.signal("HUP");
+            awaitLog(program, "configuration read again");
+            assertThat(program.log).noneMatch(line -> line.contains("ignored"));
+        }
+    }
+
+    private static void awaitLog(Program program, String part) throws InterruptedException {
+        while (program.log.stream().noneMatch(line -> line.contains(part))) {
+            assertThat(program.process.isAlive()).isTrue();
+            Thread.sleep(20);
+        }
+    }
+
     @ParameterizedTest
     @CsvSource(delimiter = ';', value = {
         "\"seed\": \"00c0ffee00c0ffee\"; \"seed\": \"x\"; seed", "\"send_cap\": 3; \"send_cap\": \"3\"; send_cap",
--- a/sidecar/src/test/java/dapplequay/management/ExpositionTest.java
+++ b/sidecar/src/test/java/dapplequay/management/ExpositionTest.java
@@ -17,7 +17,7 @@
         }
         counts.taken();
         counts.relayed();
-        String text = Exposition.text(counts.read(), new Exposition.Gauges(7, 2, 3, 1));
+        String text = Exposition.text(counts.read(), new Exposition.Gauges(7, 2, 3, 1, 4));
         assertThat(text.lines()).contains("svc_fulfilled_total{priority=\"order\"} 2",
                 "svc_throttled_total{priority=\"order\"} 1", "svc_faulted_total{priority=\"order\"} 1",
                 "svc_fulfilled_total{priority=\"a\\\"b\\\\\"} 0", "svc_relayed_total 1", "svc_open_requests 1",
--- a/sidecar/src/test/java/dapplequay/net/SidecarTest.java
+++ b/sidecar/src/test/java/dapplequay/net/SidecarTest.java
@@ -144,6 +144,30 @@
         assertThat(host.seen).isEmpty();
     }
 
+    /** An older list once more, as a confused agent gives it, would bring back a host that was told to be gone. */
+    @Test
+    void listOlderThanTheOneKnownTakesNothingBack() throws Exception {
+        isManaged = true;
+        Host draining = host((head, seen) -> Host.ok("old"));
+        Host serving = host((head, seen) -> Host.ok("new"));
+        Sidecar sidecar = sidecar(draining.port(), serving.port());
+        lists.add(list(false, target(0, draining.port(), "DRAINING")));
+        while (figure(sidecar, "svc_out_of_rotation") < 1) {
+            Thread.sleep(20);
+        }
+        lists.add(list(true, target(0, draining.port(), "SERVING"), target(1, serving.port(), "SERVING"))
+                .replace("\"rev\":5", "\"rev\":4"));
+        lists.add(list(false, target(2, 1, "DRAINING")));        // its number shows that the one before was heard
+        while (figure(sidecar, "svc_registry_entries") != 3) {
+            Thread.sleep(20);
+        }
+        Host.Client client = client(sidecar);
+        for (int i = 0; i < 20; i++) {
+            client.send(pay(i, 900, ""));
+            assertThat(client.answer().body()).isEqualTo("new");
+        }
+    }
+
     /** The module knew the idempotency key, which is another for each order, in place of what the order is about. */
     @Test
     void whatARequestIsAboutDecidesWhereItGoes() throws Exception {
