How often reports change is learnt from the second one on

Seen when reading the change of refreshes: the first report of a host counted the time since the clock's beginning as its refresh, so that the mean of what others hold went on over its longest time, 3 s, for some 135 reports. Line at fault: Balance.told.

--- a/core/src/main/java/dapplequay/Balance.java
+++ b/core/src/main/java/dapplequay/Balance.java
@@ -563,7 +563,7 @@
     private void told(long now, Server s, double requests) {
         boolean first = Double.isNaN(s.reported);
         if (requests != s.reported) {
-            s.refresh += PACE_GAIN * (now - s.changedAt - s.refresh);
+            s.refresh += first ? 0 : PACE_GAIN * (now - s.changedAt - s.refresh);
             s.changedAt = now;
         }
         s.reported = requests;
