--- a/core/src/main/java/dapplequay/Balance.java
+++ b/core/src/main/java/dapplequay/Balance.java
@@ -48,6 +48,8 @@
     private static final double LITTLE_WORTH = 0.5;
     /** With keys that servers remember, one whose figure is so many times the set's mean at most has room. */
     private static final double ROOM = 1.1;
+    /** How much further away in a key's order a server of another zone lies, as crossing has a price. */
+    private static final double FOREIGN_PLACE = 2;
     /** What a report tells fades with this time constant, us: a queue nobody feeds is worked off. */
     private static final double FADE_US = 8_000_000;
     // Time constant of the mean of what a server holds for others, in times that its reports usually stay the same, and
@@ -501,16 +503,17 @@
 
     /**
      * The buddies, from the one whose turn it is. Where servers work less on keys that they met lately, that is the
-     * key's doing and not the balancer's, so that all balancers turn to the same server with the same key; who is sent
-     * what it has no room for is diverted as ever. Highest random weight (Thaler, Ravishankar 1998): a server that
-     * comes or goes moves its own keys alone.
+     * key's doing and not the balancer's, so that all balancers of a zone turn to the same server with the same key, and
+     * those of another zone often; what a server has no room for is diverted as ever. Highest random weight (Thaler,
+     * Ravishankar 1998): a server that comes or goes moves its own keys alone.
      */
     private List<Server> orderFor(Held h) {
         if (!settings.warmKeys() || h.request.key() == null) {
             return buddies;
         }
         long key = Scatter.mix(h.request.key().hashCode());
-        buddies.forEach(s -> s.keyPlace = -Math.log(Scatter.unit(Scatter.mix(key ^ s.hash))) / s.size);
+        buddies.forEach(s -> s.keyPlace = -Math.log(Scatter.unit(Scatter.mix(key ^ s.hash))) / s.size
+                * (s.zone == settings.zone() ? 1 : FOREIGN_PLACE));
         List<Server> order = new ArrayList<>(buddies);
         order.sort(Comparator.comparingDouble((Server s) -> s.keyPlace).thenComparing(s -> s.host));
         return order;
