--- a/core/src/main/java/dapplequay/Balance.java
+++ b/core/src/main/java/dapplequay/Balance.java
@@ -503,9 +503,9 @@
 
     /**
      * The buddies, from the one whose turn it is. Where servers work less on keys that they met lately, that is the
-     * key's doing and not the balancer's, so that all balancers of a zone turn to the same server with the same key, and
-     * those of another zone often; what a server has no room for is diverted as ever. Highest random weight (Thaler,
-     * Ravishankar 1998): a server that comes or goes moves its own keys alone.
+     * key's doing and not the balancer's, so that all balancers of a zone turn to the same server with the same key,
+     * and those of another zone often; what a server has no room for is diverted as ever. Highest random weight
+     * (Thaler, Ravishankar 1998): a server that comes or goes moves its own keys alone.
      */
     private List<Server> orderFor(Held h) {
         if (!settings.warmKeys() || h.request.key() == null) {
