An ending that outlasts the platform's patience fails what it holds and does not cut it off

Seen when reading for what held at the first deployment only: the end after SIGTERM waited for the longest deadline and 0.65 s, 4.65 s where a class has 4 s, while the platform ends a process by force after 3.7 s; what was held then ended without a word.

The wait is 3.45 s at most; what is still held then is answered as failed and has 0.1 s to reach its client. A test holds a request of 19 s through an ending; without the change its client gets no answer.

--- a/sidecar/src/main/java/dapplequay/net/AcquirerConnection.java
+++ b/sidecar/src/main/java/dapplequay/net/AcquirerConnection.java
@@ -74,7 +74,7 @@
     private volatile Progress.Pace pace;
     private Progress tooSlow;
     private MessageReader reader;
-    private Authorisation current;
+    private volatile Authorisation current;
 
     AcquirerConnection(AcquirerSide side, Socket socket) {
         this.side = side;
@@ -491,6 +491,14 @@
         return state == State.CLOSED;
     }
 
+    /** There is no time left to wait for the answer to the request in hand: it fails, better told than cut off. */
+    void failHeld() {
+        Authorisation held = current;
+        if (held != null) {
+            side.conductor().spoilt(held, Answers.failure(504));
+        }
+    }
+
     /** The same where the sidecar is being emptied: one that has just come is given the time to ask. */
     synchronized void closeToEmpty() {
         if (asked || side.deadlines().now() - sinceUs >= FRESH_US) {
--- a/sidecar/src/main/java/dapplequay/net/AcquirerSide.java
+++ b/sidecar/src/main/java/dapplequay/net/AcquirerSide.java
@@ -223,18 +223,29 @@
     }
 
     /**
-     * Waits until nothing is held any more, or until that time; then the door is shut. One of this process alone stays
-     * open meanwhile, as what the system has accepted counts as taken.
+     * Waits until nothing is held any more, or until that time; what is held then fails, and has {@code marginUs} to
+     * reach its clients. Then the door is shut. One of this process alone stays open meanwhile, as what the system has
+     * accepted counts as taken.
      */
-    void awaitEmpty(long untilUs) throws InterruptedException {
-        while (deadlines.now() < untilUs) {
+    void awaitEmpty(long untilUs, long marginUs) throws InterruptedException {
+        if (!isEmptyBy(untilUs)) {
+            List<AcquirerConnection> left;
             synchronized (this) {
-                if (lifetime.empties() && connections.isEmpty()) {
-                    break;
-                }
-                wait(PAUSE_MS);
+                left = new ArrayList<>(connections);
             }
+            left.forEach(AcquirerConnection::failHeld);
+            isEmptyBy(untilUs + marginUs);
         }
         door.shut();
     }
+
+    private synchronized boolean isEmptyBy(long untilUs) throws InterruptedException {
+        while (!lifetime.empties() || !connections.isEmpty()) {
+            if (deadlines.now() >= untilUs) {
+                return false;
+            }
+            wait(PAUSE_MS);
+        }
+        return true;
+    }
 }
--- a/sidecar/src/main/java/dapplequay/net/Sidecar.java
+++ b/sidecar/src/main/java/dapplequay/net/Sidecar.java
@@ -41,6 +41,8 @@
     /** After an ending was ordered, new connections come for 0.4 s more. */
     private static final long LATE_CONNECTIONS_US = 550_000;
     private static final long ENDING_MARGIN_US = 100_000;
+    /** The platform ends a process by force 3.7 s after it was told to end, where deadlines are longer than 3 s. */
+    private static final long LONGEST_ENDING_US = 3_450_000;
 
     private final Deadlines deadlines;
     private final Facade facade;
@@ -275,7 +277,8 @@
             LOG.info(handsOver ? "ending: a successor takes the clients"
                     : "ending: late connections are still served");
             lifetime.end(graceUs);
-            side.awaitEmpty(deadlines.now() + graceUs + setup.longestDeadlineUs() + ENDING_MARGIN_US);
+            side.awaitEmpty(deadlines.now() + Math.min(graceUs + setup.longestDeadlineUs(), LONGEST_ENDING_US),
+                    ENDING_MARGIN_US);
         }
         LOG.info("ended");
     }
--- a/sidecar/src/test/java/dapplequay/net/SidecarTest.java
+++ b/sidecar/src/test/java/dapplequay/net/SidecarTest.java
@@ -672,6 +672,25 @@
         }
     }
 
+    /** A deadline of 4 s and more outlasts the platform's patience: what was held then was cut off without an answer. */
+    @Test
+    void whatIsHeldWhenTheTimeToEndIsOverFailsAndIsNotCutOff() throws Exception {
+        CountDownLatch never = new CountDownLatch(1);
+        Host host = host((head, seen) -> {
+            never.await();
+            return Host.ok("late");
+        });
+        Sidecar sidecar = sidecar(host.port());
+        Host.Client held = client(sidecar);
+        held.send(pay(1, 19_000, ""));
+        host.next();
+        long start = System.nanoTime();
+        sidecar.end(50_000);
+        assertThat(System.nanoTime() - start).isLessThan(15_000_000_000L);
+        assertThat(held.answer().status()).isEqualTo(504);
+        never.countDown();
+    }
+
     @Test
     void classesComeAndGoWhileALegIsOut() throws Exception {
         isManaged = true;
