One drawing for both orders of hosts, one hold of a stale list, one slowdown, one test double

Read again: the order by key wrote the weighed drawing of the balancer's order once more (Scatter.draw serves both), and headOf hashed hosts that now carry their hash; the agent of the laboratory repeated what a stale list does (Discovery.holdBack); a choked host's factor stood in two formulas (HostModel.timesSlower); the copy of the acquirers' connections stood in two places (AcquirerSide.left); two tests of the facade built the same proxy, one of the module its own settings with keys.

--- a/core/src/main/java/dapplequay/Balance.java
+++ b/core/src/main/java/dapplequay/Balance.java
@@ -336,7 +336,7 @@
             if (Double.isNaN(s.orderKey)) {
                 // The paper permutes orders so that those who share a head do not share a second choice too.
                 long own = s.host.hashCode() * 31L + settings.position() * 0x9E3779B97F4AL;
-                s.orderKey = -Math.log(Scatter.unit(Scatter.mix(own)));
+                s.orderKey = Scatter.draw(own);
             }
         }
         Comparator<Server> permuted = Comparator.comparingDouble((Server s) -> s.orderKey / s.size)
@@ -403,7 +403,7 @@
     /** Rotation by balancer number, on a ring on which each server holds an arc as long as its weight. */
     private Server headOf(List<Server> ring) {
         List<Server> order = new ArrayList<>(ring);
-        order.sort(Comparator.comparingLong((Server s) -> Scatter.mix(s.host.hashCode())).thenComparing(s -> s.host));
+        order.sort(Comparator.comparingLong((Server s) -> s.hash).thenComparing(s -> s.host));
         double arc = order.stream().mapToDouble(s -> s.size).sum();
         double point = Scatter.fraction(settings.position()) * arc;
         Server at = null;
@@ -517,7 +517,7 @@
         double busy = Math.max(LEAST_BUSY, buddies.stream().mapToDouble(s -> held(now, s)).sum()
                 / buddies.stream().mapToDouble(s -> s.size).sum());
         double lean = 1 + FOREIGN_LEAN / (busy * busy);
-        buddies.forEach(s -> s.keyPlace = -Math.log(Scatter.unit(Scatter.mix(key ^ s.hash))) / s.size
+        buddies.forEach(s -> s.keyPlace = Scatter.draw(key ^ s.hash) / s.size
                 * (s.zone == settings.zone() ? 1 : lean));
         List<Server> order = new ArrayList<>(buddies);
         order.sort(Comparator.comparingDouble((Server s) -> s.keyPlace).thenComparing(s -> s.host));
--- a/core/src/main/java/dapplequay/membership/Scatter.java
+++ b/core/src/main/java/dapplequay/membership/Scatter.java
@@ -19,6 +19,11 @@
         return x ^ (x >>> 31);
     }
 
+    /** Exponentially, with mean 1: of many, each over its weight, one is the least as often as its weight says. */
+    public static double draw(long bits) {
+        return -Math.log(unit(mix(bits)));
+    }
+
     /** Above 0 and below 1, evenly. */
     public static double unit(long bits) {
         return ((bits >>> 11) + 0.5) / (1L << 53);
--- a/core/src/test/java/dapplequay/MechanismTest.java
+++ b/core/src/test/java/dapplequay/MechanismTest.java
@@ -374,10 +374,10 @@
         for (int key = 0; key < 60; key++) {
             Set<String> met = new TreeSet<>();
             for (int position = 0; position < 3; position++) {
-                met.add(withKeys(position, 6).request(Bench.SAFE, "key" + key).host());
+                met.add(withKeys(position, 6, 0).request(Bench.SAFE, "key" + key).host());
             }
             assertEquals(1, met.size(), "key " + key + " at " + met);
-            String left = withKeys(0, 5).request(Bench.SAFE, "key" + key).host();
+            String left = withKeys(0, 5, 0).request(Bench.SAFE, "key" + key).host();
             assertTrue(met.contains("a5") || met.contains(left), "a server that goes moves its own keys alone");
             keysAt.merge(met.iterator().next(), 1, Integer::sum);
         }
@@ -388,9 +388,7 @@
     @Test
     void keysStayInTheOwnZoneWhileTheFleetIsIdle() {
         for (double held : new double[] {0, 1}) {
-            Bench.Setup setup = new Bench.Setup();
-            setup.warmKeys = true;
-            Bench b = new Bench(setup).fleet(4, 4);
+            Bench b = withKeys(0, 4, 4);
             int own = 0;
             for (int key = 0; key < 300; key++) {
                 for (int i = 0; i < 8; i++) {
@@ -405,16 +403,16 @@
         }
     }
 
-    private static Bench withKeys(int position, int hosts) {
+    private static Bench withKeys(int position, int local, int foreign) {
         Bench.Setup setup = new Bench.Setup();
         setup.warmKeys = true;
         setup.position = position;
-        return new Bench(setup).fleet(hosts, 0);
+        return new Bench(setup).fleet(local, foreign);
     }
 
     @Test
     void aKeyWhoseServerIsFullGoesToTheNextInItsOrder() {
-        Bench b = withKeys(0, 6);
+        Bench b = withKeys(0, 6, 0);
         String home = b.answered(Bench.SAFE, 0).host();
         String first = b.request(Bench.SAFE, "k").host();
         b.pass(1_000_000);
--- a/core/src/test/java/dapplequay/facade/FacadeTest.java
+++ b/core/src/test/java/dapplequay/facade/FacadeTest.java
@@ -21,6 +21,7 @@
 import java.util.Map;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -118,14 +119,14 @@
         }
     }
 
-    /** The module, as one that throws at whatever it is told while it is broken. */
-    private static BalancerApi breakable(BalancerApi module, AtomicBoolean broken) {
+    /** The module, with something done, or thrown, before and after each call, by the call's name. */
+    private static BalancerApi around(BalancerApi module, Consumer<String> before, Consumer<String> after) {
         return (BalancerApi) Proxy.newProxyInstance(BalancerApi.class.getClassLoader(),
                 new Class<?>[] {BalancerApi.class}, (proxy, method, arguments) -> {
-                    if (broken.get()) {
-                        throw new IllegalStateException("broken at " + method.getName());
-                    }
-                    return method.invoke(module, arguments);
+                    before.accept(method.getName());
+                    Object result = method.invoke(module, arguments);
+                    after.accept(method.getName());
+                    return result;
                 });
     }
 
@@ -137,7 +138,11 @@
         List<String> lines = new ArrayList<>();
         Setup setup = changed("\"send_cap\": 3", "\"send_cap\": 3");
         facade = new Facade(setup, now::get, lines::add,
-                actions -> breakable(new Balance(setup.settings(), 7, actions), broken));
+                actions -> around(new Balance(setup.settings(), 7, actions), call -> {
+                    if (broken.get()) {
+                        throw new IllegalStateException("broken at " + call);
+                    }
+                }, call -> { }));
         news(Kind.RESTORED, "north", State.SERVING);
         Decision.Send before = (Decision.Send) facade.pick(1, PAY);
         broken.set(true);
@@ -163,17 +168,12 @@
     @Test
     void settingsThatTheModuleChokesOnLeaveBothSidesWithTheSame() throws IOException {
         Setup setup = changed("\"send_cap\": 3", "\"send_cap\": 3");
-        facade = new Facade(setup, now::get, line -> { }, actions -> {
-            BalancerApi module = new Balance(setup.settings(), 7, actions);
-            return (BalancerApi) Proxy.newProxyInstance(BalancerApi.class.getClassLoader(),
-                    new Class<?>[] {BalancerApi.class}, (proxy, method, arguments) -> {
-                        Object result = method.invoke(module, arguments);
-                        if (method.getName().equals("retune")) {
-                            throw new IllegalStateException("after it went over");
-                        }
-                        return result;
-                    });
-        });
+        facade = new Facade(setup, now::get, line -> { },
+                actions -> around(new Balance(setup.settings(), 7, actions), call -> { }, call -> {
+                    if (call.equals("retune")) {
+                        throw new IllegalStateException("after it went over");
+                    }
+                }));
         news(Kind.RESTORED, "north", State.SERVING);
         facade.retune(changed("\"name\": \"quote\"", "\"name\": \"ask\""));
         assertThat(facade.faults()).isOne();
--- a/lab/src/main/java/dapplequay/lab/fleet/Discovery.java
+++ b/lab/src/main/java/dapplequay/lab/fleet/Discovery.java
@@ -98,14 +98,7 @@
     /** A fault of the list begins or ends. */
     void fault(FaultSpec fault, boolean begins) throws IOException {
         switch (fault.kind()) {
-            case LIST_STALE -> {
-                stale = begins;
-                if (!begins) {
-                    List<ListState.Entry> late = List.copyOf(heldBack);
-                    heldBack.clear();
-                    late.forEach(this::publish);
-                }
-            }
+            case LIST_STALE -> holdBack(begins);
             case LIST_EMPTY -> {
                 list.empty(begins);
                 wakeWatchers();
@@ -128,13 +121,20 @@
         }
     }
 
-    /** An agent is there all the time; while discovery is down nothing reaches it, and it says nothing. */
-    private void agents(boolean silent) {
-        stale = silent;
-        if (!silent) {
+    /** Changes wait from now on, or those that waited come. */
+    private void holdBack(boolean begins) {
+        stale = begins;
+        if (!begins) {
             List<ListState.Entry> late = List.copyOf(heldBack);
             heldBack.clear();
             late.forEach(this::publish);
+        }
+    }
+
+    /** An agent is there all the time; while discovery is down nothing reaches it, and it says nothing. */
+    private void agents(boolean silent) {
+        holdBack(silent);
+        if (!silent) {
             List<Runnable> asked = List.copyOf(unanswered);
             unanswered.clear();
             asked.forEach(Runnable::run);
--- a/lab/src/main/java/dapplequay/lab/model/HostModel.java
+++ b/lab/src/main/java/dapplequay/lab/model/HostModel.java
@@ -333,7 +333,11 @@
 
     /** Work per microsecond at this moment, all cores together, if nothing crowds the host. */
     public double capacity() {
-        return spec.fullCapacity() * warmth() / slowness / (isChoked() ? spec.choke().slower() : 1);
+        return spec.fullCapacity() * warmth() / timesSlower();
+    }
+
+    private double timesSlower() {
+        return slowness * (isChoked() ? spec.choke().slower() : 1);
     }
 
     private boolean isWarming() {
@@ -352,7 +356,7 @@
         }
         int sharing = inWork.size();
         double ofCore = sharing <= spec.cores() ? 1 : (double) spec.cores() / sharing;
-        return spec.speed() * warmth() / slowness / (isChoked() ? spec.choke().slower() : 1) * crowding * ofCore;
+        return spec.speed() * warmth() / timesSlower() * crowding * ofCore;
     }
 
     private void aside(double workUs) {
--- a/sidecar/src/main/java/dapplequay/net/AcquirerSide.java
+++ b/sidecar/src/main/java/dapplequay/net/AcquirerSide.java
@@ -201,14 +201,16 @@
         if (!lifetime.empties()) {
             return;
         }
-        List<AcquirerConnection> left;
-        synchronized (this) {
-            left = new ArrayList<>(connections);
-        }
+        List<AcquirerConnection> left = left();
         left.forEach(AcquirerConnection::closeToEmpty);
         lifetime.holds(left.size());
     }
 
+    /** The connections of the moment, to be called without the lock. */
+    private synchronized List<AcquirerConnection> left() {
+        return new ArrayList<>(connections);
+    }
+
     /**
      * Whether clients find another process at the same door: then this one stops taking them at once. Whom it had
      * accepted until then is among its connections when this returns.
@@ -229,11 +231,7 @@
      */
     void awaitEmpty(long untilUs, long marginUs) throws InterruptedException {
         if (!isEmptyBy(untilUs)) {
-            List<AcquirerConnection> left;
-            synchronized (this) {
-                left = new ArrayList<>(connections);
-            }
-            left.forEach(AcquirerConnection::failHeld);
+            left().forEach(AcquirerConnection::failHeld);
             isEmptyBy(untilUs + marginUs);
         }
         door.shut();
