--- a/core/src/main/java/dapplequay/Balance.java
+++ b/core/src/main/java/dapplequay/Balance.java
@@ -63,24 +63,17 @@
     private static final double ASKING_WORTH = 0.5;
     /** A cleared flag is set again after this, us: one diverted send then tells how the server is. */
     private static final long FLAG_TIMER_US = 2_000_000;
-    /** The same for a buddy new to the set: soon, as its first figures come only with a send. */
-    private static final long NEW_FLAG_US = 300_000;
     // A failing server is passed over for so long, us, doubled at each further failure up to the second; a lost
     // zone is tried as often.
     private static final long SHUN_FIRST_US = 1_000_000;
     private static final long SHUN_MAX_US = 8_000_000;
-    // Whether a server fails more than the others is weighed as odds, in logarithms: where it stands when
-    // nothing speaks against it, what a failure adds at most and what an answer takes away. A failing one
-    // fails a third or more; where all fail now and then, one failure is no reason.
+    // Whether a server fails is weighed as odds, in logarithms: where it stands when nothing speaks against it, what a
+    // failure adds and what an answer takes away. A failing one fails a third or more, a sound one a fiftieth or less.
     private static final double DOUBT_NONE = -3.5;
     private static final double DOUBT_ADD = 3;
     private static final double DOUBT_TAKE = 0.9;
-    private static final double FAILING_SHARE = 0.6;
-    /** Weight of the newest outcome in the share that fails at sound servers, and the least it counts. */
-    private static final double COMMON_GAIN = 0.01;
-    private static final double COMMON_MIN = 0.002;
-    // A trial's leg is out for this share of the aim, where another server may still take the request in time.
-    private static final double TRIAL_SHARE = 0.5;
+    /** A connect that failed after a greater share of the aim than this may be this process's own lateness. */
+    private static final double LATE_SHARE = 0.5;
     // A server is silent once its legs have together been waited for, since it was last heard of, so many times as long
     // as answers to their classes usually take: work is long-tailed. It is tried again after this, us.
     private static final double SILENT_TIMES = 16;
@@ -88,20 +81,13 @@
     /** How often that is looked at, as a share of the aim. */
     private static final double WATCH_SHARE = 0.1;
     private static final long WATCH_TOKEN = 2;
-    /** A trial ends by itself after this, us: where nothing repeatable comes by, it would never end. */
-    private static final long TRIAL_US = 10_000_000;
     /** Buddies kept in lost zones: to try, one after the other, whether they are back. */
     private static final int LOST_BUDDIES = 2;
-    /** Weight of the newest request in the running means of worth and aim: about the last thirty. */
-    private static final double MIX_GAIN = 0.03;
     /** Weight of the newest answer in what its class takes, */
     private static final double CLASS_GAIN = 0.03;
     /** in a server's pace, and the set's pace as that many answers beside it. */
     private static final double PACE_GAIN = 0.15;
     private static final double PACE_PRIOR = 0.5;
-    /** Bounds on what a cost hint may make of a request, in requests of the mean: hints can be rough. */
-    private static final double MIN_LOAD = 0.3;
-    private static final double MAX_LOAD = 4;
     /** A report of more requests held than this is broken. */
     private static final double MAX_HELD = 10_000;
     /** A shorter time than this, us, is not worth an attempt: a network turn and the shortest work. */
@@ -164,7 +150,6 @@
         final ServiceClass type;
         final Usual usual;
         long usefulUntil;         // an answer after this is worth nothing
-        final double load;        // its work, in requests of the mean: 1 without a cost hint
         int sendCap;              // attempts that it may have
         boolean uploading;        // its body is still coming: no attempt of it runs yet
         final double worthShare;  // of its class's worth: less than 1 for a try that can only be late
@@ -175,13 +160,11 @@
         long sentAt;
         int cut;                  // attempts of which the last was given up as its server is silent
 
-        Held(Request request, ServiceClass type, Usual usual, long usefulUntil, double load, double worthShare,
-                int sendCap) {
+        Held(Request request, ServiceClass type, Usual usual, long usefulUntil, double worthShare, int sendCap) {
             this.request = request;
             this.type = type;
             this.usual = usual;
             this.usefulUntil = usefulUntil;
-            this.load = load;
             this.worthShare = worthShare;
             this.sendCap = sendCap;
         }
@@ -205,15 +188,11 @@
     private AskPace askPace;
     private ColdBudget cold;
     private TenantMix tenants;
-    private double meanHint;
-    private double meanAim;
-    private double meanWorth;
     private double setHeld = 1;                                    // of all answered sends, as per server
     private double setTook;
     private final Map<String, Usual> usual = new HashMap<>();      // by class, looked up only
     private double leastAim;
     private int answers = 1;                                       // the guess at the start counts as one
-    private double commonFailures;
     private boolean watching;
     private boolean following;
     private long nextLogAt;
@@ -361,8 +340,7 @@
         }
         for (Server s : set) {
             if (!s.buddy) {           // a new buddy starts clear
-                s.flag = false;
-                s.flagSetAt = now + hasty(NEW_FLAG_US) / 2 + random.nextLong(hasty(NEW_FLAG_US));
+                clearFlag(now, s);
                 // Else each of many who met it just now would begin with a send at once.
                 s.coldUntil = Math.max(s.coldUntil, now + random.nextLong(coldPause(now, s)));
             }
@@ -427,15 +405,8 @@
             long aim = type.aimUs() + (long) (type.aimStretch() * r.costHintUs());
             useful = Math.min(useful, aim - elapsed);
         }
-        meanAim += (meanAim == 0 ? 1 : MIX_GAIN) * (type.aimUs() - meanAim);
-        meanWorth += (meanWorth == 0 ? 1 : MIX_GAIN) * (type.importance() - meanWorth);
         double worthShare = (elapsed >= type.aimUs() ? type.lateWorth() : 1) * tenants.worth(r.tenant());
-        double load = 1;
-        if (r.costHintUs() > 0) {
-            meanHint += (meanHint == 0 ? 1 : MIX_GAIN) * (r.costHintUs() - meanHint);
-            load = Math.max(MIN_LOAD, Math.min(MAX_LOAD, r.costHintUs() / meanHint));
-        }
-        Held h = new Held(r, type, usual.get(type.name()), now + useful, load, worthShare, settings.limits().sendCap());
+        Held h = new Held(r, type, usual.get(type.name()), now + useful, worthShare, settings.limits().sendCap());
         held.put(r.id(), h);
         proceed(now, h);
     }
@@ -461,12 +432,11 @@
         Server least = null;
         Server unasked = null;
         double leastFigure = 0;
-        double askEvery = Math.sqrt(senders) * h.type.aimUs();
         for (Server s : order) {
             if (!usable(now, h, s) || head != null && !worthDiverting(now, h, s, head)) {
                 continue;
             }
-            double figure = figure(now, s, h.load);
+            double figure = figure(now, s);
             if (figure <= limit && (head == null || (s.flag || now >= s.flagSetAt))) {
                 return s;
             }
@@ -477,7 +447,7 @@
                 least = s;
                 leastFigure = figure;
             }
-            if (s.own == 0 && now - Math.max(s.silentSince, s.reportAt) > askEvery
+            if (s.own == 0 && now - Math.max(s.silentSince, s.reportAt) > h.type.aimUs()
                     && (unasked == null || s.silentSince < unasked.silentSince)) {
                 unasked = s;
             }
@@ -486,13 +456,13 @@
             return lastResort(now, h);
         }
         Server joined = h.attempts.isEmpty() ? takeIn(now) : null;
-        if (joined != null && usable(now, h, joined) && figure(now, joined, h.load) < leastFigure) {
+        if (joined != null && usable(now, h, joined) && figure(now, joined) < leastFigure) {
             least = joined;
         }
         if (order != buddies) {
             List<Server> open = order.stream().filter(s -> usable(now, h, s)).toList();
-            double room = ROOM * open.stream().mapToDouble(s -> figure(now, s, h.load)).average().orElse(0);
-            least = open.stream().filter(s -> figure(now, s, h.load) <= room).findFirst().orElse(least);
+            double room = ROOM * open.stream().mapToDouble(s -> figure(now, s)).average().orElse(0);
+            least = open.stream().filter(s -> figure(now, s) <= room).findFirst().orElse(least);
         }
         // Past TH_v everywhere the head would take it, and heads that many share would be swamped: the least
         // figure takes it; where even that is late, nobody does: better refused early than failed late.
@@ -545,10 +515,10 @@
             return true;
         }
         // A head that would not get the send at all saves nothing.
-        double lossAtHead = hasRoom(now, head, h.worthShare) ? Math.min(1, figure(now, head, h.load) / h.type.aimUs())
+        double lossAtHead = hasRoom(now, head, h.worthShare) ? Math.min(1, figure(now, head) / h.type.aimUs())
                 : 1;
-        double saved = lossAtHead - Math.min(1, figure(now, s, h.load) / h.type.aimUs());
-        return saved * h.type.importance() * h.worthShare > settings.prices().crossZone() * meanWorth;
+        double saved = lossAtHead - Math.min(1, figure(now, s) / h.type.aimUs());
+        return saved * h.type.importance() * h.worthShare > settings.prices().crossZone();
     }
 
     private boolean usable(long now, Held h, Server s) {
@@ -557,7 +527,7 @@
             return false;
         }
         boolean risky = someRepeatable && h.type.semantics() == Semantics.FRAGILE;
-        if (s.trial && now < s.shunUntil + hasty(TRIAL_US) && (s.own > 0 || risky)) {
+        if (s.trial && (s.own > 0 || risky)) {
             return false;             // a suspect is tried by what can be repeated, one at a time
         }
         return cold.warmth(now, s.startedUs) >= 1 || h.attempts.isEmpty() && s.own == 0 && now >= s.coldUntil;
@@ -582,10 +552,9 @@
         s.reportAt = now;
     }
 
-    // The paper's cumulative execution time: what the server holds, with {@code more}, times the pace it
-    // shows.
-    private double figure(long now, Server s, double more) {
-        double time = (held(now, s) + more) / s.size * pace(s) / cold.warmth(now, s.startedUs);
+    // The paper's cumulative execution time: what the server would hold, times the pace it shows.
+    private double figure(long now, Server s) {
+        double time = (held(now, s) + 1) / s.size * pace(s) / cold.warmth(now, s.startedUs);
         if (s.own > 0) {
             // No outcome for so long while own requests are out: a hanging server sends no report to say so.
             time = Math.max(time, now - s.silentSince);
@@ -660,11 +629,7 @@
         s.silentSince = s.own++ == 0 ? now : s.silentSince;
         zoneLoss.sent(now, s.zone);
         s.coldUntil = now + coldPause(now, s);
-        long timeout = h.usefulUntil - now;
-        if (s.trial && buddies.stream().anyMatch(o -> o != s && !o.trial && maySend(now, h, o))) {
-            timeout = Math.min(timeout, (long) (TRIAL_SHARE * h.type.aimUs()));
-        }
-        actions.send(h.request.id(), s.host, Math.max(MIN_ATTEMPT_US, timeout));
+        actions.send(h.request.id(), s.host, Math.max(MIN_ATTEMPT_US, h.usefulUntil - now));
         watchOn(!watching && settings.limits().mayCancel());
         return true;
     }
@@ -703,8 +668,7 @@
                 s.answeredAt = now;
             }
             s.silentSince = now;
-            // A connect that failed late may be this process's own lateness; one that was refused is not.
-            boolean nobody = silent || outcome == Outcome.CONNECT_FAILED && tookUs < TRIAL_SHARE * meanAim;
+            boolean nobody = silent || outcome == Outcome.CONNECT_FAILED && tookUs < LATE_SHARE * leastAim;
             boolean met = outcome != Outcome.CONNECT_FAILED && outcome != Outcome.TIMEOUT;
             if ((nobody || met) && zoneLoss.ended(s.zone, nobody)) {
                 // What is back has started anew, long before the list says so.
@@ -743,7 +707,6 @@
     private void judge(long now, Server s, Outcome outcome, boolean silent) {
         switch (outcome) {
             case OK -> {
-                commonFailures -= COMMON_GAIN * commonFailures;
                 s.doubt = Math.max(DOUBT_NONE, s.doubt - DOUBT_TAKE);
                 if (s.trial && s.doubt < -2 * DOUBT_TAKE) {
                     s.trial = false;
@@ -763,10 +726,7 @@
                 }
             }
             case ERROR, RESET, CONNECT_FAILED -> {
-                double odds = FAILING_SHARE / Math.max(COMMON_MIN, commonFailures);
-                s.doubt += Math.min(DOUBT_ADD, Math.max(0, Math.log(odds)));
-                // What fails everywhere says nothing of one server.
-                commonFailures += COMMON_GAIN * ((zoneLoss.isLost(s.zone) ? 0 : 1) - commonFailures);
+                s.doubt += DOUBT_ADD;
                 if (s.doubt >= 0) {
                     clearFlag(now, s);
                     shun(now, s, outcome.name());
@@ -833,7 +793,7 @@
     private void watchOn(boolean wanted) {
         if (wanted) {
             watching = true;
-            actions.timer(Math.max(1, (long) (WATCH_SHARE * meanAim)), WATCH_TOKEN);
+            actions.timer(Math.max(1, (long) (WATCH_SHARE * leastAim)), WATCH_TOKEN);
         }
     }
 
