Asking for the list leaves the decision module; its log lines are paced by the facade

When an instance asks discovery decides nothing of which server, whether again or what is turned away, and pacing of log lines decides nothing at all; both took lines of the module. Asking, pure and in core beside AskPace, now does the first for the facade and for the simulator's adapter. A list that the module could not take over no longer counts as followed.

--- a/core/src/main/java/dapplequay/Balance.java
+++ b/core/src/main/java/dapplequay/Balance.java
@@ -1,8 +1,6 @@
 // Interface: BalancerApi.java (the events that come in, the actions that go out, the values of both).
 package dapplequay;
 
-import dapplequay.membership.AskPace;
-import dapplequay.membership.Scatter;
 import dapplequay.membership.ZoneLoss;
 import dapplequay.worth.TenantMix;
 import java.util.HashMap;
@@ -29,10 +27,7 @@
     private static final double WATCH_SHARE = 0.1;
     /** Weight of the newest answer in what its class takes. */
     private static final double CLASS_GAIN = 0.03;
-    /** At least this long between two log lines, us. */
-    private static final long LOG_GAP_US = 1_000_000;
-    private static final long ASK_TOKEN = 1;
-    private static final long WATCH_TOKEN = 2;
+    private static final long WATCH_TOKEN = 1;
 
     private final Actions actions;
     private final Server.Set common;
@@ -44,11 +39,8 @@
     private final Map<String, Long> longestLeft = new HashMap<>();  // per class: the try that clients grant
     private final Map<String, Double> usual = new HashMap<>();      // per class: what an answer takes, us, running mean
     private Settings settings;
-    private AskPace askPace;
     private TenantMix tenants;
     private boolean watching;
-    private boolean following;
-    private long nextLogAt;
 
     /** IllegalArgumentException, naming the setting, where one makes no sense. */
     public Balance(Settings settings, long seed, Actions actions) {
@@ -57,7 +49,7 @@
         common = new Server.Set(new SplittableRandom(seed), settings);
         zoneLoss = new ZoneLoss(settings.zones().size(), Suspects.SHUN_US);
         set = new BuddySet(common, zoneLoss);
-        suspects = new Suspects(set, this::log);
+        suspects = new Suspects(set, actions);
         admission = new Admission(set, common, zoneLoss);
         use(settings);
     }
@@ -68,7 +60,6 @@
         common.use(next);
         admission.use(next);
         next.classes().forEach(c -> usual.putIfAbsent(c.name(), Server.Set.GUESS_SHARE * c.aimUs()));
-        askPace = new AskPace(next.discovery(), Scatter.fraction(next.position()), common.random);
         tenants = new TenantMix(next.tenants(), next.overShareWorth());
     }
 
@@ -83,20 +74,6 @@
 
     @Override
     public void fleet(long now, ListKind kind, List<FleetEntry> entries) {
-        if (kind == ListKind.FAILED) {
-            following = false;
-            actions.timer(askPace.failedUs(), ASK_TOKEN);
-            return;
-        }
-        if (kind == ListKind.RESTORED) {
-            if (settings.discovery().onRequest()) {
-                // All instances start together and discovery does not grow with them: ask one after another.
-                actions.timer(askPace.firstUs(), ASK_TOKEN);
-            }
-        } else {
-            following = true;
-            askPace.answered();
-        }
         set.listed(now, kind != ListKind.DELTA, entries);
     }
 
@@ -195,7 +172,7 @@
             boolean lost = zoneLoss.isLost(s.zone);
             // What is back has started anew, long before the list says so.
             set.listed.stream().filter(o -> o.zone == s.zone && !lost).forEach(o -> o.startedUs = now);
-            log(now, "zone " + (lost ? "lost: " : "back: ") + settings.zones().get(s.zone));
+            actions.log("zone " + (lost ? "lost: " : "back: ") + settings.zones().get(s.zone));
             set.form(now);
         }
         suspects.judge(now, s, outcome, silent);
@@ -267,11 +244,7 @@
 
     @Override
     public void timer(long now, long token) {
-        if (token == WATCH_TOKEN) {
-            watchLegs(now);
-        } else if (token == ASK_TOKEN && !following) {
-            actions.watchFleet(true);
-        }
+        watchLegs(now);
     }
 
     @Override
@@ -280,11 +253,4 @@
             set.find(host).heard(now, report);
         }
     }
-
-    private void log(long now, String line) {
-        if (now >= nextLogAt) {
-            nextLogAt = now + LOG_GAP_US;
-            actions.log(line);
-        }
-    }
 }
--- a/core/src/main/java/dapplequay/BalancerApi.java
+++ b/core/src/main/java/dapplequay/BalancerApi.java
@@ -18,8 +18,8 @@
     enum HostState { READY, DRAINING, REMOVED }
 
     /**
-     * DELTA: changed entries only. FULL: the whole list. RESTORED: as last held before a restart. FAILED:
-     * none.
+     * DELTA: changed entries only. FULL: the whole list. RESTORED: as last held before a restart. FAILED: none;
+     * for whoever asks for the list, and never told to the module.
      */
     enum ListKind { DELTA, FULL, RESTORED, FAILED }
 
--- a/core/src/main/java/dapplequay/Suspects.java
+++ b/core/src/main/java/dapplequay/Suspects.java
@@ -1,7 +1,7 @@
 package dapplequay;
 
+import dapplequay.BalancerApi.Actions;
 import dapplequay.BalancerApi.Outcome;
-import java.util.function.BiConsumer;
 
 /** Failure diversion: which servers are passed over, and when one is tried again. */
 final class Suspects {
@@ -15,11 +15,11 @@
     private static final long SILENT_US = 300_000;
 
     private final BuddySet set;
-    private final BiConsumer<Long, String> log;
+    private final Actions actions;
 
-    Suspects(BuddySet set, BiConsumer<Long, String> log) {
+    Suspects(BuddySet set, Actions actions) {
         this.set = set;
-        this.log = log;
+        this.actions = actions;
     }
 
     /** What an outcome says about the server's health and its flag. */
@@ -29,7 +29,7 @@
                 s.doubt = Math.max(Server.DOUBT_NONE, s.doubt - DOUBT_TAKE);
                 if (s.trial && s.doubt < -2 * DOUBT_TAKE) {
                     s.trial = false;
-                    log.accept(now, "sound again: " + s.host);
+                    actions.log("sound again: " + s.host);
                 }
             }
             case REFUSED -> s.full(now);
@@ -56,7 +56,7 @@
             return;               // where half are suspects, the trouble is not with single servers
         }
         if (!s.trial) {
-            log.accept(now, "passed over for " + why + ": " + s.host);
+            actions.log("passed over for " + why + ": " + s.host);
         }
         s.shunUntil = now + SHUN_US;
         s.trial = true;
--- a/core/src/main/java/dapplequay/facade/Facade.java
+++ b/core/src/main/java/dapplequay/facade/Facade.java
@@ -8,6 +8,7 @@
 import dapplequay.BalancerApi.ListKind;
 import dapplequay.BalancerApi.LoadReport;
 import dapplequay.BalancerApi.Request;
+import dapplequay.membership.Asking;
 import dapplequay.settings.SettingsReader.Setup;
 import java.io.PrintWriter;
 import java.io.StringWriter;
@@ -30,6 +31,8 @@
     private static final long TIMER_AGAIN_US = 1_000_000;
     /** At least this long between two faults that are told with their traces, us; all are counted. */
     private static final long FAULT_GAP_US = 1_000_000;
+    /** At least this long between two lines of the module's, us. */
+    private static final long LINE_GAP_US = 1_000_000;
     /** How a line begins that tells of a fault. */
     public static final String FAULT = "the decision module threw: ";
 
@@ -37,6 +40,7 @@
     private final LongSupplier clock;
     private final Consumer<String> log;
     private final BalancerApi module;
+    private final Asking asking;
     private final PriorityQueue<Timer> timers = new PriorityQueue<>();
     private final List<Cut> cuts = new ArrayList<>();
     private final Queue<String> lines = new ConcurrentLinkedQueue<>();
@@ -48,6 +52,7 @@
     private boolean watchWanted;
     private long faults;
     private long nextFaultAt = Long.MIN_VALUE;
+    private long nextLineAt = Long.MIN_VALUE;
 
     /** A leg that is not to be waited for any longer; its end is reported like any other. */
     public record Cut(long id, int leg) { }
@@ -62,15 +67,18 @@
 
     /** {@code clock}: Unix time in microseconds; {@code log}: takes the module's lines, outside the lock. */
     public Facade(Setup setup, long seed, LongSupplier clock, Consumer<String> log) {
-        this(setup, clock, log, actions -> new Balance(setup.settings(), seed, actions));
+        this(setup, seed, clock, log, actions -> new Balance(setup.settings(), seed, actions));
     }
 
     /** With another module, as tests have it. */
-    Facade(Setup setup, LongSupplier clock, Consumer<String> log, Function<BalancerApi.Actions, BalancerApi> module) {
+    Facade(Setup setup, long seed, LongSupplier clock, Consumer<String> log,
+            Function<BalancerApi.Actions, BalancerApi> module) {
         this.setup = setup;
         this.clock = clock;
         this.log = log;
-        this.module = module.apply(new Taken());
+        Taken actions = new Taken();
+        this.module = module.apply(actions);
+        asking = new Asking(setup.settings(), seed, actions);
         watchWanted = isPushed(setup);
     }
 
@@ -98,6 +106,7 @@
         // Classes and tenants go by their places in the settings: both sides go over, or each call would meet another.
         setup = next;
         guarded(() -> module.retune(clock.getAsLong(), next.settings()));
+        asking.use(next.settings());
         if (isPushed(next)) {
             watchAnew();
         }
@@ -225,9 +234,10 @@
             watchWanted = false;
         }
         begin(0, 0);
-        if (!guarded(() -> module.fleet(clock.getAsLong(), kind, entries))) {
+        if (kind != ListKind.FAILED && !guarded(() -> module.fleet(clock.getAsLong(), kind, entries))) {
             throw new IllegalStateException("the list could not be taken over");
         }
+        asking.heard(kind);
     }
 
     /** Gives the module its timers that are due; returns the legs that are to be cut now. */
@@ -246,7 +256,7 @@
         while (!timers.isEmpty() && timers.peek().atUs() <= now) {
             begin(0, 0);
             long token = timers.poll().token();
-            if (!guarded(() -> module.timer(now, token))) {
+            if (!asking.timer(token) && !guarded(() -> module.timer(now, token))) {
                 timers.add(new Timer(now + TIMER_AGAIN_US, timersSet++, token));
             }
         }
@@ -310,7 +320,11 @@
 
         @Override
         public void log(String line) {
-            lines.add(line);
+            long now = clock.getAsLong();
+            if (now >= nextLineAt) {
+                nextLineAt = now + LINE_GAP_US;
+                lines.add(line);
+            }
         }
 
         @Override
--- a/core/src/test/java/dapplequay/MechanismTest.java
+++ b/core/src/test/java/dapplequay/MechanismTest.java
@@ -120,7 +120,7 @@
         out.forEach(send -> b.outcome(send, 0, Outcome.OK, new LoadReport(0, 0)));
         for (int i = 0; i < 40; i++) {
             Done held = b.pass(3_000_000).request(Bench.SAFE);
-            b.module.timer(b.now, 2);
+            b.module.timer(b.now, 1);
             b.outcome(held, 0, Outcome.OK, new LoadReport(0, 0));
         }
         for (int i = 0; i < 40; i++) {
@@ -335,7 +335,7 @@
                         slow * 200_000 + 10_000, true, new LoadReport(0, 0));
             }
             b.request(Bench.SAFE);
-            b.pass(500_000).module.timer(b.now, 2);
+            b.pass(500_000).module.timer(b.now, 1);
             assertEquals(1 - slow, b.count("cancel"), "usual time of " + slow);
         }
     }
@@ -451,9 +451,9 @@
         Done first = b.request(Bench.SAFE);
         Done second = b.request(Bench.SAFE);
         assertEquals(List.of(gone, gone), List.of(first.host(), second.host()));
-        b.pass(Bench.AIM / 4).module.timer(b.now, 2);
+        b.pass(Bench.AIM / 4).module.timer(b.now, 1);
         assertEquals(0, b.count("cancel"), "not yet");
-        b.pass(Bench.AIM / 2 + 20_000).module.timer(b.now, 2);
+        b.pass(Bench.AIM / 2 + 20_000).module.timer(b.now, 1);
         assertEquals(2, b.count("cancel"));
         Done again = b.outcome(first, Outcome.CANCELLED);
         assertNotEquals(gone, again.host());
@@ -599,17 +599,4 @@
         e = assertThrows(IllegalArgumentException.class, () -> new Bench(noBalancers));
         assertTrue(e.getMessage().contains("balancers"));
     }
-
-    @Test
-    void logLinesAreRateLimited() {
-        Bench b = new Bench().fleet(6, 0);
-        for (int i = 0; i < 50; i++) {
-            Done send = b.pass(10_000).request(Bench.SAFE);
-            if (send.host() != null) {
-                b.outcome(send, Outcome.ERROR);
-            }
-        }
-        assertEquals(1, b.lines.size(), b.lines::toString);
-        assertTrue(b.lines.get(0).startsWith("passed over for ERROR: a"));
-    }
 }
--- a/core/src/test/java/dapplequay/facade/FacadeTest.java
+++ b/core/src/test/java/dapplequay/facade/FacadeTest.java
@@ -136,9 +136,11 @@
     void whatTheModuleThrowsFailsTheRequestInHandAlone() throws Exception {
         AtomicBoolean broken = new AtomicBoolean();
         List<String> lines = new ArrayList<>();
+        List<String> calls = new ArrayList<>();
         Setup setup = changed("\"send_cap\": 3", "\"send_cap\": 3");
-        facade = new Facade(setup, now::get, lines::add,
+        facade = new Facade(setup, 7, now::get, lines::add,
                 actions -> around(new Balance(setup.settings(), 7, actions), call -> {
+                    calls.add(call);
                     if (broken.get()) {
                         throw new IllegalStateException("broken at " + call);
                     }
@@ -159,16 +161,35 @@
         assertThat(lines.get(0)).startsWith(Facade.FAULT).contains("broken at request").contains("\tat ");
         broken.set(false);
         assertThat(facade.pick(3, PAY)).isInstanceOf(Decision.Send.class);
+        calls.clear();
         now.addAndGet(1_000_000);
         facade.tick();
-        facade.awaitWatch();                // the timer that met the fault came again
+        assertThat(calls).as("the timer that met the fault came again").contains("timer");
+        facade.awaitWatch();
+    }
+
+    @Test
+    void linesOfTheModuleComeOnceASecondAtMost() throws IOException {
+        List<String> lines = new ArrayList<>();
+        List<BalancerApi.Actions> module = new ArrayList<>();
+        Setup setup = changed("\"send_cap\": 3", "\"send_cap\": 3");
+        facade = new Facade(setup, 7, now::get, lines::add, actions -> {
+            module.add(actions);
+            return new Balance(setup.settings(), 7, actions);
+        });
+        for (int i = 0; i < 50; i++) {
+            now.addAndGet(30_000);
+            module.get(0).log("line " + i);
+        }
+        facade.tick();
+        assertThat(lines).containsExactly("line 0", "line 34");
     }
 
     /** New settings whose taking over failed half-way left one side with the classes of the other. */
     @Test
     void settingsThatTheModuleChokesOnLeaveBothSidesWithTheSame() throws IOException {
         Setup setup = changed("\"send_cap\": 3", "\"send_cap\": 3");
-        facade = new Facade(setup, now::get, line -> { },
+        facade = new Facade(setup, 7, now::get, line -> { },
                 actions -> around(new Balance(setup.settings(), 7, actions), call -> { }, call -> {
                     if (call.equals("retune")) {
                         throw new IllegalStateException("after it went over");
--- a/sidecar/src/main/java/dapplequay/benchlink/Instances.java
+++ b/sidecar/src/main/java/dapplequay/benchlink/Instances.java
@@ -7,13 +7,14 @@
 import java.util.List;
 import java.util.Map;
 import dapplequay.Balance;
-import dapplequay.BalancerApi;
 import dapplequay.BalancerApi.FleetEntry;
 import dapplequay.BalancerApi.HostState;
 import dapplequay.BalancerApi.ListKind;
 import dapplequay.BalancerApi.LoadReport;
 import dapplequay.BalancerApi.Outcome;
 import dapplequay.BalancerApi.Request;
+import dapplequay.BalancerApi;
+import dapplequay.membership.Asking;
 import dapplequay.settings.SettingsReader;
 
 /** The table of instances: hands each event to its module and writes down what the module does. */
@@ -27,7 +28,7 @@
     private final Sheet[] sheets = new Sheet[SHEETS];
     private long turn;
 
-    private record Instance(BalancerApi module, SettingsReader.Setup setup) { }
+    private record Instance(BalancerApi module, Asking asking, SettingsReader.Setup setup) { }
 
     /** A sheet as read, and as translated for the zones of the instances that used it last. */
     private static final class Sheet {
@@ -116,8 +117,10 @@
     private void born(Event e) {
         String name = need(e.instance, "proxy_id", e);
         SettingsReader.Setup setup = need(e.setup, "setup", e);
-        guarded(name, () -> instances.put(name, new Instance(
-                new Balance(setup.settings(), need(e.seed, "seed", e), new WireActions(out, name)), setup)));
+        long seed = need(e.seed, "seed", e);
+        WireActions actions = new WireActions(out, name);
+        guarded(name, () -> instances.put(name, new Instance(new Balance(setup.settings(), seed, actions),
+                new Asking(setup.settings(), seed, actions), setup)));
     }
 
     private void sync(long now, Event e) {
@@ -143,7 +146,12 @@
             entries = sheet.translated;
         }
         List<FleetEntry> lines = entries;
-        guarded(e.instance, () -> instance.module().fleet(now, kind, lines));
+        guarded(e.instance, () -> {
+            if (kind != ListKind.FAILED) {
+                instance.module().fleet(now, kind, lines);
+            }
+            instance.asking().heard(kind);
+        });
     }
 
     private List<FleetEntry> translate(List<Event.Entry> raw, List<String> zones) {
@@ -206,7 +214,11 @@
             }
             case "TIMEOUT_FIRED" -> {
                 long token = need(e.token, "cookie", e);
-                return () -> module.timer(now, token);
+                return () -> {
+                    if (!instance.asking().timer(token)) {
+                        module.timer(now, token);
+                    }
+                };
             }
             case "PROBE_RESULT" -> {
                 String host = need(e.host, "host", e);
