--- a/core/src/main/java/dapplequay/Balance.java
+++ b/core/src/main/java/dapplequay/Balance.java
@@ -1,7 +1,6 @@
 // Interface: BalancerApi.java (the events that come in, the actions that go out, the values of both).
 package dapplequay;
 
-import dapplequay.membership.ZoneLoss;
 import dapplequay.worth.TenantMix;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -10,18 +9,17 @@
 import java.util.SplittableRandom;
 
 /**
- * Every decision of one balancer: buddy-set load sharing after Shin and Chang. A small buddy set in a fixed
- * order; the head takes a send unless that takes it past TH_v; then the first buddy in order whose share flag
- * is set; else the head. One instance serves one client process, shares nothing, and is not thread-safe.
- * Rules are kept in two places: only {@link #send} sends, and only {@link #answer} answers.
+ * Every decision of one balancer: buddy-set load sharing after Shin and Chang. A small buddy set in a fixed order; the
+ * head takes a send unless that takes it past TH_v; then the first buddy in order whose share flag is set; else the
+ * head. One instance serves one client process and shares nothing. Only {@link #send} sends, only {@link #answer}
+ * answers. Not thread-safe.
  */
 public final class Balance implements BalancerApi {
     /** A shorter time than this, us, is not worth an attempt: a network turn and the shortest work. */
     private static final long MIN_ATTEMPT_US = 2_000;
     /** A connect that failed after a greater share of the aim than this may be this process's own lateness. */
     private static final double LATE_SHARE = 0.5;
-    // A server is silent once its legs have together been waited for, since it was last heard of, so many times as long
-    // as answers to their classes usually take: work is long-tailed.
+    /** A server is silent once its legs have been waited for so many times as long as answers usually take. */
     private static final double SILENT_TIMES = 16;
     /** How often that is looked at, as a share of the aim. */
     private static final double WATCH_SHARE = 0.1;
@@ -30,8 +28,6 @@
     private static final long WATCH_TOKEN = 1;
 
     private final Actions actions;
-    private final Server.Set common;
-    private final ZoneLoss zoneLoss;
     final BuddySet set;
     private final Admission admission;
     private final Suspects suspects;
@@ -44,51 +40,41 @@
 
     /** IllegalArgumentException, naming the setting, where one makes no sense. */
     public Balance(Settings settings, long seed, Actions actions) {
-        settings.check(null);
         this.actions = actions;
-        common = new Server.Set(new SplittableRandom(seed), settings);
-        zoneLoss = new ZoneLoss(settings.zones().size(), Suspects.SHUN_US);
-        set = new BuddySet(common, zoneLoss);
+        set = new BuddySet(settings, new SplittableRandom(seed));
         suspects = new Suspects(set, actions);
-        admission = new Admission(set, common, zoneLoss);
+        admission = new Admission(set);
         use(settings);
     }
 
     private void use(Settings next) {
         next.check(settings);
         settings = next;
-        common.use(next);
+        set.use(next);
         admission.use(next);
-        next.classes().forEach(c -> usual.putIfAbsent(c.name(), Server.Set.GUESS_SHARE * c.aimUs()));
+        next.classes().forEach(c -> usual.putIfAbsent(c.name(), BuddySet.GUESS_SHARE * c.aimUs()));
         tenants = new TenantMix(next.tenants(), next.overShareWorth());
     }
 
-    /** What is known of servers stays, and requests under way keep what they came with. */
     @Override
     public void retune(long now, Settings next) {
         use(next);
         set.form(now);
     }
 
-    // ---- the server list ----
-
     @Override
     public void fleet(long now, ListKind kind, List<FleetEntry> entries) {
         set.listed(now, kind != ListKind.DELTA, entries);
     }
 
-    // ---- requests ----
-
     @Override
     public void request(long now, Request r) {
         ServiceClass type = settings.classes().get(r.serviceClass());
         // A try with less time than clients grant is a later one: the time before it is gone from the aim.
         long longest = longestLeft.merge(type.name(), r.leftUs(), Math::max);
         long elapsed = r.leftUs() < longest * 0.98 ? Math.max(0, type.deadlineUs() - r.leftUs()) : 0;
-        long useful = r.leftUs();
-        if (type.lateWorth() <= 0) {
-            useful = Math.min(useful, type.aimUs() + (long) (type.aimStretch() * r.costHintUs()) - elapsed);
-        }
+        long useful = type.lateWorth() > 0 ? r.leftUs()
+                : Math.min(r.leftUs(), type.aimUs() + (long) (type.aimStretch() * r.costHintUs()) - elapsed);
         double worth = (elapsed >= type.aimUs() ? type.lateWorth() : 1) * tenants.worth(r.tenant());
         Held h = new Held(r, type, worth, now + useful, settings.limits().sendCap());
         held.put(r.id(), h);
@@ -103,18 +89,18 @@
         }
     }
 
-    // ---- the rules: the one place that sends, the one that answers ----
-
     private boolean send(long now, Held h, Server s) {
         if (!h.mayGo(now, s, settings.limits())) {
             return false;
         }
         h.sent(now, s);
         s.silentSince = s.own++ == 0 ? now : s.silentSince;
-        zoneLoss.sent(now, s.zone);
+        set.zoneLoss.sent(now, s.zone);
         s.coldUntil = now + s.coldPause(now);
         actions.send(h.request.id(), s.host, Math.max(MIN_ATTEMPT_US, h.usefulUntil - now));
-        watchOn(!watching && settings.limits().mayCancel());
+        if (!watching) {
+            watch(settings.limits().mayCancel());
+        }
         return true;
     }
 
@@ -129,8 +115,6 @@
         }
     }
 
-    // ---- what comes back ----
-
     @Override
     public void streamStarted(long now, long id, int attempt) {
         held.remove(id);              // the attempt is the client's now; nothing more is owed
@@ -139,7 +123,7 @@
     @Override
     public void outcome(long now, long id, int attempt, String host, Outcome outcome, long tookUs,
                         boolean closed, LoadReport report) {
-        Server s = set.find(host);
+        Server s = set.servers.get(host);
         Held h = held.get(id);
         if (s != null) {
             s.own = Math.max(0, s.own - (h != null && h.uploading ? 0 : 1));
@@ -166,12 +150,12 @@
             s.answeredAt = now;
         }
         s.silentSince = now;
-        boolean nobody = silent || outcome == Outcome.CONNECT_FAILED && tookUs < LATE_SHARE * common.leastAim;
+        boolean nobody = silent || outcome == Outcome.CONNECT_FAILED && tookUs < LATE_SHARE * set.leastAim;
         boolean met = outcome != Outcome.CONNECT_FAILED && outcome != Outcome.TIMEOUT;
-        if ((nobody || met) && zoneLoss.ended(s.zone, nobody)) {
-            boolean lost = zoneLoss.isLost(s.zone);
+        if ((nobody || met) && set.zoneLoss.ended(s.zone, nobody)) {
+            boolean lost = set.zoneLoss.isLost(s.zone);
             // What is back has started anew, long before the list says so.
-            set.listed.stream().filter(o -> o.zone == s.zone && !lost).forEach(o -> o.startedUs = now);
+            set.servers.values().stream().filter(o -> o.zone == s.zone && !lost).forEach(o -> o.startedUs = now);
             actions.log("zone " + (lost ? "lost: " : "back: ") + settings.zones().get(s.zone));
             set.form(now);
         }
@@ -184,37 +168,34 @@
 
     /** Gives up the legs at servers that have fallen silent, where others may still serve the requests. */
     private void watchLegs(long now) {
-        set.listed.forEach(s -> s.awaited = 0);
+        set.servers.values().forEach(s -> s.awaited = 0);
         held.values().stream().filter(h -> h.out > 0 && !h.uploading).forEach(h -> h.last().awaited +=
                 (now - Math.max(h.sentAt, h.last().silentSince)) / usual.get(h.type.name()));
-        for (Server s : set.listed) {
-            if (now < s.shunUntil || s.awaited < SILENT_TIMES) {
-                continue;
-            }
+        set.servers.values().stream().filter(s -> now >= s.shunUntil && s.awaited >= SILENT_TIMES).forEach(s -> {
             suspects.silent(now, s);
             for (Held h : held.values()) {
-                if (h.waitsAt(s) && h.cut < h.attempts.size() && admission.hasSound(now, h)) {
+                if (h.out == 1 && !h.uploading && h.last() == s && h.cut < h.attempts.size() && set.buddies.stream()
+                        .anyMatch(o -> !o.trial && admission.usable(now, h, o))) {
                     h.cut = h.attempts.size();
                     actions.cancel(h.request.id(), h.cut - 1);
                 }
             }
-        }
+        });
         set.shrink(now);
-        watching = !held.isEmpty();
-        watchOn(watching);
+        watch(!held.isEmpty());
     }
 
-    private void watchOn(boolean wanted) {
+    private void watch(boolean wanted) {
+        watching = wanted;
         if (wanted) {
-            watching = true;
-            actions.timer(Math.max(1, (long) (WATCH_SHARE * common.leastAim)), WATCH_TOKEN);
+            actions.timer(Math.max(1, (long) (WATCH_SHARE * set.leastAim)), WATCH_TOKEN);
         }
     }
 
     @Override
     public int passedOver() {
-        return (int) set.listed.stream().filter(s -> s.draining || s.ready && (s.trial || zoneLoss.isLost(s.zone)))
-                .count();
+        return (int) set.servers.values().stream().filter(s -> s.draining
+                || s.ready && (s.trial || set.zoneLoss.isLost(s.zone))).count();
     }
 
     @Override
@@ -249,8 +230,6 @@
 
     @Override
     public void probed(long now, String host, Outcome outcome, long tookUs, LoadReport report) {
-        if (set.find(host) != null) {
-            set.find(host).heard(now, report);
-        }
+        set.servers.values().stream().filter(s -> s.host.equals(host)).forEach(s -> s.heard(now, report));
     }
 }
--- a/core/src/main/java/dapplequay/BuddySet.java
+++ b/core/src/main/java/dapplequay/BuddySet.java
@@ -1,62 +1,72 @@
 package dapplequay;
 
-import dapplequay.BalancerApi.FleetEntry;
-import dapplequay.BalancerApi.HostState;
-import dapplequay.BalancerApi.Settings;
+import dapplequay.BalancerApi.*;
+import dapplequay.limits.ColdBudget;
 import dapplequay.membership.Scatter;
 import dapplequay.membership.ZoneLoss;
 import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.SplittableRandom;
 import java.util.stream.IntStream;
 
 /** The servers that are listed, and the few of them, in a fixed order, that this balancer sends to. */
 final class BuddySet {
     /** Buddies; the paper finds 10 to 15 enough at any fleet size, and each buddy may cost a connection. */
     private static final int SIZE = 12;
-    // A set that is past TH_v everywhere, by this share or more of its own doing, is too small for its traffic: the
-    // next in order joins it, up to so many buddies a request held, and leaves after this, us, without need.
+    // A set past TH_v everywhere, by this share of its own doing, is too small: the next in order joins, up to so many
+    // buddies a request held, and leaves after this, us, without need.
     private static final int PER_HELD = 3;
     private static final double OWN_SHARE = 0.5;
     private static final long SHRINK_US = 2_000_000;
-    /** Buddies of other zones at least, where there are other zones, so that an overloaded zone can spill. */
+    /** Buddies of other zones at least, so that an overloaded zone can spill. */
     private static final int FOREIGN = 6;
     /** Buddies kept in lost zones: to try, one after the other, whether they are back. */
     private static final int LOST = 2;
-    // Crossing zones has a price, and what a remembered key saves counts where cores are short: in a key's order a
-    // server of another zone lies further away by this, over the square of what the set holds for each it works on.
+    // In a key's order another zone's lie further away by this, over the square of what is held for each worked on:
+    // what a remembered key saves counts where cores are short.
     private static final double FOREIGN_LEAN = 0.7;
     private static final double LEAST_BUSY = 0.05;
+    /** The first guess at what an answer takes, as a share of the aim. */
+    static final double GUESS_SHARE = 0.1;
 
-    private final Map<String, Server> servers = new HashMap<>();   // looked up only, never walked
-    final List<Server> listed = new ArrayList<>();                 // the same servers, in the order met
-    private final Server.Set common;
-    private final ZoneLoss zoneLoss;
-    private Settings settings;
+    final Map<String, Server> servers = new LinkedHashMap<>();    // all that are listed, in the order met
     List<Server> buddies = List.of();
+    double senders = 1;           // how many have a server in their sets: what each does now and then, so many do
+    double leastAim;
+    double held = 1;              // of all answered sends, as per server
+    double took;
+    int answers = 1;              // the guess at the start counts as one
+    ColdBudget cold;
+    final SplittableRandom random;
+    final ZoneLoss zoneLoss;
+    private Settings settings;
     private int size = SIZE;
-    private long grownAt;
-    private Server lastJoined;
+    private long resizedAt;
 
-    BuddySet(Server.Set common, ZoneLoss zoneLoss) {
-        this.common = common;
-        this.zoneLoss = zoneLoss;
+    BuddySet(Settings settings, SplittableRandom random) {
+        this.random = random;
+        zoneLoss = new ZoneLoss(settings.zones().size(), Suspects.SHUN_US);
     }
 
-    void use(Settings next) {
-        settings = next;
+    /** Time per request held and unit of size (Little's law), us. */
+    double pace() {
+        return took / held;
     }
 
-    Server find(String host) {
-        return servers.get(host);
+    void use(Settings next) {
+        settings = next;
+        leastAim = next.classes().stream().mapToLong(ServiceClass::aimUs).min().getAsLong();
+        took = took == 0 ? GUESS_SHARE * leastAim : took;
+        cold = new ColdBudget(next.coldStart());
     }
 
     /** A list, or its changes where it is not {@code whole}: a whole one leaves out what is gone. */
     void listed(long now, boolean whole, List<FleetEntry> entries) {
         if (whole) {
-            listed.forEach(s -> s.ready = s.draining = false);
+            servers.values().forEach(s -> s.ready = s.draining = false);
         }
         boolean changed = whole;
         for (FleetEntry e : entries) {
@@ -64,30 +74,24 @@
         }
         if (changed) {
             form(now);
-            // New servers come under new ids for good: what is gone must not stay in memory.
-            listed.removeIf(s -> !s.ready && s.own == 0 && !s.draining && servers.remove(s.host) != null);
+            servers.values().removeIf(s -> !s.ready && s.own == 0 && !s.draining);
         }
     }
 
     private boolean note(long now, FleetEntry e) {
-        Server s = servers.get(e.host());
-        if (s == null) {
-            if (e.state() == HostState.REMOVED) {
-                return false;
-            }
-            s = new Server(e.host(), settings.position(), common);
-            servers.put(e.host(), s);
-            listed.add(s);
+        if (e.state() == HostState.REMOVED && !servers.containsKey(e.host())) {
+            return false;
         }
+        Server s = servers.computeIfAbsent(e.host(), host -> new Server(host, settings.position(), this));
         boolean ready = e.state() == HostState.READY;
-        boolean changed = s.ready != ready || s.weight != e.weight() || s.startedUs != e.startedUs();
+        boolean changed = s.ready != ready || s.size != sizeOf(e) || s.startedUs != e.startedUs();
         boolean anew = ready && e.startedUs() > s.startedUs;
         s.ready = ready;
         s.draining = e.state() == HostState.DRAINING;
         if (e.zone() >= 0) {
             s.zone = e.zone();
             s.cell = e.cell();
-            s.weight = e.weight();
+            s.size = sizeOf(e);
             s.startedUs = e.startedUs();
         }
         if (anew) {
@@ -97,11 +101,13 @@
         return changed;
     }
 
+    private static double sizeOf(FleetEntry e) {
+        return Math.max(0.05, e.weight());
+    }
+
     /** Fills the set from the ready servers, when the list, a zone's loss or the set's size changes. */
     void form(long now) {
-        List<Server> ready = listed.stream().filter(s -> s.ready).toList();
-        double least = ready.stream().filter(s -> s.weight > 0).mapToDouble(s -> s.weight).min().orElse(1);
-        listed.forEach(s -> s.size = Math.max(0.05, s.weight / Math.min(1, least)));
+        List<Server> ready = servers.values().stream().filter(s -> s.ready).toList();
         Comparator<Server> permuted = Comparator.comparingDouble((Server s) -> s.orderKey / s.size)
                 .thenComparing(s -> s.host);
         int home = homeZone();
@@ -118,7 +124,7 @@
         fill(set, local, size - Math.min(foreign.size(), FOREIGN));
         fill(set, foreign, size);
         buddies = set;
-        common.senders = Math.max(1, (double) settings.balancers() * set.size() / Math.max(1, ready.size()));
+        senders = Math.max(1, (double) settings.balancers() * set.size() / Math.max(1, ready.size()));
     }
 
     private static void fill(List<Server> set, List<Server> from, int upTo) {
@@ -129,10 +135,10 @@
     private int homeZone() {
         int zones = settings.zones().size();
         return IntStream.range(0, zones).map(i -> (settings.zone() + i) % zones).filter(z -> !zoneLoss.isLost(z)
-                && listed.stream().anyMatch(s -> s.ready && s.zone == z)).findFirst().orElse(settings.zone());
+                && servers.values().stream().anyMatch(s -> s.ready && s.zone == z)).findFirst().orElse(settings.zone());
     }
 
-    /** Rotation by balancer number, on a ring on which each server holds an arc as long as its weight. */
+    /** Rotation by balancer number, on a ring where each server has an arc as long as its weight. */
     private Server headOf(List<Server> ring) {
         List<Server> order = new ArrayList<>(ring);
         order.sort(Comparator.comparingLong((Server s) -> s.hash).thenComparing(s -> s.host));
@@ -145,37 +151,32 @@
         return at;
     }
 
-    /** Takes the next ready server in order into the set; null where none is left or the set is wide enough. */
-    Server takeIn(long now, int requestsHeld) {
+    /** Takes the next ready server in order into the set, where one is left and the set is not wide enough. */
+    void grow(long now, int requestsHeld) {
         // Each answers before the next: where this process itself is late, new connections would make it later.
-        // Of those heard of: what the others hold for other balancers is not known, and no reason to take in more.
-        if (lastJoined != null && lastJoined.own > 0 && lastJoined.answeredAt < grownAt
-                || buddies.size() < size || size >= PER_HELD * requestsHeld
-                || buddies.stream().filter(s -> !Double.isNaN(s.reported))
-                        .mapToDouble(s -> s.own - OWN_SHARE * s.held(now)).sum() <= 0) {
-            return null;
+        if (buddies.size() == size && size < PER_HELD * requestsHeld
+                && buddies.stream().noneMatch(s -> s.own > 0 && s.answeredAt == 0)
+                && buddies.stream().filter(s -> !Double.isNaN(s.reported))
+                        .mapToDouble(s -> s.own - OWN_SHARE * s.held(now)).sum() > 0) {
+            resize(now, size + 1);
         }
-        List<Server> before = buddies;
-        size++;
-        grownAt = now;
-        form(now);
-        lastJoined = buddies.stream().filter(s -> !before.contains(s)).findFirst().orElse(null);
-        return lastJoined;
     }
 
     void shrink(long now) {
-        if (size > SIZE && now - grownAt > SHRINK_US) {
-            size--;
-            grownAt = now;
-            form(now);
+        if (size > SIZE && now - resizedAt > SHRINK_US) {
+            resize(now, size - 1);
         }
     }
 
+    private void resize(long now, int next) {
+        size = next;
+        resizedAt = now;
+        form(now);
+    }
+
     /**
-     * The buddies, from the one whose turn it is. Where servers work less on keys that they met lately, that is the
-     * key's doing and not the balancer's, so that all balancers of a zone turn to the same server with the same key,
-     * and those of another zone often; what a server has no room for is diverted as ever. Highest random weight
-     * (Thaler, Ravishankar 1998): a server that comes or goes moves its own keys alone.
+     * The buddies, from the one whose turn it is. Where servers remember keys the key decides, so that all of a zone
+     * turn to the same one. Highest random weight (Thaler, Ravishankar 1998): who comes or goes moves its own keys.
      */
     List<Server> orderFor(long now, String text) {
         if (!settings.warmKeys() || text == null) {
--- a/core/src/main/java/dapplequay/Held.java
+++ b/core/src/main/java/dapplequay/Held.java
@@ -1,10 +1,6 @@
 package dapplequay;
 
-import dapplequay.BalancerApi.Group;
-import dapplequay.BalancerApi.Limits;
-import dapplequay.BalancerApi.Request;
-import dapplequay.BalancerApi.Semantics;
-import dapplequay.BalancerApi.ServiceClass;
+import dapplequay.BalancerApi.*;
 import java.util.ArrayList;
 import java.util.List;
 
@@ -71,9 +67,4 @@
     Server last() {
         return attempts.get(attempts.size() - 1);
     }
-
-    /** Its one leg that is out runs at this server. */
-    boolean waitsAt(Server s) {
-        return out == 1 && !uploading && last() == s;
-    }
 }
--- a/core/src/main/java/dapplequay/Server.java
+++ b/core/src/main/java/dapplequay/Server.java
@@ -1,83 +1,45 @@
 package dapplequay;
 
 import dapplequay.BalancerApi.LoadReport;
-import dapplequay.BalancerApi.ServiceClass;
-import dapplequay.BalancerApi.Settings;
-import dapplequay.limits.ColdBudget;
 import dapplequay.membership.Scatter;
-import java.util.SplittableRandom;
 
 /**
  * What is known of one server. Its load figure is the paper's cumulative execution time: the time, us, that a request
  * sent now is thought to take, which is what the server would hold times the pace that it shows.
  */
 final class Server {
-    // Thresholds in times that the set takes for a request with nobody before it: the same for all classes, as they
-    // wait in the same queue. Past TH_v a send would begin to wait.
+    // In times that the set takes for a request with nobody before it. Past TH_v a send would begin to wait.
     static final double TH_U = 1;
     static final double TH_F = 1.3;
     static final double TH_V = 1.5;
     /** Odds that it fails, in logarithms, where nothing speaks against it. */
     static final double DOUBT_NONE = -3.5;
-    // Nobody is sent more than takes, at the set's pace, this share of the shortest aim: all classes wait in one queue,
-    // and a server that has held far more than it works on for a second or two slows down, for long.
+    // Nobody is sent more than takes, at the set's pace, this share of the shortest aim, as all classes wait in one
+    // queue, and a server that holds far more than it works on slows down, for long.
     private static final double QUEUE_SHARE = 0.6;
-    /** The share of that room that is there for a request worth nothing: the rest is kept for better ones. */
+    /** The share of that room for a request worth nothing: the rest is kept for better ones. */
     private static final double LITTLE_WORTH = 0.5;
     /** What a report tells fades with this time constant, us: a queue nobody feeds is worked off. */
     private static final double FADE_US = 8_000_000;
-    // Time constant of the mean of what a server holds for others, in times that its reports usually stay the same, and
-    // the longest, us: one sent little would keep a bad name by count.
+    // Of the mean of what it holds for others: in times that its reports usually stay the same, and the longest, us.
     private static final double OTHERS_REFRESHES = 2;
     private static final double OTHERS_US = 3_000_000;
     private static final double REFRESH_US = 1_000_000;
-    /** A cleared flag is set again after about this, us: one diverted send then tells how the server is. */
+    /** A cleared flag is set again after about this, us: one send then tells how the server is. */
     private static final long FLAG_TIMER_US = 2_000_000;
-    /** Weight of the newest answer in a server's pace, twice that in the set's, and the set's as so many answers. */
+    /** Weight of the newest answer in a server's pace, twice that in the set's; the set's pace is so many answers. */
     private static final double PACE_GAIN = 0.15;
     private static final double PACE_PRIOR = 0.5;
-    /** A report of more requests held than this is broken. */
-    private static final double MAX_HELD = 10_000;
-
-    /** What one balancer holds true of all servers. */
-    static final class Set {
-        /** The first guess at what an answer takes, as a share of the aim. */
-        static final double GUESS_SHARE = 0.1;
-
-        final SplittableRandom random;
-        double senders = 1;       // how many have a server in their sets: what each does now and then, so many do
-        double leastAim;
-        private ColdBudget cold;
-        private double held = 1;  // of all answered sends, as per server
-        private double took;
-        private int answers = 1;  // the guess at the start counts as one
-
-        Set(SplittableRandom random, Settings settings) {
-            this.random = random;
-            use(settings);
-        }
-
-        void use(Settings settings) {
-            leastAim = settings.classes().stream().mapToLong(ServiceClass::aimUs).min().getAsLong();
-            took = took == 0 ? GUESS_SHARE * leastAim : took;
-            cold = new ColdBudget(settings.coldStart());
-        }
-
-        /** Time per request held and unit of size (Little's law). */
-        double pace() {
-            return took / held;
-        }
-    }
+    private static final double MAX_HELD = 10_000;     // a report of more is broken
 
     final String host;
     final long hash;
     final double orderKey;        // place in this balancer's permutation
-    private final Set set;
+    private final BuddySet set;
     int zone;
     int cell;
     boolean ready;
     boolean draining;
-    double weight;
     long startedUs;
     double size = 1;              // registered weight: how many requests it works on at once
     double keyPlace;              // in the order of the key in hand
@@ -100,14 +62,14 @@
     long coldUntil;               // while cold: nothing more before
 
     /** The paper permutes orders so that balancers that share a head do not share a second choice too. */
-    Server(String host, int position, Set set) {
+    Server(String host, int position, BuddySet set) {
         this.host = host;
         this.set = set;
         hash = Scatter.mix(host.hashCode());
         orderKey = Scatter.draw(host.hashCode() * 31L + position * 0x9E3779B97F4AL);
     }
 
-    /** A new process: what was known is about one that is gone. */
+    /** A new process: what was known is of one that is gone. */
     void restarted(long now) {
         reported = Double.NaN;
         shunUntil = 0;
@@ -117,8 +79,6 @@
         clearFlag(now);
     }
 
-    // ---- load ----
-
     /** Requests held, as last reported, with own sends and answers since added and taken off. */
     double held(long now) {
         return Math.exp((reportAt - now) / FADE_US) * others + own;
@@ -178,15 +138,13 @@
         set.took += gain * (tookUs - set.took);
     }
 
-    /** It turned a request away: full, until it says otherwise or that has faded. */
+    /** It turned a request away. */
     void full(long now) {
         clearFlag(now);
-        others = Math.max(others, room());
+        others = Math.max(others, room());   // until it says otherwise, or that has faded
         reportAt = now;
     }
 
-    // ---- share flag, and how much a cold server may be sent ----
-
     boolean shares(long now) {
         return flag || now >= flagSetAt;
     }
--- a/core/src/main/java/dapplequay/Suspects.java
+++ b/core/src/main/java/dapplequay/Suspects.java
@@ -7,8 +7,7 @@
 final class Suspects {
     /** A failing one is passed over for so long, us; a lost zone is tried as often. */
     static final long SHUN_US = 2_000_000;
-    // Whether a server fails is weighed as odds, in logarithms: what a failure adds and an answer takes away. A failing
-    // one fails a third or more, a sound one a fiftieth or less.
+    // To the odds, in logarithms, that a server fails: what a failure adds and an answer takes away.
     private static final double DOUBT_ADD = 3;
     private static final double DOUBT_TAKE = 0.9;
     /** A silent one is tried again after this, us. */
@@ -43,7 +42,7 @@
                 s.doubt += DOUBT_ADD;
                 if (s.doubt >= 0) {
                     s.clearFlag(now);
-                    shun(now, s, outcome.name());
+                    shun(now, s, outcome.name(), SHUN_US, 0);
                 }
             }
             default -> { }
@@ -51,23 +50,20 @@
     }
 
     /** A server that fails fast has a short queue and would look idle: its answers count, not its figure. */
-    private void shun(long now, Server s, String why) {
+    private void shun(long now, Server s, String why, long forUs, double doubt) {
         if (!s.trial && 2 * set.buddies.stream().filter(o -> o.trial).count() >= set.buddies.size() - 1) {
             return;               // where half are suspects, the trouble is not with single servers
         }
         if (!s.trial) {
             actions.log("passed over for " + why + ": " + s.host);
         }
-        s.shunUntil = now + SHUN_US;
+        s.shunUntil = now + forUs;
         s.trial = true;
-        s.doubt = 0;
+        s.doubt = doubt;
     }
 
-    /** One that has fallen silent has not failed: it is tried again soon, and one or two answers clear it. */
+    /** One that has fallen silent has not failed: it is tried again soon, and one answer clears it. */
     void silent(long now, Server s) {
-        double doubt = s.trial ? s.doubt : -1.5 * DOUBT_TAKE;    // that much is gone with one answer
-        shun(now, s, "silence");
-        s.shunUntil = s.trial ? now + SILENT_US : s.shunUntil;
-        s.doubt = doubt;
+        shun(now, s, "silence", SILENT_US, s.trial ? s.doubt : -1.5 * DOUBT_TAKE);
     }
 }
--- a/core/src/main/java/dapplequay/limits/ColdBudget.java
+++ b/core/src/main/java/dapplequay/limits/ColdBudget.java
@@ -3,20 +3,13 @@
 import dapplequay.BalancerApi.ColdStart;
 
 /**
- * What a cold server may be sent. By the rule, all instances together may send it some times what it can do at
- * present; beyond that it falls over and stays down. Instances share nothing, so each takes an equal part of that,
- * divided by how many have the server in their sets. Pure: times are given, in microseconds.
+ * What a cold server may be sent: by all instances together some times what it can do at present, beyond which it falls
+ * over. They share nothing: each takes an equal part. Pure; times in microseconds.
  */
-public final class ColdBudget {
+public record ColdBudget(ColdStart cold) {
     /** Share of the budget that is used: the rest is for chance, handshakes and sets that are unevenly spread. */
     private static final double MARGIN = 0.4;
 
-    private final ColdStart cold;
-
-    public ColdBudget(ColdStart cold) {
-        this.cold = cold;
-    }
-
     /** The share of its capacity that a server has at the least, up to 1: from its age. 0 or less: started long ago. */
     public double warmth(long now, long startedUs) {
         double age = startedUs <= 0 ? 1 : (double) Math.max(0, now - startedUs) / cold.warmUpUs();
--- a/core/src/main/java/dapplequay/membership/Scatter.java
+++ b/core/src/main/java/dapplequay/membership/Scatter.java
@@ -2,14 +2,11 @@
 
 /** Fixed numbers that lie evenly or at random, the same at every instance and at every start. */
 public final class Scatter {
-    private static final double GOLDEN = 0.6180339887498949;
-
     private Scatter() { }
 
     /** From 0 up to 1: golden-ratio steps spread any run of numbers evenly, and each part of the run too. */
     public static double fraction(int position) {
-        double f = position * GOLDEN;
-        return f - Math.floor(f);
+        return position * 0.6180339887498949 % 1;
     }
 
     /** Bits that show nothing of the order of what they were made of. */
@@ -21,11 +18,6 @@
 
     /** Exponentially, with mean 1: of many, each over its weight, one is the least as often as its weight says. */
     public static double draw(long bits) {
-        return -Math.log(unit(mix(bits)));
-    }
-
-    /** Above 0 and below 1, evenly. */
-    public static double unit(long bits) {
-        return ((bits >>> 11) + 0.5) / (1L << 53);
+        return -Math.log(((mix(bits) >>> 11) + 0.5) / (1L << 53));
     }
 }
--- a/core/src/main/java/dapplequay/membership/ZoneLoss.java
+++ b/core/src/main/java/dapplequay/membership/ZoneLoss.java
@@ -1,9 +1,8 @@
 package dapplequay.membership;
 
 /**
- * Whether a zone as a whole is lost, from attempts that met no process there: refused or vain connects, silence. A
- * request has fewer attempts than a zone has servers, so that what fails by whole zones is not to be learnt server by
- * server: each would take its own failures to be passed over, at every instance anew. Pure: no clock; microseconds.
+ * Whether a zone as a whole is lost, from attempts that met no process there: refused or vain connects, silence. Learnt
+ * server by server, each would take its own failures to be passed over. Pure; times in microseconds.
  */
 public final class ZoneLoss {
     /** A zone is lost while more than this share of its last attempts, weighed so, met nobody. */
@@ -13,9 +12,8 @@
 
     private final double[] goneShare;
     private final long[] tryAt;
-    private final long tryEveryUs;
+    private final long tryEveryUs;      // the least time between two attempts in a lost zone
 
-    /** {@code tryEveryUs}: the least time between two attempts in a lost zone. */
     public ZoneLoss(int zones, long tryEveryUs) {
         goneShare = new double[zones];
         tryAt = new long[zones];
--- a/core/src/main/java/dapplequay/worth/TenantMix.java
+++ b/core/src/main/java/dapplequay/worth/TenantMix.java
@@ -4,8 +4,8 @@
 import java.util.List;
 
 /**
- * What a request of a tenant is worth on average, as part of its class's worth. Usage across all instances is unknown,
- * but a burst shows in the mix at each: the tenant is deeper into its share than the others are. Pure, without time.
+ * What a request of a tenant is worth, as part of its class's worth. Usage across all instances is unknown, but a burst
+ * shows in the mix at each: the tenant is deeper into its share than the others are. Pure, without time.
  */
 public final class TenantMix {
     /** Weight of the newest request: the mix is of about the last sixteen. */
@@ -19,7 +19,7 @@
     private final double overShareWorth;
 
     public TenantMix(List<Tenant> tenants, double overShareWorth) {
-        shares = tenants.stream().mapToDouble(Tenant::share).toArray();
+        shares = tenants.stream().mapToDouble(t -> Math.max(LEAST, Math.min(1 - LEAST, t.share()))).toArray();
         mix = shares.clone();
         this.overShareWorth = overShareWorth;
     }
@@ -32,8 +32,7 @@
         for (int t = 0; t < mix.length; t++) {
             mix[t] += GAIN * ((t == tenant ? 1 : 0) - mix[t]);
         }
-        double rest = Math.max(LEAST, 1 - mix[tenant]) / Math.max(LEAST, 1 - shares[tenant]);
-        double into = mix[tenant] / Math.max(LEAST, shares[tenant]) / rest;
+        double into = mix[tenant] / shares[tenant] * (1 - shares[tenant]) / Math.max(LEAST, 1 - mix[tenant]);
         double within = Math.min(1, OVER_SHARE / into);
         return within + (1 - within) * overShareWorth;
     }
--- a/core/src/test/java/dapplequay/MechanismTest.java
+++ b/core/src/test/java/dapplequay/MechanismTest.java
@@ -515,7 +515,7 @@
         for (int i = 0; i < 1_000; i++) {
             b.delta(Bench.host("new" + i, 0), Bench.host("new" + (i - 1), 0, BalancerApi.HostState.REMOVED, 0));
         }
-        assertEquals(3, b.module.set.listed.size());
+        assertEquals(3, b.module.set.servers.size());
     }
 
     /** With a mean by count, a server that was sent little after a bad spell stayed refused for long. */
--- a/core/src/test/java/dapplequay/SourceLimitsTest.java
+++ b/core/src/test/java/dapplequay/SourceLimitsTest.java
@@ -17,7 +17,7 @@
 /** The module has to stay readable in one sitting at night. */
 class SourceLimitsTest {
     private static final Path SOURCES = Path.of("core/src/main/java/dapplequay");
-    private static final int MODULE_LINES = 960;
+    private static final int MODULE_LINES = 850;
     private static final int FILE_LINES = 500;
     private static final int LINE_LENGTH = 120;
 
