What a sidecar was told outlives it, and a list that lost most hosts is asked for again

A start believed any list: the platform's, of unknown age, and whatever discovery answered first, also from a copy that had not heard of a drain yet.

RestartTest starts several processes: four killed 6 after they were told of a drain begin again with discovery one version behind, 20 requests, none at the draining host (with the binding taken out: fails; without a folder the late list is believed); a torn file is set aside; a second process on a folder whose first one is frozen serves and writes nothing, and writes once the first is gone; an empty list is asked for again, and believed when it comes twice.

--- a/core/src/main/java/dapplequay/settings/Json.java
+++ b/core/src/main/java/dapplequay/settings/Json.java
@@ -1,9 +1,12 @@
 package dapplequay.settings;
 
 import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -29,6 +32,39 @@
         }
     }
 
+    /** The text, UTF-8, of such a tree; IllegalArgumentException where it holds anything else. */
+    public static byte[] text(Object tree) {
+        ByteArrayOutputStream text = new ByteArrayOutputStream();
+        try (JsonGenerator out = FACTORY.createGenerator(text)) {
+            write(out, tree);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        return text.toByteArray();
+    }
+
+    private static void write(JsonGenerator out, Object value) throws IOException {
+        if (value instanceof Map<?, ?> object) {
+            out.writeStartObject();
+            for (Map.Entry<?, ?> field : object.entrySet()) {
+                out.writeFieldName((String) field.getKey());
+                write(out, field.getValue());
+            }
+            out.writeEndObject();
+        } else if (value instanceof List<?> array) {
+            out.writeStartArray();
+            for (Object item : array) {
+                write(out, item);
+            }
+            out.writeEndArray();
+        } else if (value == null || value instanceof String || value instanceof Boolean || value instanceof Long
+                || value instanceof Integer || value instanceof Double) {
+            out.writeObject(value);
+        } else {
+            throw new IllegalArgumentException("not for JSON: " + value.getClass());
+        }
+    }
+
     /** The value that the parser stands on. */
     static Object value(JsonParser in) throws IOException {
         switch (in.currentToken()) {
--- a/lab/src/test/java/dapplequay/lab/ArchitectureTest.java
+++ b/lab/src/test/java/dapplequay/lab/ArchitectureTest.java
@@ -13,7 +13,8 @@
 /** Who may use whom. docs/ARCHITECTURE.md has it in words. */
 class ArchitectureTest {
     private static final String[] CORE = {"dapplequay", "dapplequay.settings", "dapplequay.facade",
-        "dapplequay.lifecycle", "dapplequay.state"};
+        "dapplequay.lifecycle", "dapplequay.state", "dapplequay.recovery", "dapplequay.membership", "dapplequay.limits",
+        "dapplequay.worth"};
     private static JavaClasses all;
 
     @BeforeAll
--- a/sidecar/src/main/java/dapplequay/cli/Main.java
+++ b/sidecar/src/main/java/dapplequay/cli/Main.java
@@ -50,8 +50,8 @@
             return main.command.run(environment);
         } catch (CmdLineException e) {
             System.err.println("dapplequay: " + e.getMessage());
-            System.err.println("usage: java -jar dapplequay.jar serve [--config FILE] [--log LEVEL]"
-                    + " | simhost | check-config [--config FILE] | version");
+            System.err.println("usage: java -jar dapplequay.jar serve [--config FILE] [--operators FILE]"
+                    + " [--log LEVEL] | simhost | check-config [--config FILE] [--operators FILE] | version");
             return BAD_USAGE;
         } catch (SettingsException | IllegalArgumentException | IOException e) {
             System.err.println("dapplequay: " + e.getMessage());
@@ -61,6 +61,8 @@
 
     /** What the commands that read a configuration share. */
     abstract static class Configured implements Command {
+        @Option(name = "--operators", metaVar = "FILE", usage = "the operators' own file; else they have none")
+        private String operators;
         @Option(name = "--config", metaVar = "FILE", usage = "the configuration; else EDGE_CONFIG names it")
         private String config;
 
@@ -72,6 +74,10 @@
             return Path.of(file);
         }
 
+        Operators operators() {
+            return operators == null ? Operators.NONE : Operators.read(Path.of(operators));
+        }
+
         Sidecar.Plan plan(Map<String, String> environment) {
             return Config.read(file(environment), environment);
         }
@@ -90,10 +96,12 @@
             Path file = file(environment);
             ChangedFile changed = new ChangedFile(file);
             Map<?, ?> fields = Config.fields(file);
-            Sidecar sidecar = new Sidecar(Config.read(file.toString(), fields, environment));
+            KeptState state = KeptState.in(operators().stateFolder());
+            Sidecar sidecar = state.begin(Config.read(file.toString(), fields, environment));
             Runtime.getRuntime().addShutdownHook(new Thread(() -> {
                 try {
                     sidecar.end();
+                    state.end();
                 } catch (InterruptedException e) {
                     Thread.currentThread().interrupt();
                 }
@@ -125,6 +133,7 @@
     public static final class CheckConfig extends Configured {
         @Override
         public int run(Map<String, String> environment) throws IOException {
+            operators();
             Sidecar.check(plan(environment));
             System.out.println("good");
             return 0;
--- a/sidecar/src/main/java/dapplequay/net/RoutingTable.java
+++ b/sidecar/src/main/java/dapplequay/net/RoutingTable.java
@@ -3,6 +3,7 @@
 import dapplequay.facade.ListNews;
 import dapplequay.facade.ListNews.Line;
 import dapplequay.facade.ListNews.State;
+import dapplequay.http.Sockets;
 import dapplequay.settings.Json;
 import java.io.IOException;
 import java.net.InetAddress;
@@ -10,6 +11,7 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -28,7 +30,11 @@
      */
     record Route(String uid, InetSocketAddress endpoint, long bootMs) { }
 
-    private record Listed(Route route, State state) { }
+    private record Listed(Route route, Line line) {
+        State state() {
+            return line.state();
+        }
+    }
 
     /** One text of discovery's, read and checked as a whole before any of it counts. */
     record Update(long revision, ListNews news, Map<String, InetSocketAddress> endpoints) { }
@@ -96,7 +102,7 @@
                 routes.remove(line.uid());
             } else {
                 Route route = new Route(line.uid(), update.endpoints().get(line.uid()), line.bootMs());
-                routes.put(line.uid(), new Listed(route, line.state()));
+                routes.put(line.uid(), new Listed(route, line));
             }
         }
         revision = update.revision();
@@ -114,6 +120,36 @@
         return serving;
     }
 
+    /** How many hosts serve, and how many of them a whole list does not name any more. */
+    synchronized int[] servingAndMissing(Update whole) {
+        Set<Route> before = serving();
+        Set<String> named = new HashSet<>();
+        whole.news().lines().forEach(line -> named.add(line.uid()));
+        return new int[] {before.size(), (int) before.stream().filter(r -> !named.contains(r.uid())).count()};
+    }
+
+    /** The list in discovery's form, so that a later life can begin with it. */
+    synchronized Map<String, Object> tree() {
+        List<Object> targets = new ArrayList<>();
+        for (Listed listed : routes.values()) {
+            Line line = listed.line();
+            Map<String, Object> target = new LinkedHashMap<>();
+            target.put("uid", line.uid());
+            target.put("endpoint", Sockets.text(listed.route().endpoint()));
+            target.put("az", line.zone());
+            target.put("pod_group", line.cell());
+            target.put("state", line.state().name());
+            target.put("capacity_hint", line.weight());
+            target.put("boot_ms", line.bootMs());
+            targets.add(target);
+        }
+        Map<String, Object> tree = new LinkedHashMap<>();
+        tree.put("rev", revision);
+        tree.put("all", true);
+        tree.put("targets", targets);
+        return tree;
+    }
+
     /** Hosts in the list, those that drain included. */
     synchronized int size() {
         return routes.size();
--- a/sidecar/src/main/java/dapplequay/net/Sidecar.java
+++ b/sidecar/src/main/java/dapplequay/net/Sidecar.java
@@ -16,6 +16,8 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
 import java.util.logging.Level;
 import java.util.logging.Logger;
 
@@ -68,6 +70,11 @@
      */
     public record Plan(InetSocketAddress listen, InetSocketAddress management, InetSocketAddress discovery, long seed,
                        double cores, int sockets, int memoryMb, Object known, Setup setup, boolean inherits) {
+        /** The same with another list to begin with. */
+        public Plan beginningWith(Object list) {
+            return new Plan(listen, management, discovery, seed, cores, sockets, memoryMb, list, setup, inherits);
+        }
+
         /** Connections of both sides together that the limits allow. */
         int mostConnections() {
             return most(1);
@@ -99,8 +106,26 @@
         }
     }
 
-    /** Listens at no address yet; IOException where the known list is no good. */
+    /**
+     * What outlives the process. {@code binds}: the known list is this sidecar's own last word, so that an older one
+     * takes nothing back; {@code keep} is given the list in discovery's form whenever it was heard, and may not block.
+     */
+    public record Memory(boolean binds, Consumer<Supplier<byte[]>> keep) {
+        public static final Memory NONE = new Memory(false, list -> { });
+    }
+
+    /** For so long after it was heard, us, a kept list's version counts. */
+    public static long versionCountsUs() {
+        return Watch.VERSION_COUNTS_US;
+    }
+
+    /** One that keeps nothing. */
     public Sidecar(Plan plan) throws IOException {
+        this(plan, Memory.NONE);
+    }
+
+    /** Listens at no address yet; IOException where the known list is no good. */
+    public Sidecar(Plan plan, Memory memory) throws IOException {
         this.plan = plan;
         UnixClock clock = new UnixClock();
         deadlines = new Deadlines(clock);
@@ -113,7 +138,8 @@
         IssuerSide issuers = new IssuerSide(table, deadlines, () -> setup, plan.mostIssuers(), counts);
         conductor = new Conductor(facade, issuers);
         issuers.conductor(conductor);
-        watch = new Watch(plan.discovery(), table, facade, issuers);
+        watch = new Watch(plan.discovery(), table, facade, issuers, memory,
+                () -> setup.settings().discovery().drainGraceUs());
     }
 
     private static void tell(String line) {
--- a/sidecar/src/main/java/dapplequay/net/Watch.java
+++ b/sidecar/src/main/java/dapplequay/net/Watch.java
@@ -5,10 +5,13 @@
 import dapplequay.http.Head;
 import dapplequay.http.MessageReader;
 import dapplequay.http.Sockets;
+import dapplequay.recovery.Doubt;
+import dapplequay.settings.Json;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.function.LongSupplier;
 import java.util.logging.Level;
 import java.util.logging.Logger;
 
@@ -26,6 +29,8 @@
     private static final int CONNECT_MS = 2_000;
     /** For so long, ns, a list older than the one known is taken for a mistake of who gave it. */
     private static final long OLDER_NS = 30_000_000_000L;
+    /** For so long, us, after it was heard a list's version counts: a quiet watch, and as long as an older is refused. */
+    static final long VERSION_COUNTS_US = (WAIT_MS + MARGIN_MS) * 1_000L + OLDER_NS / 1_000;
 
     private final RoutingTable table;
     private final Facade facade;
@@ -35,13 +40,22 @@
     private Socket socket;
     private InetSocketAddress asked;
     private boolean whole;
-    private boolean anyVersion = true;      // of a start, or at another address
+    private boolean anyVersion;             // of a start that knows none, or at another address
+    private final Sidecar.Memory memory;
+    private final LongSupplier graceUs;
+    private final Doubt doubt = new Doubt();
+    private RoutingTable.Update doubted;
     private String fault;
     private long olderSinceNs;
     private MessageReader reader;
 
-    Watch(InetSocketAddress discovery, RoutingTable table, Facade facade, IssuerSide issuers) {
+    /** {@code graceUs}: for so long after being told of a drain, work may still go there. */
+    Watch(InetSocketAddress discovery, RoutingTable table, Facade facade, IssuerSide issuers, Sidecar.Memory memory,
+            LongSupplier graceUs) {
         this.discovery = discovery;
+        this.memory = memory;
+        this.graceUs = graceUs;
+        anyVersion = !memory.binds();
         this.table = table;
         this.facade = facade;
         this.issuers = issuers;
@@ -61,6 +75,11 @@
                     }
                 } catch (IOException | RuntimeException | OutOfMemoryError e) {
                     drop();
+                    if (doubt.isDoubting()) {
+                        LOG.warning("the list that was doubted counts: no second one came");
+                        doubt.failed();
+                        believe(doubted);
+                    }
                     if (hasMoved()) {
                         continue;       // no failure of discovery's: the next call goes to the new address
                     }
@@ -114,7 +133,8 @@
             asked = discovery;
             socket = now = new Socket();
         }
-        now.connect(asked, CONNECT_MS);
+        now.connect(asked, doubt.isDoubting() ? Math.max(1, (int) (Doubt.pauseUs(graceUs.getAsLong()) / 1_000))
+                : CONNECT_MS);
         now.setTcpNoDelay(true);
         reader = new MessageReader(now.getInputStream(), MessageReader.MAX_LIST);
         return now;
@@ -124,7 +144,7 @@
      * What is older than what is known takes nothing back that was told since. A discovery that has lost its count goes
      * on so, and is believed after a while.
      */
-    private void hear(RoutingTable.Update update) throws IOException {
+    private void hear(RoutingTable.Update update) throws IOException, InterruptedException {
         if (!anyVersion && update.revision() < table.revision()) {
             long now = System.nanoTime();
             olderSinceNs = olderSinceNs == 0 ? now : olderSinceNs;
@@ -138,6 +158,37 @@
         }
         olderSinceNs = 0;
         anyVersion = false;
+        if (update.news().kind() == ListNews.Kind.WHOLE && isDoubtful(update)) {
+            doubted = update;
+            take(new RoutingTable.Update(update.revision(), new ListNews(ListNews.Kind.CHANGES, update.news().lines()),
+                    update.endpoints()));
+            whole = true;
+            Thread.sleep(Doubt.pauseUs(graceUs.getAsLong()) / 1_000);
+            return;
+        }
+        take(update);
+    }
+
+    private boolean isDoubtful(RoutingTable.Update update) {
+        int[] count = table.servingAndMissing(update);
+        boolean second = doubt.isDoubting();
+        boolean believed = doubt.believes(count[0], count[1]);
+        if (!believed || second) {
+            LOG.log(Level.WARNING, "a list without {0} of {1} hosts that served {2}", new Object[] {count[1], count[0],
+                second ? "came again, and counts" : "is asked for again before it counts"});
+        }
+        return !believed;
+    }
+
+    private void believe(RoutingTable.Update update) {
+        try {
+            take(update);
+        } catch (RuntimeException e) {
+            LOG.log(Level.WARNING, "the list could not be taken over, and is asked for again", e);
+        }
+    }
+
+    private void take(RoutingTable.Update update) {
         var drained = table.take(update);
         try {
             facade.news(update.news());
@@ -146,11 +197,13 @@
             throw e;
         }
         issuers.closeIdle(drained);
+        memory.keep().accept(() -> Json.text(table.tree()));
     }
 
     private RoutingTable.Update call() throws IOException {
         Socket to = connected();
-        to.setSoTimeout(WAIT_MS + MARGIN_MS);
+        to.setSoTimeout(doubt.isDoubting() ? Math.max(1, (int) (Doubt.pauseUs(graceUs.getAsLong()) / 1_000))
+                : WAIT_MS + MARGIN_MS);
         String query = whole ? "" : "?after=" + table.revision() + "&wait_ms=" + WAIT_MS;
         String request = "GET /v1/servers" + query + " HTTP/1.1\r\nHost: " + Sockets.text(asked) + "\r\n\r\n";
         to.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
--- a/sidecar/src/test/java/dapplequay/cli/Program.java
+++ b/sidecar/src/test/java/dapplequay/cli/Program.java
@@ -31,13 +31,19 @@
         this(config, socket, management, false, List.of());
     }
 
-    /** {@code ignoringHup}: as a shell starts it that ignores SIGHUP; {@code launcher}: what starts it in turn. */
     Program(Path config, ServerSocketChannel socket, int management, boolean ignoringHup, List<String> launcher)
             throws Exception {
+        this(config, socket, management, ignoringHup, launcher, List.of());
+    }
+
+    /** {@code ignoringHup}: as a shell starts it that ignores SIGHUP; {@code launcher}: what starts it in turn. */
+    Program(Path config, ServerSocketChannel socket, int management, boolean ignoringHup, List<String> launcher,
+            List<String> options) throws Exception {
         this.management = management;
         List<String> command = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
                 "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx64m", "-cp", System.getProperty("java.class.path"),
                 "dapplequay.cli.Main", "serve", "--config", config.toString()));
+        command.addAll(options);
         command.addAll(0, launcher);
         if (ignoringHup) {
             command.addAll(0, List.of("sh", "-c", "trap '' HUP; exec \"$@\"", "sh"));
--- /dev/null
+++ b/sidecar/src/test/java/dapplequay/cli/RestartTest.java
@@ -0,0 +1,279 @@
+package dapplequay.cli;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.sun.net.httpserver.HttpExchange;
+import com.sun.net.httpserver.HttpServer;
+import dapplequay.snapshot.StateFolder;
+import dapplequay.state.Snapshot;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.concurrent.Callable;
+import java.util.concurrent.Executors;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Several sidecars, killed and started again with faults between: what they were told outlives them. */
+@Timeout(120)
+class RestartTest {
+    private static final int SIDECARS = 4;
+    private static final long PATIENCE_MS = 30_000;
+
+    @TempDir
+    private Path folder;
+    private final AtomicInteger[] served = {new AtomicInteger(), new AtomicInteger(), new AtomicInteger(),
+        new AtomicInteger()};
+    private final List<HttpServer> servers = new ArrayList<>();
+    private final List<Program> running = new ArrayList<>();
+    private final HttpClient client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+    private final int[] ports = new int[SIDECARS];
+    private HttpServer discovery;
+    private volatile String list;
+    private volatile long revision;
+
+    @BeforeEach
+    void startTheOthers() throws IOException {
+        for (AtomicInteger count : served) {
+            server(exchange -> {
+                count.incrementAndGet();
+                answer(exchange, "done");
+            });
+        }
+        discovery = server(this::discover);
+        tell(5, "SERVING", 2);
+    }
+
+    @AfterEach
+    void stopAll() {
+        running.forEach(Program::close);
+        servers.forEach(server -> server.stop(0));
+    }
+
+    private HttpServer server(com.sun.net.httpserver.HttpHandler handler) throws IOException {
+        HttpServer server = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 50);
+        server.createContext("/", exchange -> {
+            exchange.getRequestBody().readAllBytes();
+            handler.handle(exchange);
+        });
+        server.setExecutor(Executors.newCachedThreadPool(work -> {
+            Thread thread = new Thread(work);
+            thread.setDaemon(true);
+            return thread;
+        }));
+        server.start();
+        servers.add(server);
+        return server;
+    }
+
+    private static void answer(HttpExchange exchange, String text) throws IOException {
+        byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
+        exchange.sendResponseHeaders(200, bytes.length);
+        exchange.getResponseBody().write(bytes);
+        exchange.close();
+    }
+
+    /** A whole list at once to whoever asks for all, or knows another version; else when there is another one. */
+    private void discover(HttpExchange exchange) throws IOException {
+        String query = String.valueOf(exchange.getRequestURI().getQuery());
+        String known = query.replaceAll(".*after=(\\d+).*", "$1");
+        String now;
+        synchronized (this) {
+            while (known.equals(String.valueOf(revision))) {
+                try {
+                    wait();
+                } catch (InterruptedException e) {
+                    return;
+                }
+            }
+            now = list;
+        }
+        answer(exchange, now);
+    }
+
+    /** The first host in that state, and others up to so many in all, as discovery tells from now on. */
+    private synchronized void tell(long version, String firstState, int hosts) {
+        StringBuilder targets = new StringBuilder();
+        for (int i = 0; i < hosts; i++) {
+            targets.append(i == 0 ? "" : ",").append("{\"uid\":\"s").append(i).append("\",\"endpoint\":\"127.0.0.1:")
+                    .append(servers.get(i).getAddress().getPort()).append("\",\"az\":\"north\",\"pod_group\":1,\"state\":\"")
+                    .append(i == 0 ? firstState : "SERVING").append("\",\"capacity_hint\":1.0,\"boot_ms\":0}");
+        }
+        list = "{\"rev\":" + version + ",\"all\":true,\"targets\":[" + targets + "]}";
+        revision = version;
+        notifyAll();
+    }
+
+    /** One sidecar with its own folder, or none; it begins with the platform's list of version 4, all serving. */
+    private Program start(int number, boolean keeps) throws Exception {
+        return start(number, keeps, folder.resolve("state" + number), null);
+    }
+
+    private Program start(int number, boolean keeps, Path state, ServerSocketChannel platform) throws Exception {
+        long version = revision;
+        String now = list;
+        tell(4, "SERVING", 2);
+        String known = list;
+        list = now;
+        revision = version;
+        String text = Files.readString(Path.of("example/config.json"))
+                .replace("127.0.0.1:7070", "127.0.0.1:" + port(number))
+                .replace("127.0.0.1:8500", "127.0.0.1:" + discovery.getAddress().getPort())
+                .replace("\"on_request\"", "\"pushed\"")
+                .replace("\"ask_within_us\"", "\"drain_grace_us\": 16000000, \"ask_within_us\"")
+                .replaceAll("(?s)\"known\": \\{.*?]},", "\"known\": " + known + ",");
+        Path config = Files.writeString(folder.resolve("config" + number + ".json"), text);
+        Files.createDirectories(state);
+        Path operators = Files.writeString(folder.resolve("operators" + number + ".toml"),
+                keeps ? "[state]\nfolder = \"" + state + "\"\n" : "# nothing\n");
+        Program program = new Program(config, platform, Program.freePort(), false, List.of(), List.of("--operators",
+                operators.toString()));
+        running.add(program);
+        return program;
+    }
+
+    private int port(int number) throws IOException {
+        if (ports[number] == 0) {
+            ports[number] = Program.freePort();
+        }
+        return ports[number];
+    }
+
+    private int pay(int number) throws Exception {
+        HttpRequest pay = HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + ports[number] + "/quote/1"))
+                .header("X-Call-Id", Long.toHexString(System.nanoTime())).header("X-Caller", "shop-a")
+                .header("X-Budget-Ms", "1000").GET().build();
+        return client.send(pay, HttpResponse.BodyHandlers.ofString()).statusCode();
+    }
+
+    private static void await(String what, Callable<Boolean> condition) throws Exception {
+        long until = System.currentTimeMillis() + PATIENCE_MS;
+        while (!condition.call()) {
+            assertThat(System.currentTimeMillis()).as(what).isLessThan(until);
+            Thread.sleep(10);
+        }
+    }
+
+    private String kept(int number) throws Exception {
+        Snapshot kept = new StateFolder(folder.resolve("state" + number), "sidecar-127.0.0.1-" + ports[number],
+                () -> 0).read();
+        return kept == null ? "" : new String(kept.list(), StandardCharsets.UTF_8);
+    }
+
+    private void startAll(boolean keeps) throws Exception {
+        List<Program> started = new ArrayList<>();
+        for (int i = 0; i < SIDECARS; i++) {
+            started.add(start(i, keeps));
+        }
+        for (Program program : started) {
+            program.awaitReady();
+        }
+    }
+
+    private void killAll() throws Exception {
+        for (Program program : running) {
+            program.process.destroyForcibly().waitFor();
+        }
+        running.clear();
+    }
+
+    /** A discovery that is late lists as serving what had been told to drain: each life began by believing it. */
+    @Test
+    void aDrainToldBeforeTheKillHoldsThoughDiscoveryIsLate() throws Exception {
+        startAll(true);
+        tell(6, "DRAINING", 2);
+        for (int i = 0; i < SIDECARS; i++) {
+            int number = i;
+            await("kept by " + i, () -> kept(number).contains("\"rev\":6"));
+            assertThat(kept(i)).contains("DRAINING");
+        }
+        killAll();
+        tell(5, "SERVING", 2);
+        int before = served[0].get();
+        startAll(true);
+        for (int round = 0; round < 5; round++) {
+            for (int i = 0; i < SIDECARS; i++) {
+                assertThat(pay(i)).isEqualTo(200);
+            }
+        }
+        assertThat(served[0].get() - before).as("requests at the host that drains").isZero();
+        assertThat(served[1].get()).isGreaterThanOrEqualTo(5 * SIDECARS);
+        tell(7, "SERVING", 1);
+        await("newer word ends it", () -> pay(0) == 200 && served[0].get() > before);
+    }
+
+    /** What the test above shows is the folder's doing. */
+    @Test
+    void withoutAFolderALateDiscoveryIsBelieved() throws Exception {
+        startAll(false);
+        tell(5, "SERVING", 1);
+        await("served by the first", () -> pay(0) == 200 && served[0].get() > 0);
+        assertThat(kept(0)).isEmpty();
+    }
+
+    @Test
+    void aStateThatIsTornIsSetAsideAndTheStartGoesOn() throws Exception {
+        start(0, true).awaitReady();
+        await("kept", () -> kept(0).contains("\"rev\":5"));
+        killAll();
+        Path file = folder.resolve("state0/sidecar-127.0.0.1-" + ports[0] + ".list");
+        byte[] whole = Files.readAllBytes(file);
+        Files.write(file, Arrays.copyOf(whole, whole.length / 2));
+        Program again = start(0, true).awaitReady();
+        assertThat(pay(0)).isEqualTo(200);
+        await("told", () -> again.log.stream().anyMatch(line -> line.contains("torn")));
+        assertThat(folder.resolve("state0/" + file.getFileName() + ".bad")).exists();
+        await("kept anew", () -> kept(0).contains("\"rev\":5"));
+    }
+
+    /** Frozen and taken for dead, while another is started in its place: neither writes over the other. */
+    @Test
+    void aSecondProcessOnOneFolderServesAndWritesNothing() throws Exception {
+        try (ServerSocketChannel platform = Program.platformSocket()) {
+            ports[0] = ((InetSocketAddress) platform.getLocalAddress()).getPort();
+            Program first = start(0, true, folder.resolve("state0"), platform).awaitReady();
+            await("kept", () -> kept(0).contains("\"rev\":5"));
+            first.signal("STOP");
+            Program second = start(0, true, folder.resolve("state0"), platform).awaitReady();
+            tell(6, "DRAINING", 2);
+            await("told", () -> second.log.stream().anyMatch(line -> line.contains("held by another process")));
+            assertThat(kept(0)).as("not written over").contains("\"rev\":5");
+            assertThat(pay(0)).isEqualTo(200);
+            first.close();
+            first.process.waitFor();
+            tell(7, "DRAINING", 2);
+            await("the second one keeps it once the first is gone", () -> kept(0).contains("\"rev\":7"));
+        }
+    }
+
+    /** A list that loses all is asked for again: the second one, whole, comes before anything was refused. */
+    @Test
+    void anEmptyListIsAskedForAgainBeforeItCounts() throws Exception {
+        tell(5, "SERVING", 4);
+        Program program = start(0, true).awaitReady();
+        await("knows all", () -> kept(0).contains("s3"));
+        tell(6, "SERVING", 0);
+        await("doubted", () -> program.log.stream().anyMatch(line -> line.contains("asked for again")));
+        assertThat(pay(0)).isEqualTo(200);
+        tell(7, "SERVING", 4);
+        await("settled", () -> kept(0).contains("\"rev\":7"));
+        tell(8, "SERVING", 0);
+        await("believed the second time", () -> pay(0) == 503);
+        await("told", () -> program.log.stream().anyMatch(line -> line.contains("came again, and counts")));
+    }
+}
