--- a/sidecar/src/main/java/dapplequay/cli/KeptState.java
+++ b/sidecar/src/main/java/dapplequay/cli/KeptState.java
@@ -39,8 +39,8 @@
         Snapshot kept = folder.read();
         Object tree = kept == null ? null : tree(kept);
         long now = clock.getAsLong();
-        Beginning beginning = Beginning.choose(revision(plan.known()),
-                tree == null ? null : new Beginning.Known(revision(tree), kept.takenUs()), now, Sidecar.versionCountsUs());
+        Beginning.Known own = tree == null ? null : new Beginning.Known(revision(tree), kept.takenUs());
+        Beginning beginning = Beginning.choose(revision(plan.known()), own, now, Sidecar.versionCountsUs());
         Sidecar.Memory memory = new Sidecar.Memory(beginning.binds(), folder::keep);
         if (beginning.from() != Beginning.From.KEPT) {
             return new Sidecar(plan, memory);
