--- a/sidecar/src/main/java/dapplequay/net/Watch.java
+++ b/sidecar/src/main/java/dapplequay/net/Watch.java
@@ -29,7 +29,7 @@
     private static final int CONNECT_MS = 2_000;
     /** For so long, ns, a list older than the one known is taken for a mistake of who gave it. */
     private static final long OLDER_NS = 30_000_000_000L;
-    /** For so long, us, after it was heard a list's version counts: a quiet watch, and as long as an older is refused. */
+    /** For so long, us, after it was heard a version counts: a quiet watch, and as long as an older one is refused. */
     static final long VERSION_COUNTS_US = (WAIT_MS + MARGIN_MS) * 1_000L + OLDER_NS / 1_000;
 
     private final RoutingTable table;
