--- a/sidecar/src/main/java/dapplequay/snapshot/StateFolder.java
+++ b/sidecar/src/main/java/dapplequay/snapshot/StateFolder.java
@@ -15,8 +15,8 @@
 
 /**
  * What one sidecar was told, kept in a folder that one process at a time writes to: who holds the lock beside it. A
- * process that finds it held serves all the same, says so, and asks for it again before each write. Writing is done by a
- * thread of its own; {@link #keep} never waits.
+ * process that finds it held serves all the same, says so, and asks for it again before each write. Writing is done
+ * by a thread of its own; {@link #keep} never waits.
  */
 public final class StateFolder implements AutoCloseable {
     private static final Logger LOG = Logger.getLogger(StateFolder.class.getName());
