A failing host is passed over for one second again: two turned too much away where answers are garbled

Garbled answers come from sound hosts, and each second that one is passed over is room that is refused.

--- a/core/src/main/java/dapplequay/Suspects.java
+++ b/core/src/main/java/dapplequay/Suspects.java
@@ -6,7 +6,7 @@
 /** Failure diversion: which servers are passed over, and when one is tried again. */
 final class Suspects {
     /** A failing one is passed over for so long, us; a lost zone is tried as often. */
-    static final long SHUN_US = 2_000_000;
+    static final long SHUN_US = 1_000_000;
     // To the odds, in logarithms, that a server fails: what a failure adds and an answer takes away.
     private static final double DOUBT_ADD = 3;
     private static final double DOUBT_TAKE = 0.9;
