A doubted list is kept under the version before it, and its waits are reckoned in one place

A list that was doubted was taken, but for what it missed, under its own version, and kept so. A sidecar killed before the second answer would have begun its next life with that version, asked for what came after it, and never been told of the hosts that were missing. Shown by a test with a real process, which fails without the change. The wait before the second question and the bound on its answer were three copies of one expression.

--- a/sidecar/src/main/java/dapplequay/net/Watch.java
+++ b/sidecar/src/main/java/dapplequay/net/Watch.java
@@ -110,6 +110,15 @@
         facade.watchAnew();
     }
 
+    /** Before the second question after a list that was doubted, and the longest wait for its answer. */
+    private int doubtMs() {
+        return (int) Math.max(1, Doubt.pauseUs(graceUs.getAsLong()) / 1_000);
+    }
+
+    private int longestMs(int usualMs) {
+        return doubt.isDoubting() ? doubtMs() : usualMs;
+    }
+
     private synchronized boolean hasMoved() {
         return !discovery.equals(asked);
     }
@@ -133,8 +142,7 @@
             asked = discovery;
             socket = now = new Socket();
         }
-        now.connect(asked, doubt.isDoubting() ? Math.max(1, (int) (Doubt.pauseUs(graceUs.getAsLong()) / 1_000))
-                : CONNECT_MS);
+        now.connect(asked, longestMs(CONNECT_MS));
         now.setTcpNoDelay(true);
         reader = new MessageReader(now.getInputStream(), MessageReader.MAX_LIST);
         return now;
@@ -160,10 +168,11 @@
         anyVersion = false;
         if (update.news().kind() == ListNews.Kind.WHOLE && isDoubtful(update)) {
             doubted = update;
-            take(new RoutingTable.Update(update.revision(), new ListNews(ListNews.Kind.CHANGES, update.news().lines()),
+            // The version stays: a life that begins with what is kept by now has to be told of the missing ones, too.
+            take(new RoutingTable.Update(table.revision(), new ListNews(ListNews.Kind.CHANGES, update.news().lines()),
                     update.endpoints()));
             whole = true;
-            Thread.sleep(Doubt.pauseUs(graceUs.getAsLong()) / 1_000);
+            Thread.sleep(doubtMs());
             return;
         }
         take(update);
@@ -202,8 +211,7 @@
 
     private RoutingTable.Update call() throws IOException {
         Socket to = connected();
-        to.setSoTimeout(doubt.isDoubting() ? Math.max(1, (int) (Doubt.pauseUs(graceUs.getAsLong()) / 1_000))
-                : WAIT_MS + MARGIN_MS);
+        to.setSoTimeout(longestMs(WAIT_MS + MARGIN_MS));
         String query = whole ? "" : "?after=" + table.revision() + "&wait_ms=" + WAIT_MS;
         String request = "GET /v1/servers" + query + " HTTP/1.1\r\nHost: " + Sockets.text(asked) + "\r\n\r\n";
         to.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
--- a/sidecar/src/test/java/dapplequay/cli/RestartTest.java
+++ b/sidecar/src/test/java/dapplequay/cli/RestartTest.java
@@ -257,6 +257,17 @@
         await("the second one keeps it once the first is gone", () -> kept(0).contains("\"rev\":7"));
     }
 
+    /** Kept under the new version while it was doubted, it would never have been asked for again by the next life. */
+    @Test
+    void aDoubtedListDrainsAtOnceAndIsKeptUnderTheVersionBeforeIt() throws Exception {
+        tell(5, "SERVING", 4);
+        start(0, true).awaitReady();
+        await("knows all", () -> kept(0).contains("s3"));
+        tell(6, "DRAINING", 1);
+        await("the drain is kept", () -> kept(0).contains("DRAINING"));
+        assertThat(kept(0)).contains("\"rev\":5").contains("s3");
+    }
+
     /** A list that loses all is asked for again: the second one, whole, comes before anything was refused. */
     @Test
     void anEmptyListIsAskedForAgainBeforeItCounts() throws Exception {
