--- a/core/src/main/java/dapplequay/Balance.java
+++ b/core/src/main/java/dapplequay/Balance.java
@@ -64,7 +64,7 @@
 
     @Override
     public void fleet(long now, ListKind kind, List<FleetEntry> entries) {
-        set.listed(now, kind != ListKind.DELTA, entries);
+        set.listed(now, kind == ListKind.FULL || kind == ListKind.RESTORED, entries);
     }
 
     @Override
--- a/core/src/main/java/dapplequay/BalancerApi.java
+++ b/core/src/main/java/dapplequay/BalancerApi.java
@@ -19,7 +19,7 @@
 
     /**
      * DELTA: changed entries only. FULL: the whole list. RESTORED: as last held before a restart. FAILED: none;
-     * for whoever asks for the list, and never told to the module.
+     * for whoever asks for the list, and nothing to the module.
      */
     enum ListKind { DELTA, FULL, RESTORED, FAILED }
 
--- a/core/src/test/java/dapplequay/RulesTest.java
+++ b/core/src/test/java/dapplequay/RulesTest.java
@@ -210,6 +210,14 @@
         assertEquals("refuse", b.outcome(send, Outcome.REFUSED).what());
     }
 
+    /** Taken for a whole list, it would be an empty one. */
+    @Test
+    void listThatFailedToComeChangesNothing() {
+        Bench b = new Bench().fleet(1, 0);
+        b.module.fleet(b.now, ListKind.FAILED, List.of());
+        assertEquals("a0", b.request(Bench.SAFE).host());
+    }
+
     @Test
     void hostSeenOnlyAsRemovedIsNoError() {
         Bench b = new Bench().fleet(1, 0);
