Gathering pieces and framing them stand with the pieces, not in the clients' connection

When a long body waits for more bytes is a matter of pieces, and whether one is framed as a chunk was the same choice in both directions: Pieces.gather and Chunks.span.

--- a/sidecar/src/main/java/dapplequay/net/AcquirerConnection.java
+++ b/sidecar/src/main/java/dapplequay/net/AcquirerConnection.java
@@ -10,7 +10,6 @@
 import java.io.EOFException;
 import java.io.IOException;
 import java.io.InputStream;
-import java.io.InterruptedIOException;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
@@ -36,11 +35,6 @@
     private static final long LONG_LINGER_US = 5_000_000;
     /** What is held of a body that is known to be long: enough to begin anew where a host can't be reached. */
     private static final int HELD = 8 * 1024;
-    /** A piece smaller than this is waited on for more, so long; far less than the second that a peer would notice. */
-    private static final int GATHERED = Pieces.SIZE * 3 / 4;
-    /** The same for a body in chunks, of which no more than half as much comes at once. */
-    private static final int CHUNKS_GATHERED = Pieces.SIZE / 4;
-    private static final long GATHER_MS = 70;
     private static final int FIRST_PIECE = 2 * 1024;
     /** A body has so long, us, and as long as it takes at so many bytes a second; waiting for it alone counts. */
     private static final long BODY_US = 1_500_000;
@@ -272,28 +266,6 @@
         return read;
     }
 
-    /**
-     * Lets bytes come together behind a small piece of a long body: each piece costs two calls of the system and a
-     * change of threads, whatever its size, and a body in pieces of a packet takes three times the processor time.
-     * Where short requests wait for the processor, a long body gives way.
-     */
-    private void gather(int read, Body body) throws IOException {
-        if (body.isWhole()) {
-            return;
-        }
-        int gathered = body.framing() == Body.Framing.CHUNKED ? CHUNKS_GATHERED : GATHERED;
-        boolean small = read < gathered && !body.isNearlyWhole(gathered);
-        long pauseMs = Math.max(small ? GATHER_MS : 0, side.pauseMs());
-        if (pauseMs > 0) {
-            try {
-                Thread.sleep(pauseMs);
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-                throw new InterruptedIOException("interrupted within a body");
-            }
-        }
-    }
-
     private void bodyIsOver() {
         if (pace != null) {
             tooSlow.close();
@@ -333,7 +305,7 @@
                     return;
                 }
                 moves.moved();
-                Chunks.Span out = chunked ? Chunks.frame(piece, read, last) : new Chunks.Span(Chunks.ROOM, read);
+                Chunks.Span out = Chunks.span(piece, read, chunked, last);
                 if (!leg.connection().carry(leg, piece, out, last)) {
                     return;
                 }
@@ -341,7 +313,7 @@
                 if (last) {
                     leg.connection().carried(true);
                 }
-                gather(read, body);
+                Pieces.gather(read, body, side.pauseMs());
             }
         } catch (BadMessage e) {
             side.conductor().spoilt(authorisation, Answers.plain(e.status, e.getMessage()));
@@ -442,11 +414,10 @@
             while (!body.isWhole()) {
                 int read = Math.max(0, body.read(piece, Chunks.ROOM, Pieces.SIZE));
                 moves.moved();
-                Chunks.Span out = chunked ? Chunks.frame(piece, read, body.isWhole())
-                        : new Chunks.Span(Chunks.ROOM, read);
+                Chunks.Span out = Chunks.span(piece, read, chunked, body.isWhole());
                 socket.getOutputStream().write(piece, out.from(), out.length());
                 moves.moved();
-                gather(read, body);
+                Pieces.gather(read, body, side.pauseMs());
             }
             whole = true;
         } catch (IOException e) {
--- a/sidecar/src/main/java/dapplequay/net/Chunks.java
+++ b/sidecar/src/main/java/dapplequay/net/Chunks.java
@@ -36,6 +36,11 @@
         return new Span(from, end - from);
     }
 
+    /** The same where the body goes in chunks; else the bytes as they lie. */
+    static Span span(byte[] piece, int count, boolean chunked, boolean last) {
+        return chunked ? frame(piece, count, last) : new Span(ROOM, count);
+    }
+
     /** These bytes as a chunk (none: no chunk), in an array of their own. */
     static byte[] of(byte[] bytes) {
         byte[] piece = new byte[bytes.length + 2 * ROOM];
