One clock for the list: each call is given up before what it missed counts as told

Cause: net.Watch gave every call 22 s (WAIT_MS + MARGIN_MS) as a socket time-out, begun anew at each byte.

A drip counts as silence, the call after a silent one does not wait, a silence is followed at once, doubt keeps to what is left of the grace.

--- a/core/src/main/java/dapplequay/facade/Facade.java
+++ b/core/src/main/java/dapplequay/facade/Facade.java
@@ -31,6 +31,8 @@
     private static final long TIMER_AGAIN_US = 1_000_000;
     /** At least this long between two faults that are told with their traces, us; all are counted. */
     private static final long FAULT_GAP_US = 1_000_000;
+    /** Between two looks, ms, of who waits for the module to want the list: it is woken anyhow. */
+    private static final long LONGEST_WAIT_MS = 60_000;
     /** At least this long between two lines of the module's, us. */
     private static final long LINE_GAP_US = 1_000_000;
     /** How a line begins that tells of a fault. */
@@ -264,10 +266,18 @@
         cuts.clear();
     }
 
-    /** Waits until the module wants the list watched; it goes on wanting that until a watch has failed. */
-    public synchronized void awaitWatch() throws InterruptedException {
+    /**
+     * Waits until the module wants the list watched, but no longer than {@code atMostUs}; it goes on wanting that until
+     * a watch has failed.
+     */
+    public synchronized void awaitWatch(long atMostUs) throws InterruptedException {
+        long begunUs = clock.getAsLong();
         while (!watchWanted) {
-            wait();
+            long leftUs = atMostUs - (clock.getAsLong() - begunUs);
+            if (leftUs <= 0) {
+                return;
+            }
+            wait(Math.max(1, Math.min(leftUs / 1_000, LONGEST_WAIT_MS)));
         }
     }
 
--- a/core/src/test/java/dapplequay/facade/FacadeTest.java
+++ b/core/src/test/java/dapplequay/facade/FacadeTest.java
@@ -84,7 +84,7 @@
     void watchIsWantedWhenTheModulesTimerSaysSo() throws Exception {
         Thread watch = new Thread(() -> {
             try {
-                facade.awaitWatch();
+                facade.awaitWatch(Long.MAX_VALUE);
             } catch (InterruptedException e) {
                 throw new AssertionError(e);
             }
@@ -98,7 +98,7 @@
         facade.news(ListNews.failed());
         now.addAndGet(10_000_000);
         facade.tick();
-        facade.awaitWatch();
+        facade.awaitWatch(Long.MAX_VALUE);
     }
 
     /**
@@ -110,12 +110,12 @@
     void pushedListIsWatchedFromTheStartAndSoonAgainAfterAFailure() throws Exception {
         Setup pushed = changed("\"discovery\": \"on_request\"", "\"discovery\": \"pushed\"");
         facade = new Facade(pushed, 7, now::get, line -> { });
-        facade.awaitWatch();
+        facade.awaitWatch(Long.MAX_VALUE);
         for (int i = 0; i < 20; i++) {
             facade.news(ListNews.failed());
             now.addAndGet(pushed.settings().discovery().drainGraceUs() / 8);
             facade.tick();
-            facade.awaitWatch();
+            facade.awaitWatch(Long.MAX_VALUE);
         }
     }
 
@@ -165,7 +165,7 @@
         now.addAndGet(1_000_000);
         facade.tick();
         assertThat(calls).as("the timer that met the fault came again").contains("timer");
-        facade.awaitWatch();
+        facade.awaitWatch(Long.MAX_VALUE);
     }
 
     @Test
--- a/sidecar/src/main/java/dapplequay/net/Sidecar.java
+++ b/sidecar/src/main/java/dapplequay/net/Sidecar.java
@@ -6,6 +6,7 @@
 import dapplequay.management.Counts;
 import dapplequay.management.Exposition;
 import dapplequay.management.ManagementSide;
+import dapplequay.membership.ListClock;
 import dapplequay.settings.SettingsReader.Setup;
 import dapplequay.time.Deadlines;
 import dapplequay.time.ProcessorTime;
@@ -15,6 +16,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Objects;
+import java.util.SplittableRandom;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
@@ -138,8 +140,8 @@
         IssuerSide issuers = new IssuerSide(table, deadlines, () -> setup, plan.mostIssuers(), counts);
         conductor = new Conductor(facade, issuers);
         issuers.conductor(conductor);
-        watch = new Watch(plan.discovery(), table, facade, issuers, memory,
-                () -> setup.settings().discovery().drainGraceUs());
+        ListClock listClock = new ListClock(() -> setup.settings().discovery(), new SplittableRandom(plan.seed()));
+        watch = new Watch(plan.discovery(), table, facade, issuers, memory, listClock, clock);
     }
 
     private static void tell(String line) {
--- a/sidecar/src/main/java/dapplequay/net/Watch.java
+++ b/sidecar/src/main/java/dapplequay/net/Watch.java
@@ -5,32 +5,35 @@
 import dapplequay.http.Head;
 import dapplequay.http.MessageReader;
 import dapplequay.http.Sockets;
+import dapplequay.membership.ListClock;
 import dapplequay.recovery.Doubt;
 import dapplequay.settings.Json;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.util.function.LongSupplier;
 import java.util.logging.Level;
 import java.util.logging.Logger;
 
 /**
- * The discovery client: watches for changes as long as the module wants that, one call after the other. When
- * to begin again after a failure is the module's to say: it backs off with jitter, as all sidecars share one
- * discovery service. A new address is asked at once, and for the whole list: its versions may be counted
- * anew.
+ * The discovery client: watches for changes as long as the module wants that, one call after the other. How long a
+ * call may wait, and whether the next one follows at once, {@link ListClock} says. When to begin again after a failure
+ * is the module's to say: it backs off with jitter, as all sidecars share one discovery service. A new address is
+ * asked at once, and for the whole list: its versions may be counted anew.
  */
 final class Watch implements Runnable {
     private static final Logger LOG = Logger.getLogger(Watch.class.getName());
-    private static final int WAIT_MS = 20_000;
-    /** What discovery has to tell counts as told 2 s after a call's wait is over: no use in waiting on. */
-    private static final int MARGIN_MS = 2_000;
-    private static final int CONNECT_MS = 2_000;
-    /** For so long, ns, a list older than the one known is taken for a mistake of who gave it. */
-    private static final long OLDER_NS = 30_000_000_000L;
+    /**
+     * A connection that is not there after this, us, is asked for again: what is lost of it is sent anew after a
+     * second.
+     */
+    private static final long CONNECT_US = 1_000_000;
+    /** For so long, us, a list older than the one known is taken for a mistake of who gave it. */
+    private static final long OLDER_US = 30_000_000;
     /** For so long, us, after it was heard a version counts: a quiet watch, and as long as an older one is refused. */
-    static final long VERSION_COUNTS_US = (WAIT_MS + MARGIN_MS) * 1_000L + OLDER_NS / 1_000;
+    static final long VERSION_COUNTS_US = ListClock.LONGEST_WAIT_US + ListClock.AFTER_WAIT_US + OLDER_US;
 
     private final RoutingTable table;
     private final Facade facade;
@@ -42,19 +45,23 @@
     private boolean whole;
     private boolean anyVersion;             // of a start that knows none, or at another address
     private final Sidecar.Memory memory;
-    private final LongSupplier graceUs;
+    private final ListClock clock;
+    private final LongSupplier now;
     private final Doubt doubt = new Doubt();
+    private long doubtEndsUs;               // no second answer is waited for any longer
     private RoutingTable.Update doubted;
     private String fault;
-    private long olderSinceNs;
+    private long olderSinceUs;
     private MessageReader reader;
+    private long waitUs;
 
-    /** {@code graceUs}: for so long after being told of a drain, work may still go there. */
+    /** {@code now}: microseconds, never backwards. */
     Watch(InetSocketAddress discovery, RoutingTable table, Facade facade, IssuerSide issuers, Sidecar.Memory memory,
-            LongSupplier graceUs) {
+            ListClock clock, LongSupplier now) {
         this.discovery = discovery;
         this.memory = memory;
-        this.graceUs = graceUs;
+        this.clock = clock;
+        this.now = now;
         anyVersion = !memory.binds();
         this.table = table;
         this.facade = facade;
@@ -65,10 +72,11 @@
     public void run() {
         try {
             while (true) {
-                facade.awaitWatch();
+                facade.awaitWatch(clock.longestPauseUs(now.getAsLong()));
                 try {
                     // Handed over before anything else is done: a drain counts as told once its bytes came.
                     hear(call());
+                    clock.heard();
                     if (fault != null) {
                         fault = null;
                         LOG.info("discovery answers again");
@@ -87,6 +95,9 @@
                         fault = e.toString();
                         LOG.log(Level.WARNING, "discovery call failed: {0}", fault);
                     }
+                    if (e instanceof SocketTimeoutException && clock.silent()) {
+                        continue;       // what it may have missed counts soon: the next one is not put off
+                    }
                     facade.news(ListNews.failed());
                 }
             }
@@ -110,13 +121,18 @@
         facade.watchAnew();
     }
 
-    /** Before the second question after a list that was doubted, and the longest wait for its answer. */
-    private int doubtMs() {
-        return (int) Math.max(1, Doubt.pauseUs(graceUs.getAsLong()) / 1_000);
+    private void begin() {
+        waitUs = clock.begin(now.getAsLong(), whole);
     }
 
-    private int longestMs(int usualMs) {
-        return doubt.isDoubting() ? doubtMs() : usualMs;
+    private void answering() {
+        clock.answering(now.getAsLong());
+    }
+
+    /** How long the call under way may still be waited for. */
+    private long leftUs() {
+        long limitUs = doubt.isDoubting() ? Math.min(clock.limitUs(), doubtEndsUs) : clock.limitUs();
+        return limitUs - now.getAsLong();
     }
 
     private synchronized boolean hasMoved() {
@@ -130,33 +146,38 @@
 
     /** The connection to where discovery is now. */
     private Socket connected() throws IOException {
-        Socket now;
+        Socket opened;
         synchronized (this) {
             if (socket != null && !hasMoved()) {
+                begin();
                 return socket;
             }
             drop();
             boolean moved = asked != null && hasMoved();
             anyVersion |= moved;
             whole |= moved;
+            if (moved) {
+                clock.moved();
+            }
             asked = discovery;
-            socket = now = new Socket();
+            socket = opened = new Socket();
         }
-        now.connect(asked, longestMs(CONNECT_MS));
-        now.setTcpNoDelay(true);
-        reader = new MessageReader(now.getInputStream(), MessageReader.MAX_LIST);
-        return now;
+        begin();
+        opened.connect(asked, LimitedInput.millis(Math.min(leftUs(), CONNECT_US)));
+        opened.setTcpNoDelay(true);
+        reader = new MessageReader(new LimitedInput(opened, this::leftUs, this::answering), MessageReader.MAX_LIST);
+        return opened;
     }
 
     /**
-     * What is older than what is known takes nothing back that was told since. A discovery that has lost its count goes
-     * on so, and is believed after a while.
+     * What is older than what is known takes nothing back that was told since. A discovery that has lost its count
+     * goes on so, and is believed after a while.
      */
     private void hear(RoutingTable.Update update) throws IOException, InterruptedException {
         if (!anyVersion && update.revision() < table.revision()) {
-            long now = System.nanoTime();
-            olderSinceNs = olderSinceNs == 0 ? now : olderSinceNs;
-            if (now - olderSinceNs < OLDER_NS) {
+            long nowUs = now.getAsLong();
+            olderSinceUs = olderSinceUs == 0 ? nowUs : olderSinceUs;
+            if (nowUs - olderSinceUs < OLDER_US) {
                 throw new IOException("a list older than the one known");
             }
             if (update.news().kind() == ListNews.Kind.CHANGES) {
@@ -164,7 +185,7 @@
                 return;
             }
         }
-        olderSinceNs = 0;
+        olderSinceUs = 0;
         anyVersion = false;
         if (update.news().kind() == ListNews.Kind.WHOLE && isDoubtful(update)) {
             doubted = update;
@@ -172,7 +193,11 @@
             take(new RoutingTable.Update(table.revision(), new ListNews(ListNews.Kind.CHANGES, update.news().lines()),
                     update.endpoints()));
             whole = true;
-            Thread.sleep(doubtMs());
+            // A silence before it may have eaten of the grace: doubt has only what is left of that.
+            long nowUs = now.getAsLong();
+            long pauseUs = Doubt.pauseUs(clock.graceLeftUs(nowUs));
+            doubtEndsUs = nowUs + 2 * pauseUs;
+            Thread.sleep(pauseUs / 1_000);
             return;
         }
         take(update);
@@ -211,8 +236,7 @@
 
     private RoutingTable.Update call() throws IOException {
         Socket to = connected();
-        to.setSoTimeout(longestMs(WAIT_MS + MARGIN_MS));
-        String query = whole ? "" : "?after=" + table.revision() + "&wait_ms=" + WAIT_MS;
+        String query = whole ? "" : "?after=" + table.revision() + "&wait_ms=" + Math.max(1, waitUs / 1_000);
         String request = "GET /v1/servers" + query + " HTTP/1.1\r\nHost: " + Sockets.text(asked) + "\r\n\r\n";
         to.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
         Head head = reader.response();
