A test of discovery's clock: drains told while the watch is broken hold all the same

What a broken watch has missed counts as told by the clock, and no test had a discovery that drips, stalls, resets or refuses.

With the watch as it is: dripping answer more than 1.9 s late, half an answer more than 1.6 s, a silent call after a silent one more than 21 s, a move to a discovery whose first call is silent 18 to 18.6 s; one silent call 0.5 s late where lists are asked for, in time where they are pushed. Refusals and an agent that is away pass.

--- /dev/null
+++ b/sidecar/src/test/java/dapplequay/cli/ScriptedDiscovery.java
@@ -0,0 +1,298 @@
+package dapplequay.cli;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.concurrent.Callable;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/**
+ * Discovery for one sidecar, with the faults that a test gives it. It keeps the true list, and reckons from the calls
+ * it has seen when its last change counts as told to the sidecar: once an answer with it was written, or by the clock
+ * alone where a call was left without one.
+ */
+final class ScriptedDiscovery implements AutoCloseable {
+    /** What a call that fell silent has missed counts this long after it did, ns. */
+    private static final long SILENCE_NS = 6_000_000_000L;
+    /** And not before this long after the wait that the call asked for, ns. */
+    private static final long AFTER_WAIT_NS = 2_000_000_000L;
+    private static final long DRIP_NS = 200_000_000L;
+    private static final Pattern WATCH = Pattern.compile("after=(\\d+)&wait_ms=(\\d+)");
+
+    /** What a connection does with the calls on it. */
+    enum Mode { ANSWER, SILENT, DRIP, HALF }
+
+    private final boolean pushed;
+    private final int port;
+    private final List<Target> targets = new ArrayList<>();
+    private final List<Connection> connections = new ArrayList<>();
+    private ServerSocket listener;
+    private Mode fresh = Mode.ANSWER;
+    private int silentOnes;
+    private long revision = 1;
+    private long changedNs;
+    private long refusingNs;
+    private long toldNs = Long.MAX_VALUE;
+    private boolean closed;
+
+    private record Target(String uid, int port, String state, long revision) {
+        String json() {
+            return "{\"uid\":\"" + uid + "\",\"endpoint\":\"127.0.0.1:" + port + "\",\"az\":\"north\",\"pod_group\":1,"
+                    + "\"state\":\"" + state + "\",\"capacity_hint\":1.0,\"boot_ms\":0}";
+        }
+    }
+
+    /** {@code pushed}: an agent, so that what it has counts at the moment it is back. */
+    ScriptedDiscovery(List<Integer> hosts, boolean pushed) throws IOException {
+        this.pushed = pushed;
+        for (int i = 0; i < hosts.size(); i++) {
+            targets.add(new Target("s" + i, hosts.get(i), "SERVING", 1));
+        }
+        listen(0);
+        port = listener.getLocalPort();
+        daemon(this::answerWhenDue);
+    }
+
+    private static void daemon(Callable<?> work) {
+        Thread thread = new Thread(() -> {
+            try {
+                work.call();
+            } catch (Exception e) {
+                return;         // its socket is closed, here or by the other side
+            }
+        });
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    private void listen(int at) throws IOException {
+        ServerSocket next = new ServerSocket(at, 50, InetAddress.getLoopbackAddress());
+        listener = next;
+        daemon(() -> {
+            while (true) {
+                accepted(next.accept());
+            }
+        });
+    }
+
+    private synchronized void accepted(Socket socket) throws IOException {
+        socket.setTcpNoDelay(true);
+        Connection connection = new Connection(socket, silentOnes > 0 ? Mode.SILENT : fresh);
+        silentOnes = Math.max(0, silentOnes - 1);
+        connections.add(connection);
+        daemon(connection::read);
+        if (listener.isClosed()) {
+            connection.reset();
+        }
+    }
+
+    String address() {
+        return "127.0.0.1:" + port;
+    }
+
+    synchronized String whole() {
+        return list(-1);
+    }
+
+    private String list(long after) {
+        List<String> lines = new ArrayList<>();
+        for (Target target : targets) {
+            if (target.revision > after) {
+                lines.add(target.json());
+            }
+        }
+        return "{\"rev\":" + revision + ",\"all\":" + (after < 0) + ",\"targets\":[" + String.join(",", lines) + "]}";
+    }
+
+    /** The host is in that state from now on. */
+    synchronized void tell(int host, String state) {
+        revision++;
+        targets.set(host, new Target("s" + host, targets.get(host).port, state, revision));
+        changedNs = System.nanoTime();
+        toldNs = Long.MAX_VALUE;
+        if (listener.isClosed()) {
+            countsFrom(refusingNs + SILENCE_NS);
+        }
+        for (Connection connection : connections) {
+            if (connection.mode == Mode.SILENT && connection.calling) {
+                connection.missed();
+            }
+        }
+        notifyAll();
+    }
+
+    /** What the open connections do from now on, and new ones. */
+    synchronized void behave(Mode open, Mode next) {
+        fresh = next;
+        for (Connection connection : connections) {
+            connection.mode = open;
+            connection.silentNs = System.nanoTime();
+        }
+        notifyAll();
+    }
+
+    /** So many of the next connections get no answer. */
+    synchronized void silenceNext(int count) {
+        silentOnes = count;
+    }
+
+    /** All connections are reset, and new ones refused. */
+    synchronized void refuse() throws IOException {
+        refusingNs = System.nanoTime();
+        listener.close();
+        List.copyOf(connections).forEach(Connection::reset);
+    }
+
+    /** Everything is answered from now on, calls that have been left open included. */
+    synchronized void back() throws IOException {
+        if (listener.isClosed()) {
+            listen(port);
+        }
+        behave(Mode.ANSWER, Mode.ANSWER);
+        if (pushed) {
+            countsFrom(System.nanoTime());
+        }
+    }
+
+    /** No fault any more, and no trace of one. */
+    synchronized void settle() throws IOException {
+        silentOnes = 0;
+        List.copyOf(connections).stream().filter(c -> c.mode != Mode.ANSWER).forEach(Connection::reset);
+        back();
+    }
+
+    /** The last change counts as told at this time at the latest. */
+    synchronized void countsFrom(long ns) {
+        toldNs = Math.min(toldNs, Math.max(ns, changedNs));
+    }
+
+    /** When the last change counts as told, on the clock of {@link System#nanoTime}. */
+    synchronized long toldNs() {
+        return toldNs;
+    }
+
+    /** Whether the sidecar has shown that it knows the last change, and waits for another. */
+    synchronized boolean isWatched() {
+        return connections.stream().anyMatch(c -> c.calling && c.mode == Mode.ANSWER && c.after == revision);
+    }
+
+    private synchronized Void answerWhenDue() throws InterruptedException {
+        while (!closed) {
+            List.copyOf(connections).forEach(Connection::answerIfDue);
+            wait(5);
+        }
+        return null;
+    }
+
+    @Override
+    public synchronized void close() throws IOException {
+        closed = true;
+        refuse();
+    }
+
+    private final class Connection {
+        private final Socket socket;
+        private Mode mode;
+        private long silentNs = System.nanoTime();
+        private boolean calling;
+        private long beginNs;
+        private long after;
+        private long waitNs;
+        private byte[] answer;
+        private int written;
+
+        Connection(Socket socket, Mode mode) {
+            this.socket = socket;
+            this.mode = mode;
+        }
+
+        Void read() throws IOException {
+            try (socket; var in = new BufferedReader(new InputStreamReader(socket.getInputStream(),
+                    StandardCharsets.ISO_8859_1))) {
+                for (String line = in.readLine(); line != null; line = in.readLine()) {
+                    if (line.startsWith("GET ")) {
+                        called(line);           // a head comes at once: nobody waits for the rest of it
+                    }
+                }
+                return null;
+            } finally {
+                synchronized (ScriptedDiscovery.this) {
+                    connections.remove(this);
+                }
+            }
+        }
+
+        private void called(String request) {
+            synchronized (ScriptedDiscovery.this) {
+                Matcher watch = WATCH.matcher(request);
+                boolean waits = watch.find();
+                after = waits ? Long.parseLong(watch.group(1)) : -1;
+                waitNs = waits ? Long.parseLong(watch.group(2)) * 1_000_000 : 0;
+                beginNs = System.nanoTime();
+                calling = true;
+                answer = null;
+                if (mode == Mode.SILENT) {
+                    silentNs = beginNs;
+                    missed();
+                }
+                ScriptedDiscovery.this.notifyAll();
+            }
+        }
+
+        /** This call is broken: what it has to tell counts by the clock. */
+        private void missed() {
+            countsFrom(Math.max(silentNs + SILENCE_NS, beginNs + waitNs + AFTER_WAIT_NS));
+        }
+
+        private void answerIfDue() {
+            long now = System.nanoTime();
+            if (!calling || mode == Mode.SILENT || answer == null && after == revision && now < beginNs + waitNs) {
+                return;
+            }
+            if (answer == null) {
+                String body = list(after > revision ? -1 : after);
+                answer = ("HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body)
+                        .getBytes(StandardCharsets.ISO_8859_1);
+                written = 0;
+                silentNs = now;
+                if (mode != Mode.ANSWER) {
+                    missed();
+                }
+            }
+            int upTo = mode == Mode.ANSWER ? answer.length : mode == Mode.HALF ? answer.length / 2
+                    : (int) Math.min(answer.length, 1 + (now - silentNs) / DRIP_NS);
+            try {
+                if (upTo > written) {
+                    socket.getOutputStream().write(Arrays.copyOfRange(answer, written, upTo));
+                    written = upTo;
+                }
+            } catch (IOException e) {
+                reset();
+                return;
+            }
+            if (written == answer.length) {
+                calling = false;
+                countsFrom(now);
+            }
+        }
+
+        private void reset() {
+            calling = false;
+            connections.remove(this);
+            try {
+                socket.setSoLinger(true, 0);
+                socket.close();
+            } catch (IOException e) {
+                return;         // the other side was first
+            }
+        }
+    }
+}
