A fleet of twelve real processes is restarted under clients that go on sending

The tests of SIGTERM had one process and clients that waited for it. In a planned roll clients send on every connection that stays open, also those that begin a request before they know that the answer was the last.

Judged from outside: lost, late, unanswered, doubled, turned away, and the end before SIGKILL have to be nought; a request that crossed with a close is sent once more, and finding nobody then is no loss.

--- /dev/null
+++ b/sidecar/src/test/java/dapplequay/cli/RollClient.java
@@ -0,0 +1,309 @@
+package dapplequay.cli;
+
+import dapplequay.http.Head;
+import dapplequay.http.MessageReader;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.Queue;
+import java.util.Random;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.ConcurrentSkipListMap;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/** Sends request after request to one process and its successors, as long as a connection stays open, and judges. */
+final class RollClient implements Runnable {
+    private static final long LATE_US = 50_000;
+    /** A request that lay there for so long before its connection ended did not cross with that end. */
+    private static final long CROSSING_US = 100_000;
+    private static final int PATIENCE_MS = 10_000;
+    /** Where a request is split. */
+    private static final int HALF = 40;
+
+    /** How a client uses its connection. */
+    enum Habit {
+        /** Sends once it has the answer. */
+        BUSY,
+        /** Begins the next request with the first byte of an answer, not knowing yet whether that one is the last. */
+        EAGER,
+        /** Sends each request in two pieces. */
+        SPLIT,
+        /** Is silent for a while, and notices when its connection is closed. */
+        IDLE,
+        /** The same, but notices nothing before it has sent. */
+        BLIND
+    }
+
+    /** Whom it sends to. */
+    interface Target {
+        int port();
+
+        /** Whether new connections are sent there. */
+        boolean isOpen();
+
+        /** When SIGTERM came, us; 0 while it serves. */
+        long toldUs();
+    }
+
+    /** One request at a host. */
+    record Run(String service, int group, boolean again) { }
+
+    /** What all clients and hosts saw. */
+    static final class Ledger {
+        private static final int SENDS = 3;
+
+        final Queue<String> wrong = new ConcurrentLinkedQueue<>();
+        final Map<String, Integer> figures = new ConcurrentSkipListMap<>();
+        private final Map<String, Queue<Run>> runs = new ConcurrentHashMap<>();
+        private final Queue<String> crossed = new ConcurrentLinkedQueue<>();
+        private final AtomicInteger calls = new AtomicInteger();
+        volatile boolean over;
+
+        void count(String what) {
+            figures.merge(what, 1, Integer::sum);
+        }
+
+        void most(String what, long value) {
+            figures.merge(what, (int) value, Math::max);
+        }
+
+        int figure(String what) {
+            return figures.getOrDefault(what, 0);
+        }
+
+        void ran(String id, Run run) {
+            runs.computeIfAbsent(id, any -> new ConcurrentLinkedQueue<>()).add(run);
+        }
+
+        /** What only hosts can tell: that a request was read before its connection ended, or ran too often. */
+        void judgeRuns() {
+            runs.forEach((id, of) -> {
+                if (crossed.contains(id) && of.stream().anyMatch(run -> !run.again())) {
+                    wrong.add("lost though it was read: " + id + " " + of);
+                }
+                String service = of.peek().service();
+                long groups = of.stream().map(Run::group).distinct().count();
+                if (of.size() > (service.equals("book") ? 1 : SENDS) || service.equals("pay") && groups > 1) {
+                    wrong.add("doubled: " + id + " " + of);
+                }
+            });
+        }
+    }
+
+    private record Call(String id, String service, long budgetMs) {
+        static Call of(int number) {
+            String id = Integer.toHexString(number);
+            int kind = number % 10;
+            return kind < 5 ? new Call(id, "quote", number % 50 == 0 ? 600 : 950)
+                    : kind < 9 ? new Call(id, "pay", 1_900) : new Call(id, "book", 1_400);
+        }
+
+        String text(boolean again) {
+            boolean get = service.equals("quote");
+            return (get ? "GET /" : "POST /") + service + "/" + Long.parseLong(id, 16) + " HTTP/1.1\r\nX-Call-Id: " + id
+                    + "\r\nX-Caller: shop-a\r\nX-Budget-Ms: " + budgetMs + (again ? "\r\nX-Again: 1" : "")
+                    + (service.equals("pay") ? "\r\nIdempotency-Key: k" + id : "")
+                    + (get ? "\r\n\r\n" : "\r\nContent-Length: " + id.length() + "\r\n\r\n" + id);
+        }
+
+        String start(boolean again) {
+            return text(again).substring(0, HALF);
+        }
+
+        String rest(boolean again) {
+            return text(again).substring(HALF);
+        }
+    }
+
+    private final Target target;
+    private final Habit habit;
+    private final Ledger ledger;
+    private final Random random;
+    private Socket socket;
+    private MessageReader reader;
+    /** The request whose start is on the connection already, or null. */
+    private Call begun;
+
+    RollClient(Target target, Habit habit, Ledger ledger, long seed) {
+        this.target = target;
+        this.habit = habit;
+        this.ledger = ledger;
+        random = new Random(seed);
+    }
+
+    static long now() {
+        return System.nanoTime() / 1000;
+    }
+
+    @Override
+    public void run() {
+        try {
+            while (!ledger.over) {
+                if (socket == null && !(target.isOpen() && isConnected())) {
+                    Thread.sleep(2 + random.nextInt(10));
+                } else if (begun != null || isStillOpen()) {
+                    Call call = begun == null ? next() : begun;
+                    if (!isAnswered(call, false)) {
+                        turnedBack(call);
+                    }
+                }
+            }
+            drop();
+        } catch (Exception e) {
+            ledger.wrong.add("client failed: " + e);
+        }
+    }
+
+    private Call next() {
+        return Call.of(ledger.calls.incrementAndGet());
+    }
+
+    private void drop() throws IOException {
+        if (socket != null) {
+            socket.close();
+        }
+        socket = null;
+        begun = null;
+    }
+
+    private boolean isConnected() throws IOException {
+        drop();
+        try {
+            Socket next = new Socket(InetAddress.getLoopbackAddress(), target.port());
+            next.setTcpNoDelay(true);
+            next.setSoTimeout(PATIENCE_MS);
+            reader = new MessageReader(next.getInputStream());
+            socket = next;
+            return true;
+        } catch (IOException e) {
+            if (target.isOpen()) {
+                ledger.wrong.add("turned away: " + e);
+            }
+            return false;
+        }
+    }
+
+    /** Waits as its habit is; false where the connection ended meanwhile, as it may between requests. */
+    private boolean isStillOpen() throws Exception {
+        int kind = random.nextInt(6);           // some pauses last about as long as connections are kept idle
+        int pause = kind == 0 ? 2_080 + random.nextInt(40) : 10 + random.nextInt(kind < 3 ? 900 : 200);
+        if (habit == Habit.BLIND) {
+            Thread.sleep(pause);
+        } else if (habit == Habit.IDLE) {
+            socket.setSoTimeout(pause);
+            try {
+                if (reader.await()) {
+                    ledger.wrong.add("doubled: an answer that nobody asked for");
+                }
+                drop();
+            } catch (SocketTimeoutException e) {
+                socket.setSoTimeout(PATIENCE_MS);
+            } catch (IOException e) {
+                drop();
+            }
+        }
+        return socket != null;
+    }
+
+    private void write(String text) throws IOException {
+        socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+    }
+
+    /** False where the connection ended with nothing of an answer, and the request may have crossed with its end. */
+    private boolean isAnswered(Call call, boolean again) throws Exception {
+        boolean heard = false;
+        long sentUs = Long.MAX_VALUE;
+        try {
+            if (begun == null && habit == Habit.SPLIT) {
+                write(call.start(again));
+                Thread.sleep(random.nextInt(30));
+                begun = call;
+            }
+            String text = begun == null ? call.text(again) : call.rest(again);
+            begun = null;
+            long fromUs = now();
+            long toldUs = target.toldUs();
+            write(text);
+            sentUs = now();
+            heard = reader.await();
+            if (heard && habit == Habit.EAGER && !ledger.over) {
+                begin(next());
+            }
+            Head head = reader.response();
+            String body = new String(reader.responseBody(head), StandardCharsets.ISO_8859_1);
+            answered(call, head, body, fromUs);
+            if (toldUs != 0 && !again && head.start[1].equals("200")) {
+                ledger.count("sent after SIGTERM, 200");
+                ledger.most("sent after SIGTERM, 200, at most us after", fromUs - toldUs);
+            }
+            return true;
+        } catch (SocketTimeoutException e) {
+            ledger.wrong.add("unanswered: " + call);
+        } catch (IOException e) {
+            long layUs = now() - sentUs;
+            if (!heard && layUs <= CROSSING_US) {
+                drop();
+                return false;
+            }
+            ledger.wrong.add("lost " + habit + (heard ? ", half an answer: " : ", no answer: ") + call + ": " + e
+                    + ", lay " + layUs + " us, SIGTERM "
+                    + (target.toldUs() == 0 ? "none" : now() - target.toldUs() + " us ago"));
+        }
+        drop();
+        return true;
+    }
+
+    private void begin(Call call) {
+        try {
+            write(call.start(false));
+            begun = call;
+        } catch (IOException e) {
+            begun = null;           // the answer before it is still to be read
+        }
+    }
+
+    private void answered(Call call, Head head, String body, long fromUs) throws IOException {
+        String status = head.start[1];
+        long lateUs = now() - fromUs - call.budgetMs() * 1000;
+        ledger.count("answered " + status);
+        ledger.most("late at most, us", lateUs);
+        if (lateUs > LATE_US) {
+            ledger.wrong.add("late by " + lateUs + " us: " + status + " to " + call);
+        }
+        if (status.equals("200") ? !body.equals(call.id()) : !status.matches("50[34]")) {
+            ledger.wrong.add("not its answer: " + status + " " + body + " to " + call);
+        }
+        if (head.closes("HTTP/1.1")) {
+            ledger.count("last answers");
+            try {
+                if (reader.await()) {
+                    ledger.wrong.add("doubled: more after the last answer, to " + call);
+                }
+            } catch (IOException e) {
+                ledger.wrong.add("lost to whoever reads slowly: " + e + " after the last answer, to " + call);
+            }
+            drop();
+        } else if (reader.hasBytes()) {
+            ledger.wrong.add("doubled: more after the answer to " + call);
+        }
+    }
+
+    /** The close crossed the request, which is sent once more; it finds nobody where the process has gone. */
+    private void turnedBack(Call call) throws Exception {
+        ledger.count("crossed " + habit + (target.toldUs() == 0 ? "" : " after SIGTERM"));
+        ledger.crossed.add(call.id());
+        if (!isConnected()) {
+            ledger.count("nobody");
+        } else if (isAnswered(call, true)) {
+            ledger.count("crossed, answered the second time");
+        } else if (target.isOpen()) {
+            ledger.wrong.add("lost, sent twice: " + call);
+        } else {
+            ledger.count("nobody, behind a door that closed");
+        }
+    }
+}
