A watch that is taken up early goes on: it stood still after two silences in a row

Facade.awaitWatch returned at the clock's bound with watchWanted still false; the call that followed brought a list, Asking took the watch for going on, and its timer then said nothing. awaitWatch takes the watch for wanted now.

--- a/core/src/main/java/dapplequay/facade/Facade.java
+++ b/core/src/main/java/dapplequay/facade/Facade.java
@@ -267,14 +267,15 @@
     }
 
     /**
-     * Waits until the module wants the list watched, but no longer than {@code atMostUs}; it goes on wanting that until
-     * a watch has failed.
+     * Waits until the module wants the list watched, but no longer than {@code atMostUs}; then it is taken to want
+     * it. It goes on wanting that until a watch has failed.
      */
     public synchronized void awaitWatch(long atMostUs) throws InterruptedException {
         long begunUs = clock.getAsLong();
         while (!watchWanted) {
             long leftUs = atMostUs - (clock.getAsLong() - begunUs);
             if (leftUs <= 0) {
+                watchWanted = true;     // the call that now follows may bring a list, and no timer would say so then
                 return;
             }
             wait(Math.max(1, Math.min(leftUs / 1_000, LONGEST_WAIT_MS)));
--- a/core/src/test/java/dapplequay/facade/FacadeTest.java
+++ b/core/src/test/java/dapplequay/facade/FacadeTest.java
@@ -101,6 +101,21 @@
         facade.awaitWatch(Long.MAX_VALUE);
     }
 
+    /** A call that was not put off as long as the module wanted brings a list: the watch goes on, timer or not. */
+    @Test
+    @Timeout(30)
+    void aWatchThatWasTakenUpEarlyGoesOn() throws Exception {
+        now.addAndGet(10_000_000);
+        facade.tick();
+        facade.awaitWatch(Long.MAX_VALUE);
+        facade.news(ListNews.failed());
+        facade.awaitWatch(0);
+        news(Kind.CHANGES, "north", State.SERVING);
+        now.addAndGet(60_000_000);
+        facade.tick();
+        facade.awaitWatch(Long.MAX_VALUE);
+    }
+
     /**
      * Where lists are pushed the module asks for none: nobody ever called the agent, and all it had counted as told. A
      * call that failed is followed by another well within the grace of a drain.
