An ending serves open connections as long as what comes on them can be answered

After 'ended' a process stayed for 0.33 s, as its threads sat in socket reads.

core.lifecycle.Ending derives from the shortest aim and the longest deadline how long nothing changes for who has a connection, and until when what is held may be answered, 0.25 s before the process is ended by force. Idle connections are kept meanwhile. At the end connections to hosts, discovery and the management listener are closed, so that the process is gone at once. A successor on the same socket changes nothing of that.

--- a/core/src/main/java/dapplequay/settings/SettingsReader.java
+++ b/core/src/main/java/dapplequay/settings/SettingsReader.java
@@ -29,6 +29,11 @@
             }
             return longest;
         }
+
+        /** Of all classes, microseconds; 0 where there is none. */
+        public long shortestAimUs() {
+            return settings.classes().stream().mapToLong(ServiceClass::aimUs).min().orElse(0);
+        }
     }
 
     /** Times beyond this, microseconds, are no times: some thirty years. */
--- a/sidecar/src/main/java/dapplequay/net/AcquirerConnection.java
+++ b/sidecar/src/main/java/dapplequay/net/AcquirerConnection.java
@@ -74,7 +74,7 @@
         this.side = side;
         this.socket = socket;
         sinceUs = side.deadlines().now();
-        idleEnd = side.deadlines().after(IDLE_US, this::closeIfIdle);
+        idleEnd = side.deadlines().after(IDLE_US, () -> side.idleForLong(this));
     }
 
     void close() {
@@ -390,7 +390,7 @@
     private synchronized void answered(boolean last) {
         state = last ? State.CLOSED : State.IDLE;
         if (!last) {
-            idleEnd = side.deadlines().after(IDLE_US, this::closeIfIdle);
+            idleEnd = side.deadlines().after(IDLE_US, () -> side.idleForLong(this));
         }
         notifyAll();
     }
--- a/sidecar/src/main/java/dapplequay/net/AcquirerSide.java
+++ b/sidecar/src/main/java/dapplequay/net/AcquirerSide.java
@@ -224,21 +224,28 @@
         return true;
     }
 
+    /** The connection has been idle for too long; in an ending it stays, as its client can't open another any more. */
+    void idleForLong(AcquirerConnection connection) {
+        if (!lifetime.isEnding()) {
+            connection.closeIfIdle();
+        }
+    }
+
     /**
-     * Waits until nothing is held any more, or until that time; what is held then fails, and has {@code marginUs} to
-     * reach its clients. Then the door is shut. One of this process alone stays open meanwhile, as what the system has
-     * accepted counts as taken.
+     * Waits until nothing is held any more and no new connection comes, from {@code lateUs} on, or until {@code
+     * untilUs}; what is held then fails, and has {@code marginUs} to reach its clients. Then the door is shut. One of
+     * this process alone stays open meanwhile, as what the system has accepted counts as taken.
      */
-    void awaitEmpty(long untilUs, long marginUs) throws InterruptedException {
-        if (!isEmptyBy(untilUs)) {
+    void awaitEmpty(long lateUs, long untilUs, long marginUs) throws InterruptedException {
+        if (!isEmptyBy(lateUs, untilUs)) {
             left().forEach(AcquirerConnection::failHeld);
-            isEmptyBy(untilUs + marginUs);
+            isEmptyBy(lateUs, untilUs + marginUs);
         }
         door.shut();
     }
 
-    private synchronized boolean isEmptyBy(long untilUs) throws InterruptedException {
-        while (!lifetime.empties() || !connections.isEmpty()) {
+    private synchronized boolean isEmptyBy(long lateUs, long untilUs) throws InterruptedException {
+        while (deadlines.now() < lateUs || !connections.isEmpty()) {
             if (deadlines.now() >= untilUs) {
                 return false;
             }
--- a/sidecar/src/main/java/dapplequay/net/IssuerSide.java
+++ b/sidecar/src/main/java/dapplequay/net/IssuerSide.java
@@ -251,6 +251,15 @@
         }
     }
 
+    /** Closes all idle connections: no more legs come. */
+    void closeAllIdle() {
+        List<RoutingTable.Route> routes;
+        synchronized (this) {
+            routes = List.copyOf(idle.keySet());
+        }
+        closeIdle(routes);
+    }
+
     /** A connection's thread is done with it; a leg that it still owed is reported. */
     void ended(IssuerConnection connection) {
         synchronized (this) {
--- a/sidecar/src/main/java/dapplequay/net/Lifetime.java
+++ b/sidecar/src/main/java/dapplequay/net/Lifetime.java
@@ -23,6 +23,10 @@
         return life.empties(clock.getAsLong());
     }
 
+    synchronized boolean isEnding() {
+        return life.phase() == ServiceLife.Phase.ENDING;
+    }
+
     synchronized void listening() {
         life.listening(clock.getAsLong());
     }
--- a/sidecar/src/main/java/dapplequay/net/Sidecar.java
+++ b/sidecar/src/main/java/dapplequay/net/Sidecar.java
@@ -3,6 +3,7 @@
 import dapplequay.facade.Facade;
 import dapplequay.facade.ListNews;
 import dapplequay.http.Sockets;
+import dapplequay.lifecycle.Ending;
 import dapplequay.management.Counts;
 import dapplequay.management.Exposition;
 import dapplequay.management.ManagementSide;
@@ -42,11 +43,8 @@
     private static final long LOOK_US = 150_000;
     /** Turns between two looks at what the module passes over. */
     private static final int PASSED_OVER_TURNS = 10;
-    /** After an ending was ordered, new connections come for 0.4 s more. */
-    private static final long LATE_CONNECTIONS_US = 550_000;
+    /** For what fails at the end of an ending to reach its clients. */
     private static final long ENDING_MARGIN_US = 100_000;
-    /** The platform ends a process by force 3.7 s after it was told to end, where deadlines are longer than 3 s. */
-    private static final long LONGEST_ENDING_US = 3_450_000;
 
     private final Deadlines deadlines;
     private final Facade facade;
@@ -54,6 +52,7 @@
     private final Conductor conductor;
     private final RoutingTable table;
     private final Watch watch;
+    private final IssuerSide issuers;
     private final Counts counts = new Counts();
     private final Lifetime lifetime;
     private final Headroom headroom;
@@ -137,7 +136,7 @@
         headroom = new Headroom(plan.cores());
         counts.know(setup.classes().keySet());
         table = restored(plan, facade);
-        IssuerSide issuers = new IssuerSide(table, deadlines, () -> setup, plan.mostIssuers(), counts);
+        issuers = new IssuerSide(table, deadlines, () -> setup, plan.mostIssuers(), counts);
         conductor = new Conductor(facade, issuers);
         issuers.conductor(conductor);
         ListClock listClock = new ListClock(() -> setup.settings().discovery(), new SplittableRandom(plan.seed()));
@@ -294,19 +293,25 @@
 
     /** Ends in order, and returns when nothing is held any more. */
     public void end() throws InterruptedException {
-        end(LATE_CONNECTIONS_US);
+        end(Ending.of(setup.shortestAimUs(), setup.longestDeadlineUs()));
     }
 
-    void end(long lateConnectionsUs) throws InterruptedException {
+    void end(Ending ordered) throws InterruptedException {
         AcquirerSide side = acquirers;
         if (side != null) {
             boolean handsOver = side.handsOver();
-            long graceUs = handsOver ? 0 : lateConnectionsUs;
+            Ending ending = handsOver ? ordered.handingOver() : ordered;
             LOG.info(handsOver ? "ending: a successor takes the clients"
-                    : "ending: late connections are still served");
-            lifetime.end(graceUs);
-            side.awaitEmpty(deadlines.now() + Math.min(graceUs + setup.longestDeadlineUs(), LONGEST_ENDING_US),
-                    ENDING_MARGIN_US);
+                    : "ending: who has a connection is still served");
+            long now = deadlines.now();
+            lifetime.end(ending.serveUs());
+            side.awaitEmpty(now + ending.lateUs(), now + ending.heldUs(), ENDING_MARGIN_US);
+        }
+        // A process whose threads stay in their reads is gone only a third of a second later.
+        watch.end();
+        issuers.closeAllIdle();
+        if (management != null) {
+            management.close();
         }
         LOG.info("ended");
     }
--- a/sidecar/src/main/java/dapplequay/net/Watch.java
+++ b/sidecar/src/main/java/dapplequay/net/Watch.java
@@ -54,6 +54,7 @@
     private long olderSinceUs;
     private MessageReader reader;
     private long waitUs;
+    private volatile boolean isEnded;
 
     /** {@code now}: microseconds, never backwards. */
     Watch(InetSocketAddress discovery, RoutingTable table, Facade facade, IssuerSide issuers, Sidecar.Memory memory,
@@ -71,7 +72,7 @@
     @Override
     public void run() {
         try {
-            while (true) {
+            while (!isEnded) {
                 facade.awaitWatch(clock.longestPauseUs(now.getAsLong()));
                 try {
                     // Handed over before anything else is done: a drain counts as told once its bytes came.
@@ -83,6 +84,9 @@
                     }
                 } catch (IOException | RuntimeException | OutOfMemoryError e) {
                     drop();
+                    if (isEnded) {
+                        return;
+                    }
                     if (doubt.isDoubting()) {
                         LOG.warning("the list that was doubted counts: no second one came");
                         doubt.failed();
@@ -135,6 +139,14 @@
         return limitUs - now.getAsLong();
     }
 
+    /** No more calls; one that waits is cut. */
+    void end() {
+        isEnded = true;
+        synchronized (this) {
+            Sockets.close(socket);
+        }
+    }
+
     private synchronized boolean hasMoved() {
         return !discovery.equals(asked);
     }
--- a/sidecar/src/test/java/dapplequay/cli/RollUnderLoadTest.java
+++ b/sidecar/src/test/java/dapplequay/cli/RollUnderLoadTest.java
@@ -78,7 +78,7 @@
         }
     }
 
-    /** Takes some ms for most requests, and 300 for some. */
+    /** Takes some ms for most requests, 300 for some, and 1,200 for a few, which are held when the time to end is over. */
     private void serve(Socket socket, int group) throws Exception {
         socket.setTcpNoDelay(true);
         MessageReader reader = new MessageReader(socket.getInputStream());
@@ -89,7 +89,7 @@
             String[] path = head.start[1].split("/");
             ledger.ran(id, new RollClient.Run(path[1], group, head.get("X-Again") != null));
             long number = Long.parseLong(path[2]);
-            Thread.sleep(number % 17 == 0 || number % 100 == 0 ? 300 : 3 + number % 30);
+            Thread.sleep(number % 211 == 0 ? 1_200 : number % 17 == 0 || number % 100 == 0 ? 300 : 3 + number % 30);
             socket.getOutputStream().write(("HTTP/1.1 200 OK\r\nContent-Length: " + id.length() + "\r\n\r\n" + id)
                     .getBytes(StandardCharsets.ISO_8859_1));
         }
--- a/sidecar/src/test/java/dapplequay/net/SidecarTest.java
+++ b/sidecar/src/test/java/dapplequay/net/SidecarTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
+import dapplequay.lifecycle.Ending;
 import dapplequay.settings.Json;
 import dapplequay.settings.SettingsReader;
 import java.io.IOException;
@@ -548,7 +549,7 @@
         host.next();
         CountDownLatch ended = new CountDownLatch(1);
         Host.daemon(() -> {
-            sidecar.end(1_000_000);
+            sidecar.end(new Ending(1_000_000, 1_000_000, 3_000_000));
             ended.countDown();
         });
         Host.Client late = client(sidecar);
@@ -685,7 +686,7 @@
         held.send(pay(1, 19_000, ""));
         host.next();
         long start = System.nanoTime();
-        sidecar.end(50_000);
+        sidecar.end(new Ending(50_000, 50_000, 2_050_000));
         assertThat(System.nanoTime() - start).isLessThan(15_000_000_000L);
         assertThat(held.answer().status()).isEqualTo(504);
         never.countDown();
