The set's pace is steady, a host has 0.8 of the aim, and untold load is the own times all senders

The room (0.6 of the shortest aim, 330 ms there, over the set's pace) was 1.8 to 4.8 requests, as the pace swung between 40 and 112 ms: Server.answered gave the newest answer a weight of 0.075, a dozen answers of long-tailed work. On asahikawa-permits reports have no count at all, and each sidecar took the hosts for its own (Server.held).

Changed: the set's gain is 0.02, QUEUE_SHARE 0.8, and where good answers tell no count held requests are the own ones times the senders.

--- a/core/src/main/java/dapplequay/BuddySet.java
+++ b/core/src/main/java/dapplequay/BuddySet.java
@@ -16,8 +16,7 @@
 final class BuddySet {
     /** Buddies; the paper finds 10 to 15 enough at any fleet size, and each buddy may cost a connection. */
     private static final int SIZE = 12;
-    // A set past TH_v everywhere, by this share of its own doing, is too small: the next in order joins, up to so many
-    // buddies a request held, and leaves after this, us, without need.
+    // Past TH_v everywhere by this share of its own doing a set grows, to so many a request held; shrinks after this.
     private static final int PER_HELD = 3;
     private static final double OWN_SHARE = 0.5;
     private static final long SHRINK_US = 2_000_000;
@@ -25,8 +24,7 @@
     private static final int FOREIGN = 6;
     /** Buddies kept in lost zones: to try, one after the other, whether they are back. */
     private static final int LOST = 2;
-    // In a key's order another zone's lie further away by this, over the square of what is held for each worked on:
-    // what a remembered key saves counts where cores are short.
+    // In a key's order another zone's lie further away by this, over the square of what is held for each worked on.
     private static final double FOREIGN_LEAN = 0.7;
     private static final double LEAST_BUSY = 0.05;
     /** The first guess at what an answer takes, as a share of the aim. */
--- a/core/src/main/java/dapplequay/Server.java
+++ b/core/src/main/java/dapplequay/Server.java
@@ -16,7 +16,7 @@
     static final double DOUBT_NONE = -3.5;
     // Nobody is sent more than takes, at the set's pace, this share of the shortest aim, as all classes wait in one
     // queue, and a server that holds far more than it works on slows down, for long.
-    private static final double QUEUE_SHARE = 0.6;
+    private static final double QUEUE_SHARE = 0.8;
     /** The share of that room for a request worth nothing: the rest is kept for better ones. */
     private static final double LITTLE_WORTH = 0.5;
     /** What a report tells fades with this time constant, us: a queue nobody feeds is worked off. */
@@ -27,8 +27,9 @@
     private static final double REFRESH_US = 1_000_000;
     /** A cleared flag is set again after about this, us: one send then tells how the server is. */
     private static final long FLAG_TIMER_US = 2_000_000;
-    /** Weight of the newest answer in a server's pace, twice that in the set's; the set's pace is so many answers. */
+    /** Weight of the newest answer in a server's pace, and in the set's: that bounds all, and has to be steady. */
     private static final double PACE_GAIN = 0.15;
+    private static final double SET_GAIN = 0.02;
     private static final double PACE_PRIOR = 0.5;
     private static final double MAX_HELD = 10_000;     // a report of more is broken
 
@@ -55,7 +56,7 @@
     private double heldSeen;      // requests held a unit of size as told with answers, running mean
     private double took;          // what those answers took, us, running mean
     private boolean flag;
-    private long flagSetAt;       // the timer: from then on the flag counts as set
+    private long flagSetAt;       // from then on it counts as set
     long shunUntil;
     boolean trial;                // failed, and not yet proved sound again
     double doubt = DOUBT_NONE;
@@ -79,9 +80,10 @@
         clearFlag(now);
     }
 
-    /** Requests held, as last reported, with own sends and answers since added and taken off. */
+    /** Requests held, as last reported, with own sends since; where good answers tell no count, others do the same. */
     double held(long now) {
-        return Math.exp((reportAt - now) / FADE_US) * others + own;
+        double alike = answeredAt > 0 && doubt <= DOUBT_NONE && Double.isNaN(reported) ? set.senders : 1;
+        return Math.exp((reportAt - now) / FADE_US) * others + own * alike;
     }
 
     double figure(long now) {
@@ -133,7 +135,7 @@
         double heldPerSize = Math.max(1, reported / size);
         heldSeen += PACE_GAIN * (heldPerSize - heldSeen);
         took += PACE_GAIN * (tookUs - took);
-        double gain = Math.max(PACE_GAIN / 2, 1.0 / ++set.answers);
+        double gain = Math.max(SET_GAIN, 1.0 / ++set.answers);
         set.held += gain * (heldPerSize - set.held);
         set.took += gain * (tookUs - set.took);
     }
