A start and an ending exclude each other: whom the door has let in is answered

Seen by reading: Sidecar.end asked for the acquirer side and, where there was none yet, was over at once. The door is bound in Sidecar.start before that side is known (Door.Own in start, the field two lines on), so that a SIGTERM between the two ended the process while the system had accepted clients for it; and a start that went on while the process ended could still open the door for some milliseconds. Both are the same crossing: end reads `acquirers` while start is about to write it.

Changed: start opens the door and sets up its side under one lock, in which end puts down that it was ordered. Whichever comes first counts: an end that comes later finds the side and serves as ever, a start that comes later keeps the door shut. The times of an ending count from the order, and no longer from after the wait for the accepting thread (up to 0.5 s with a shared door), which moved its last moment behind the platform's SIGKILL. Called again, end goes on by the first call's times.

StartAndEndTest has a thread stand still between bind and side by way of the opener that the constructor takes.

--- a/sidecar/src/main/java/dapplequay/net/Door.java
+++ b/sidecar/src/main/java/dapplequay/net/Door.java
@@ -14,6 +14,11 @@
 
 /** Where clients come in: a listening socket, this process's own or one that it shares with its successor. */
 interface Door {
+    /** Opens it; IOException where it is not to be had. */
+    interface Opener {
+        Door open() throws IOException;
+    }
+
     InetSocketAddress address();
 
     /** The next connection; null where the door was shut meanwhile. */
--- a/sidecar/src/main/java/dapplequay/net/Sidecar.java
+++ b/sidecar/src/main/java/dapplequay/net/Sidecar.java
@@ -63,7 +63,12 @@
     private volatile Setup setup;
     private volatile int passedOver;
     private volatile AcquirerSide acquirers;
-    private ManagementSide management;
+    private volatile ManagementSide management;
+    private final Door.Opener opener;
+    /** Held while the door is opened, and while an ending begins: one of the two comes first. */
+    private final Object opening = new Object();
+    /** When the end was ordered, us; 0 while it was not. */
+    private long endingSinceUs;
 
     /**
      * What a start needs. {@code known} is a tree in discovery's form, or null where none was kept; {@code management}
@@ -127,7 +132,13 @@
 
     /** Listens at no address yet; IOException where the known list is no good. */
     public Sidecar(Plan plan, Memory memory) throws IOException {
+        this(plan, memory, () -> plan.inherits() ? new Door.Inherited() : new Door.Own(plan.listen()));
+    }
+
+    /** With another way to open the door, as tests have it. */
+    Sidecar(Plan plan, Memory memory, Door.Opener opener) throws IOException {
         this.plan = plan;
+        this.opener = opener;
         UnixClock clock = new UnixClock();
         deadlines = new Deadlines(clock);
         setup = plan.setup();
@@ -175,7 +186,8 @@
 
     /**
      * Serves from here on; IOException where an address is not to be had. The management address answers first, so
-     * that whoever waits for the clients' is told "not yet" and not left alone.
+     * that whoever waits for the clients' is told "not yet" and not left alone. Where the end was ordered meanwhile,
+     * clients are not let in any more: what the system accepts for them counts as taken.
      */
     public void start() throws IOException {
         daemon(this::keepTime, "timekeeper");
@@ -184,12 +196,17 @@
             daemon(management, "management");
         }
         new WarmUp(plan.setup(), deadlines).run();
-        Door door = plan.inherits() ? new Door.Inherited() : new Door.Own(plan.listen());
-        acquirers = new AcquirerSide(door, () -> setup, facade, conductor, deadlines, counts, lifetime, headroom,
-                plan.mostAcquirers(), (int) (plan.sockets() * CROWD_SHARE), plan.mostUploads());
-        daemon(watch, "watch");
-        new Thread(acquirers, "listener").start();
-        lifetime.listening();
+        synchronized (opening) {
+            if (endingSinceUs != 0) {
+                LOG.info("told to end before it served");
+                return;
+            }
+            acquirers = new AcquirerSide(opener.open(), () -> setup, facade, conductor, deadlines, counts, lifetime,
+                    headroom, plan.mostAcquirers(), (int) (plan.sockets() * CROWD_SHARE), plan.mostUploads());
+            daemon(watch, "watch");
+            new Thread(acquirers, "listener").start();
+            lifetime.listening();
+        }
         LOG.log(Level.INFO, "serving on {0}", Sockets.text(address()));
     }
 
@@ -291,19 +308,24 @@
         usedUs = used;
     }
 
-    /** Ends in order, and returns when nothing is held any more. */
+    /** Ends in order, and returns when nothing is held any more. Called again, it goes on by the first call's times. */
     public void end() throws InterruptedException {
         end(Ending.of(setup.shortestAimUs(), setup.longestDeadlineUs()));
     }
 
     void end(Ending ordered) throws InterruptedException {
-        AcquirerSide side = acquirers;
+        long now = deadlines.now();
+        AcquirerSide side;
+        synchronized (opening) {
+            endingSinceUs = endingSinceUs == 0 ? now : endingSinceUs;
+            now = endingSinceUs;
+            side = acquirers;
+        }
         if (side != null) {
             boolean handsOver = side.handsOver();
             Ending ending = handsOver ? ordered.handingOver() : ordered;
             LOG.info(handsOver ? "ending: a successor takes the clients"
                     : "ending: who has a connection is still served");
-            long now = deadlines.now();
             lifetime.end(ending.serveUs());
             side.awaitEmpty(now + ending.lateUs(), now + ending.heldUs(), ENDING_MARGIN_US);
         }
--- /dev/null
+++ b/sidecar/src/test/java/dapplequay/net/StartAndEndTest.java
@@ -0,0 +1,118 @@
+package dapplequay.net;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import dapplequay.lifecycle.Ending;
+import dapplequay.settings.Json;
+import dapplequay.settings.SettingsReader;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.lang.management.ManagementFactory;
+import java.lang.management.ThreadInfo;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** A start that an ending crosses. */
+@Timeout(60)
+class StartAndEndTest {
+    private static final InetSocketAddress ANY = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+    private static final Ending ENDING = new Ending(100_000, 200_000, 20_000_000);
+    private final AtomicInteger calls = new AtomicInteger();
+
+    private static Sidecar.Plan plan(int... ports) throws Exception {
+        Map<?, ?> example = (Map<?, ?>) Json.parse(Files.readAllBytes(Path.of("example/config.json")));
+        StringBuilder targets = new StringBuilder();
+        for (int i = 0; i < ports.length; i++) {
+            targets.append(i == 0 ? "" : ",").append("{\"uid\":\"s").append(i).append("\",\"endpoint\":\"127.0.0.1:")
+                    .append(ports[i]).append("\",\"az\":\"north\",\"pod_group\":1,\"state\":\"SERVING\","
+                            + "\"capacity_hint\":1,\"boot_ms\":0}");
+        }
+        return new Sidecar.Plan(ANY, null, new InetSocketAddress(ANY.getAddress(), 1), 7, 1, 1024, 192,
+                Json.parse(("{\"rev\":5,\"all\":true,\"targets\":[" + targets + "]}").getBytes()),
+                SettingsReader.of(example.get("settings"), "example"), false);
+    }
+
+    private String quote() {
+        return "GET /quote/1 HTTP/1.1\r\nX-Call-Id: " + Integer.toHexString(calls.incrementAndGet())
+                + "\r\nX-Caller: shop-a\r\nX-Budget-Ms: 900\r\n\r\n";
+    }
+
+    /** The system accepts clients from the moment on in which the door is bound: an ending must know of it. */
+    @Test
+    void anEndingThatMeetsTheOpeningOfTheDoorAnswersWhomTheSystemHasLetIn() throws Exception {
+        CountDownLatch bound = new CountDownLatch(1);
+        CountDownLatch goesOn = new CountDownLatch(1);
+        InetSocketAddress[] address = new InetSocketAddress[1];
+        try (Host host = new Host((head, seen) -> Host.ok("done"))) {
+            Sidecar sidecar = new Sidecar(plan(host.port()), Sidecar.Memory.NONE, () -> {
+                Door door = new Door.Own(ANY);
+                address[0] = door.address();
+                bound.countDown();
+                try {
+                    goesOn.await();
+                } catch (InterruptedException e) {
+                    throw new IOException(e);
+                }
+                return door;
+            });
+            Thread start = new Thread(() -> start(sidecar));
+            start.start();
+            bound.await();
+            try (Host.Client client = new Host.Client(address[0])) {
+                client.send(quote());
+                Thread ending = new Thread(() -> end(sidecar));
+                ending.start();
+                // It has looked for the door: it waits for who opens it, or has found none and is over.
+                while (ending.isAlive() && !waitsFor(ending, start)) {
+                    Thread.sleep(1);
+                }
+                assertThat(ending.isAlive()).as("the process would be gone").isTrue();
+                goesOn.countDown();
+                assertThat(client.answer().status()).isEqualTo(200);
+                ending.join();
+            }
+        }
+    }
+
+    private static boolean waitsFor(Thread one, Thread other) {
+        ThreadInfo now = ManagementFactory.getThreadMXBean().getThreadInfo(one.getId());
+        return now != null && now.getLockOwnerId() == other.getId();
+    }
+
+    private static void start(Sidecar sidecar) {
+        try {
+            sidecar.start();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    private static void end(Sidecar sidecar) {
+        try {
+            sidecar.end(ENDING);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    @Test
+    void anEndingThatComesBeforeTheDoorIsOpenedKeepsItShut() throws Exception {
+        AtomicBoolean opened = new AtomicBoolean();
+        Sidecar sidecar = new Sidecar(plan(1), Sidecar.Memory.NONE, () -> {
+            opened.set(true);
+            return new Door.Own(ANY);
+        });
+        sidecar.end(ENDING);
+        sidecar.start();
+        assertThat(opened).isFalse();
+        sidecar.end(ENDING);
+    }
+}
