The timekeeper and the walk before the start outlive any error, told or not

Seen by reading: Sidecar.keepTime caught RuntimeException and OutOfMemoryError and logged them in the same place. An error of another kind, or one met again by the logging, as is likely where memory is short, left the loop: the process lived on with no timekeeper, so that no deadline passed any more, no leg was cut and no idle connection closed. A turn that failed at its first step was followed by the next at once, without a pause. WarmUp.run let OutOfMemoryError out of the start, though serving does not hang on it.

Changed: any error ends the turn alone, its telling may fail, and the next turn comes a turn later. The walk ends by itself.

StartAndEndTest has the log refuse the module's line and then the telling of that; without the change no idle connection is closed any more.

--- a/sidecar/src/main/java/dapplequay/net/Sidecar.java
+++ b/sidecar/src/main/java/dapplequay/net/Sidecar.java
@@ -19,6 +19,7 @@
 import java.util.Objects;
 import java.util.SplittableRandom;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.locks.LockSupport;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import java.util.logging.Level;
@@ -288,12 +289,22 @@
                 lookAtHeadroom();
             } catch (InterruptedException e) {
                 return;
-            } catch (RuntimeException | OutOfMemoryError e) {
-                LOG.log(Level.SEVERE, "the timekeeper's turn failed", e);
+            } catch (RuntimeException | Error e) {
+                turnFailed(e);
             }
         }
     }
 
+    /** All deadlines hang on the timekeeper: it goes on also where a fault can't even be told, as memory is short. */
+    private static void turnFailed(Throwable fault) {
+        try {
+            LOG.log(Level.SEVERE, "the timekeeper's turn failed", fault);
+        } catch (RuntimeException | Error e) {
+            // The next turn may be able to.
+        }
+        LockSupport.parkNanos(TURN_US * 1_000);
+    }
+
     /** Only while long bodies pass: nobody else gives way. */
     private void lookAtHeadroom() {
         long now = deadlines.now();
--- a/sidecar/src/main/java/dapplequay/net/WarmUp.java
+++ b/sidecar/src/main/java/dapplequay/net/WarmUp.java
@@ -59,7 +59,7 @@
             while (rounds < ROUNDS && deadlines.now() < until) {
                 round(rounds++);
             }
-        } catch (IOException | RuntimeException e) {
+        } catch (IOException | RuntimeException | OutOfMemoryError | StackOverflowError e) {
             LOG.log(Level.WARNING, "not warmed up", e);
         }
         return rounds;
--- a/sidecar/src/test/java/dapplequay/net/StartAndEndTest.java
+++ b/sidecar/src/test/java/dapplequay/net/StartAndEndTest.java
@@ -15,12 +15,16 @@
 import java.nio.file.Path;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.logging.Handler;
+import java.util.logging.LogRecord;
+import java.util.logging.Logger;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
-/** A start that an ending crosses. */
+/** A start that an ending crosses, and a timekeeper that can't even say what went wrong. */
 @Timeout(60)
 class StartAndEndTest {
     private static final InetSocketAddress ANY = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
@@ -115,4 +119,44 @@
         assertThat(opened).isFalse();
         sidecar.end(ENDING);
     }
+
+    /** The one thread that all deadlines hang on ended where the telling of its fault failed as well. */
+    @Test
+    void theTimekeeperOutlivesAFaultThatCanNotBeTold() throws Exception {
+        CountDownLatch failed = new CountDownLatch(2);
+        Handler full = new Handler() {
+            @Override
+            public void publish(LogRecord line) {
+                if (Thread.currentThread().getName().equals("timekeeper") && failed.getCount() > 0) {
+                    failed.countDown();
+                    throw new OutOfMemoryError("made up");
+                }
+            }
+
+            @Override
+            public void flush() { }
+
+            @Override
+            public void close() { }
+        };
+        Logger log = Logger.getLogger(Sidecar.class.getName());
+        log.addHandler(full);
+        try {
+            // Nobody listens there: the module says that the zone is lost, in the timekeeper's turn.
+            Sidecar sidecar = new Sidecar(plan(1, 2));
+            sidecar.start();
+            try (Host.Client idle = new Host.Client(sidecar.address());
+                    Host.Client client = new Host.Client(sidecar.address())) {
+                for (int i = 0; i < 1_000 && failed.getCount() > 0; i++) {
+                    client.send(quote());
+                    assertThat(client.answer().status()).isEqualTo(503);
+                }
+                assertThat(failed.await(20, TimeUnit.SECONDS)).as("line and fault were both refused").isTrue();
+                assertThat(idle.atEnd()).as("a deadline still passes").isTrue();
+            }
+            sidecar.end(ENDING);
+        } finally {
+            log.removeHandler(full);
+        }
+    }
 }
