A log whose reader is stuck keeps nobody: its lines are written by a thread of their own

Seen by reading: Logs wrote to standard error from whatever thread logged, under the handler's lock. Where the log is a pipe that nobody reads, one line more than it holds keeps that thread, and with it each that logs next: the ending's first line is logged before anything is ended, so that SIGTERM had no effect up to SIGKILL; the timekeeper tells the module's lines and would stand still with them.

An ending, and a thread that ends with an error, wait 50 ms at the most for their last lines.

SignalCrossingsTest fills a pipe that nobody reads by one long line at SIGHUP; without the change the process goes on saying that it is ready after SIGTERM.

--- a/sidecar/src/main/java/dapplequay/cli/Logs.java
+++ b/sidecar/src/main/java/dapplequay/cli/Logs.java
@@ -2,7 +2,6 @@
 
 import java.io.PrintWriter;
 import java.io.StringWriter;
-import java.util.logging.ConsoleHandler;
 import java.util.logging.Formatter;
 import java.util.logging.Handler;
 import java.util.logging.Level;
@@ -12,12 +11,16 @@
 
 /** One line a record, on standard error. */
 public final class Logs {
+    /** Held for a reader of the log that is late. */
+    private static final int MOST_CHARACTERS = 1_000_000;
+
     private Logs() { }
 
     static void start(Level level) {
-        ConsoleHandler handler = new ConsoleHandler();
-        handler.setFormatter(new Line());
+        LogWriter handler = new LogWriter(System.err, MOST_CHARACTERS, new Line());
         handler.setLevel(level);
+        handler.start();
+        writer = handler;
         Logger root = Logger.getLogger("");
         for (Handler old : root.getHandlers()) {
             root.removeHandler(old);
@@ -37,6 +40,19 @@
         }
     }
 
+    /** Waits, this long at the most, until what was logged is written: an exit would take it along. */
+    static void awaitWritten(long atMostMs) {
+        try {
+            if (writer != null) {
+                writer.awaitWritten(atMostMs);
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private static volatile LogWriter writer;
+
     /** Loggers are held weakly: without this the level would be lost with the logger. */
     private static Logger kept;
 
--- a/sidecar/src/main/java/dapplequay/cli/Main.java
+++ b/sidecar/src/main/java/dapplequay/cli/Main.java
@@ -22,6 +22,8 @@
 public final class Main {
     static final int BAD_USAGE = 2;
     static final int BAD_CONFIG = 3;
+    /** For the last lines of the log, which whoever reads it may take slowly. */
+    private static final long LAST_LINES_MS = 50;
 
     @Argument(required = true, metaVar = "COMMAND", handler = SubCommandHandler.class)
     @SubCommands({@SubCommand(name = "serve", impl = Serve.class),
@@ -91,8 +93,10 @@
         @Override
         public int run(Map<String, String> environment) throws IOException {
             Logs.start(Level.parse(level));
-            Thread.setDefaultUncaughtExceptionHandler((thread, e) -> Logger.getLogger(Main.class.getName())
-                    .log(Level.SEVERE, "thread " + thread.getName() + " ended", e));
+            Thread.setDefaultUncaughtExceptionHandler((thread, e) -> {
+                Logger.getLogger(Main.class.getName()).log(Level.SEVERE, "thread " + thread.getName() + " ended", e);
+                Logs.awaitWritten(LAST_LINES_MS);       // it may have been the last thread of the process
+            });
             Path file = file(environment);
             ChangedFile changed = new ChangedFile(file);
             Map<?, ?> fields = Config.fields(file);
@@ -105,6 +109,7 @@
                 } catch (InterruptedException e) {
                     Thread.currentThread().interrupt();
                 }
+                Logs.awaitWritten(LAST_LINES_MS);
             }, "ending"));
             // Left to the system, this signal would end the process in the middle of its work.
             Reload reload = new Reload(file, environment, sidecar, fields);
--- a/sidecar/src/test/java/dapplequay/cli/Program.java
+++ b/sidecar/src/test/java/dapplequay/cli/Program.java
@@ -93,13 +93,19 @@
 
     /** The status of one call at the management address; -1 where nobody answers, or ends before it has. */
     int call(String line) throws IOException {
+        try {
+            return Integer.parseInt(ask(line).split(" ")[1]);
+        } catch (SocketException e) {
+            return -1;
+        }
+    }
+
+    /** All of its answer. */
+    String ask(String line) throws IOException {
         try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), management)) {
             socket.setSoTimeout((int) PATIENCE_MS);
             socket.getOutputStream().write((line + " HTTP/1.1\r\n\r\n").getBytes(StandardCharsets.ISO_8859_1));
-            String text = new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
-            return Integer.parseInt(text.split(" ")[1]);
-        } catch (SocketException e) {
-            return -1;
+            return new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
         }
     }
 
--- /dev/null
+++ b/sidecar/src/test/java/dapplequay/cli/SignalCrossingsTest.java
@@ -0,0 +1,194 @@
+package dapplequay.cli;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import dapplequay.http.Head;
+import dapplequay.http.MessageReader;
+import java.io.IOException;
+import java.io.RandomAccessFile;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** SIGTERM and SIGHUP against all that a process may be in the middle of. Each test leads one to the other. */
+@Timeout(120)
+class SignalCrossingsTest {
+    private static final int PATIENCE_MS = 20_000;
+    private static final int ENDED_BY_SIGTERM = 128 + 15;
+    private static final int HALF = 40;
+
+    @TempDir
+    private Path folder;
+    private final List<AutoCloseable> toClose = new ArrayList<>();
+    private Upstream upstream;
+    private Program program;
+    private int calls;
+
+    @AfterEach
+    void closeAll() throws Exception {
+        for (AutoCloseable one : toClose) {
+            one.close();
+        }
+    }
+
+    private <T extends AutoCloseable> T open(T one) {
+        toClose.add(one);
+        return one;
+    }
+
+    /** Deadlines so long that the time of an ending is the platform's longest; both servers are the test's. */
+    private String settings() throws IOException {
+        upstream = upstream == null ? open(new Upstream()) : upstream;
+        return Files.readString(Path.of("example/config.json")).replace("127.0.0.1:7070", "127.0.0.1:0")
+                .replace("127.0.0.1:8500", "127.0.0.1:1").replaceAll("127.0.0.1:900[12]", "127.0.0.1:" + upstream.port())
+                .replaceAll("\"aim_us\": \\d+", "\"aim_us\": 1000000").replace("\"late_worth\": 0.0", "\"late_worth\": 0.5")
+                .replaceAll("\"deadline_us\": \\d+", "\"deadline_us\": 20000000");
+    }
+
+    private Path file(String text) throws IOException {
+        return Files.writeString(folder.resolve("config.json"), text);
+    }
+
+    private Program start(Path config, String... launcher) throws Exception {
+        program = open(new Program(config, null, Program.freePort(), false, List.of(launcher)));
+        return program;
+    }
+
+    /** As the log says. */
+    private InetSocketAddress address() throws Exception {
+        program.awaitLog("serving on");
+        Matcher port = Pattern.compile("serving on [0-9.]+:(\\d+)").matcher(String.join("\n", program.log));
+        assertThat(port.find()).isTrue();
+        return new InetSocketAddress(InetAddress.getLoopbackAddress(), Integer.parseInt(port.group(1)));
+    }
+
+    /** A client's connection, with the id of the last request on it. */
+    private final class Client implements AutoCloseable {
+        private final Socket socket = new Socket();
+        private final MessageReader reader;
+        private String id;
+        private String rest;
+
+        Client(InetSocketAddress at) throws IOException {
+            socket.connect(at, PATIENCE_MS);
+            socket.setTcpNoDelay(true);
+            socket.setSoTimeout(PATIENCE_MS);
+            reader = new MessageReader(socket.getInputStream(), MessageReader.LONGEST_BODY);
+        }
+
+        private void write(String text) throws IOException {
+            socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+        }
+
+        private String start(String method, String service) {
+            id = Integer.toHexString(++calls);
+            return method + " /" + service + "/1 HTTP/1.1\r\nX-Call-Id: " + id
+                    + "\r\nX-Caller: shop-a\r\nX-Budget-Ms: 15000\r\n";
+        }
+
+        Client quotes() throws IOException {
+            write(start("GET", "quote") + "\r\n");
+            return this;
+        }
+
+        Client beginsToQuote() throws IOException {
+            String text = start("GET", "quote") + "\r\n";
+            write(text.substring(0, HALF));
+            rest = text.substring(HALF);
+            return this;
+        }
+
+        /** All but the last byte, once the sidecar has said that it has the head. */
+        Client beginsToPay() throws IOException {
+            write(start("POST", "pay") + "Idempotency-Key: k\r\nExpect: 100-continue\r\nContent-Length: 4\r\n\r\n");
+            String goOn = "HTTP/1.1 100 Continue\r\n\r\n";
+            assertThat(new String(socket.getInputStream().readNBytes(goOn.length()), StandardCharsets.ISO_8859_1))
+                    .isEqualTo(goOn);
+            write("bod");
+            rest = "y";
+            return this;
+        }
+
+        void sendsTheRest() throws IOException {
+            write(rest);
+        }
+
+        int answer() throws IOException {
+            Head head = reader.response();
+            String body = new String(reader.responseBody(head), StandardCharsets.ISO_8859_1);
+            int status = Integer.parseInt(head.start[1]);
+            assertThat(status != 200 || body.equals(id)).as(body).isTrue();
+            return status;
+        }
+
+        void isServed() throws Exception {
+            upstream.serve(id);
+            assertThat(answer()).isEqualTo(200);
+        }
+
+        @Override
+        public void close() throws IOException {
+            socket.close();
+        }
+    }
+
+    private Client client() throws Exception {
+        return open(new Client(address()));
+    }
+
+    private long told(String part) {
+        return program.log.stream().filter(line -> line.contains(part)).count();
+    }
+
+    private long invalid() {
+        return told("configuration kept as it was");
+    }
+
+    private long taken() {
+        return told("configuration read again");
+    }
+
+    private void awaitTaken(int times) throws Exception {
+        Program.await("taken " + times, () -> taken() == times);
+    }
+
+    private void awaitEnd() throws Exception {
+        assertThat(program.process.waitFor(60, TimeUnit.SECONDS)).isTrue();
+        assertThat(program.process.exitValue()).isEqualTo(ENDED_BY_SIGTERM);
+        Program.await("the last line", () -> told("ended") > 0);
+    }
+
+    /** The log's reader has gone to sleep: a line of more than a pipe holds keeps whoever writes it. */
+    @Test
+    void aLogThatNobodyReadsNeitherStopsTheServiceNorTheEnd() throws Exception {
+        Path pipe = folder.resolve("log");
+        assertThat(new ProcessBuilder("mkfifo", pipe.toString()).start().waitFor()).isZero();
+        open(new RandomAccessFile(pipe.toFile(), "rw"));
+        int port = Program.freePort();
+        Path config = file(settings().replace("127.0.0.1:0", "127.0.0.1:" + port));
+        start(config, "sh", "-c", "exec \"$@\" 2>" + pipe, "sh").awaitReady();
+        Files.writeString(config, settings().replace("\"127.0.0.1:0\"", "\"" + "x".repeat(300_000) + "\""));
+        program.signal("HUP");
+        Program.await("turned down", () -> program.ask("GET /-/metrics").contains("cfg_invalid_total 1"));
+        Client client = open(new Client(new InetSocketAddress(InetAddress.getLoopbackAddress(), port)));
+        client.quotes().isServed();
+        program.signal("TERM");
+        Program.await("ending", () -> program.call("GET /-/ready") == 503);
+        client.quotes().isServed();
+        client.close();
+        assertThat(program.process.waitFor(30, TimeUnit.SECONDS)).isTrue();
+        assertThat(program.process.exitValue()).isEqualTo(ENDED_BY_SIGTERM);
+    }
+}
--- /dev/null
+++ b/sidecar/src/test/java/dapplequay/cli/Upstream.java
@@ -0,0 +1,85 @@
+package dapplequay.cli;
+
+import dapplequay.http.Head;
+import dapplequay.http.MessageReader;
+import dapplequay.net.Host;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+
+/** A server whose attempts the test answers one by one, as it likes. */
+final class Upstream implements AutoCloseable {
+    private static final int PATIENCE_S = 20;
+
+    private final BlockingQueue<Attempt> attempts = new LinkedBlockingQueue<>();
+    private final ServerSocket listener = new ServerSocket(0, 200, InetAddress.getLoopbackAddress());
+
+    /** One request as it came. */
+    record Attempt(String id, Socket socket) {
+        void write(String text) throws IOException {
+            socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+        }
+
+        /** Serves it with its own id. */
+        void serve() throws IOException {
+            write("HTTP/1.1 200 OK\r\nContent-Length: " + id.length() + "\r\n\r\n" + id);
+        }
+
+        /** Nobody can tell whether it has run. */
+        void reset() throws IOException {
+            socket.setSoLinger(true, 0);
+            socket.close();
+        }
+    }
+
+    Upstream() throws IOException {
+        Host.daemon(() -> {
+            while (true) {
+                Socket socket = listener.accept();
+                Host.daemon(() -> read(socket));
+            }
+        });
+    }
+
+    private void read(Socket socket) throws Exception {
+        socket.setTcpNoDelay(true);
+        MessageReader reader = new MessageReader(socket.getInputStream());
+        while (reader.await()) {
+            Head head = reader.request();
+            reader.requestBody(head);
+            attempts.add(new Attempt(head.get("X-Call-Id"), socket));
+        }
+    }
+
+    int port() {
+        return listener.getLocalPort();
+    }
+
+    /** The next attempt that nobody has asked for yet. */
+    Attempt next() throws InterruptedException {
+        Attempt next = attempts.poll(PATIENCE_S, TimeUnit.SECONDS);
+        if (next == null) {
+            throw new AssertionError("no attempt came");
+        }
+        return next;
+    }
+
+    /** The same, of this request and served at once. */
+    void serve(String id) throws Exception {
+        Attempt next = next();
+        if (!next.id().equals(id)) {
+            throw new AssertionError("another came: " + next.id() + ", not " + id);
+        }
+        next.serve();
+    }
+
+    @Override
+    public void close() throws IOException {
+        listener.close();
+    }
+}
