SIGHUP in the first moments of a process is kept for it and no longer ends it

Seen by reading: Main.Serve took SIGHUP over after it had read the arguments, the operators' file, the configuration and the kept list. Until then the JVM's own way holds, which ends the process: a new configuration for the fleet in the middle of a restart ended those that were starting. One that had read the old file already would have missed the new one.

Changed: the signal is taken over in the first line of main. One that comes before there is a sidecar is kept, and sets off the reading again as soon as there is one. What is left is the JVM's own beginning, before it calls main.

SignalCrossingsTest has the process stand in the reading of its configuration, a pipe; the file is another by the time the signal comes. Without the change the process ends there. SIGTERM in the same moment ends it by itself, before and after.

--- a/sidecar/src/main/java/dapplequay/cli/Main.java
+++ b/sidecar/src/main/java/dapplequay/cli/Main.java
@@ -15,8 +15,6 @@
 import org.kohsuke.args4j.spi.SubCommand;
 import org.kohsuke.args4j.spi.SubCommandHandler;
 import org.kohsuke.args4j.spi.SubCommands;
-import sun.misc.Signal;
-import sun.misc.SignalHandler;
 
 /** The command line of the jar. */
 public final class Main {
@@ -25,6 +23,9 @@
     /** For the last lines of the log, which whoever reads it may take slowly. */
     private static final long LAST_LINES_MS = 50;
 
+    /** Of the process, as the signal is; null where no sidecar is to be started. */
+    private static HangupSignal hangup;
+
     @Argument(required = true, metaVar = "COMMAND", handler = SubCommandHandler.class)
     @SubCommands({@SubCommand(name = "serve", impl = Serve.class),
             @SubCommand(name = "simhost", impl = Simulate.class),
@@ -38,6 +39,9 @@
     }
 
     public static void main(String[] args) {
+        if (args.length > 0 && args[0].equals("serve")) {
+            hangup = HangupSignal.taken();
+        }
         System.setProperty("java.util.logging.manager", Logs.Kept.class.getName());
         int status = run(args, System.getenv());
         if (status != 0) {
@@ -111,10 +115,9 @@
                 }
                 Logs.awaitWritten(LAST_LINES_MS);
             }, "ending"));
-            // Left to the system, this signal would end the process in the middle of its work.
             Reload reload = new Reload(file, environment, sidecar, fields);
-            if (Signal.handle(new Signal("HUP"), signal -> reload.run()) == SignalHandler.SIG_IGN) {
-                // Who started this process had it ignored, and the JVM leaves that as it is, without a word.
+            hangup.sets(reload::run);
+            if (hangup.isIgnored()) {
                 Logger.getLogger(Main.class.getName()).warning("SIGHUP was ignored by who started this process: "
                         + file + " is read again when it changes");
                 Thread watch = new Thread(() -> changed.watch(reload::run), "changed-file");
--- a/sidecar/src/test/java/dapplequay/cli/SignalCrossingsTest.java
+++ b/sidecar/src/test/java/dapplequay/cli/SignalCrossingsTest.java
@@ -5,6 +5,7 @@
 import dapplequay.http.Head;
 import dapplequay.http.MessageReader;
 import java.io.IOException;
+import java.io.OutputStream;
 import java.io.RandomAccessFile;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -12,6 +13,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
@@ -170,6 +172,35 @@
         Program.await("the last line", () -> told("ended") > 0);
     }
 
+    /** The process stands in the reading of its configuration, a pipe that the test has the other end of. */
+    @Test
+    void sighupAndSigtermBeforeTheProcessServes() throws Exception {
+        Path pipe = folder.resolve("pipe");
+        assertThat(new ProcessBuilder("mkfifo", pipe.toString()).start().waitFor()).isZero();
+        Path renamed = Files.writeString(folder.resolve("renamed"), settings().replace("\"quote\"", "\"offer\""));
+        start(pipe);
+        try (OutputStream reads = Files.newOutputStream(pipe)) {
+            Files.move(renamed, pipe, StandardCopyOption.REPLACE_EXISTING, StandardCopyOption.ATOMIC_MOVE);
+            program.signal("HUP");
+            reads.write(settings().getBytes(StandardCharsets.UTF_8));
+        }
+        program.awaitReady();
+        awaitTaken(1);
+        Client client = client().quotes();
+        assertThat(client.answer()).as("a class that went").isEqualTo(400);
+        client.write(client.start("GET", "offer") + "\r\n");
+        client.isServed();
+
+        Files.delete(pipe);
+        assertThat(new ProcessBuilder("mkfifo", pipe.toString()).start().waitFor()).isZero();
+        start(pipe);
+        try (OutputStream reads = Files.newOutputStream(pipe)) {
+            program.signal("TERM");
+            assertThat(program.process.waitFor(60, TimeUnit.SECONDS)).isTrue();
+            assertThat(program.process.exitValue()).isEqualTo(ENDED_BY_SIGTERM);
+        }
+    }
+
     /** The log's reader has gone to sleep: a line of more than a pipe holds keeps whoever writes it. */
     @Test
     void aLogThatNobodyReadsNeitherStopsTheServiceNorTheEnd() throws Exception {
