A file at SIGHUP that no memory holds is turned down, counted and told

Seen by reading: Reload.run caught RuntimeException alone. A file too large or too deep to be read ended the thread of the signal with an error, counted nothing and named no file; where the file is watched in place of the signal, it ended that thread for good, and no later file was read.

Changed: such a file is turned down like any other. SignalCrossingsTest puts one of 3 GB in place; without the change the line and the count never come.

--- a/sidecar/src/main/java/dapplequay/cli/Reload.java
+++ b/sidecar/src/main/java/dapplequay/cli/Reload.java
@@ -35,7 +35,8 @@
             sidecar.configurationRead(true);
             LOG.info("configuration read again" + (kept.isEmpty() ? "" : "; these take a restart: "
                     + String.join(", ", kept)));
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | OutOfMemoryError | StackOverflowError e) {
+            // Also a file too large or too deep to be read: the thread that watches the file must live on.
             sidecar.configurationRead(false);
             LOG.log(Level.WARNING, "configuration kept as it was: {0}",
                     String.valueOf(e.getMessage()).contains(file.toString()) ? e.getMessage()
--- a/sidecar/src/test/java/dapplequay/cli/SignalCrossingsTest.java
+++ b/sidecar/src/test/java/dapplequay/cli/SignalCrossingsTest.java
@@ -222,4 +222,23 @@
         assertThat(program.process.waitFor(30, TimeUnit.SECONDS)).isTrue();
         assertThat(program.process.exitValue()).isEqualTo(ENDED_BY_SIGTERM);
     }
+
+    /** Too large to be read at all: the reading fails with an error, and no less than this is told. */
+    @Test
+    void aFileThatNoMemoryHoldsIsTurnedDownAndTheNextOneTaken() throws Exception {
+        Path config = file(settings());
+        start(config).awaitReady();
+        Path huge = folder.resolve("huge");
+        try (RandomAccessFile file = new RandomAccessFile(huge.toFile(), "rw")) {
+            file.setLength(3_000_000_000L);
+        }
+        Files.move(huge, config, StandardCopyOption.REPLACE_EXISTING, StandardCopyOption.ATOMIC_MOVE);
+        program.signal("HUP");
+        Program.await("turned down", () -> invalid() == 1);
+        Files.delete(config);
+        file(settings());
+        program.signal("HUP");
+        awaitTaken(1);
+        client().quotes().isServed();
+    }
 }
