An ending that fails is begun again, and one that stands still is cut short

Seen by reading: the hook in Main.Serve ended with the first error of Sidecar.end or of the kept list's, and the JVM exits with its last hook: one error in there cut off all who were still served. A step that stands still (a client that takes nothing while its last failure is written to it, up to 10 s; a disk) kept the process up to SIGKILL.

Changed: OrderlyExit carries the steps out on a thread of its own, begins one that failed again while there is time (Sidecar.end goes on by its first times), and is over 0.1 s before the platform's earliest SIGKILL (Ending.latestUs). Weighed: to bound each step; the last of them would get what the others leave anyhow.

--- a/core/src/main/java/dapplequay/lifecycle/Ending.java
+++ b/core/src/main/java/dapplequay/lifecycle/Ending.java
@@ -19,6 +19,8 @@
     private static final long FORCED_AFTER_US = 700_000;
     /** For the last failures to reach their clients, and for the process to be gone. */
     private static final long MARGIN_US = 250_000;
+    /** Of that margin: then the process goes whatever is not finished; its exit alone takes what is left. */
+    private static final long LAST_FAILURES_US = 150_000;
     /** Of the shortest aim: what the last requests have. Most are answered in less; whoever is not, fails. */
     private static final double LAST_SHARE = 0.5;
 
@@ -29,6 +31,11 @@
         return new Ending(LATE_CONNECTIONS_US, serveUs, heldUs);
     }
 
+    /** Whatever stands still then, the process has to go. */
+    public long latestUs() {
+        return heldUs + LAST_FAILURES_US;
+    }
+
     /** The same where a successor has the clients already: nothing is waited for but what is held. */
     public Ending handingOver() {
         return new Ending(0, 0, heldUs);
--- a/sidecar/src/main/java/dapplequay/cli/Main.java
+++ b/sidecar/src/main/java/dapplequay/cli/Main.java
@@ -5,6 +5,7 @@
 import dapplequay.settings.SettingsException;
 import java.io.IOException;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.Map;
 import java.util.logging.Level;
 import java.util.logging.Logger;
@@ -106,13 +107,9 @@
             Map<?, ?> fields = Config.fields(file);
             KeptState state = KeptState.in(operators().stateFolder());
             Sidecar sidecar = state.begin(Config.read(file.toString(), fields, environment));
+            OrderlyExit exit = new OrderlyExit(() -> sidecar.endsWithinUs() / 1_000, List.of(sidecar::end, state::end));
             Runtime.getRuntime().addShutdownHook(new Thread(() -> {
-                try {
-                    sidecar.end();
-                    state.end();
-                } catch (InterruptedException e) {
-                    Thread.currentThread().interrupt();
-                }
+                exit.run();
                 Logs.awaitWritten(LAST_LINES_MS);
             }, "ending"));
             Reload reload = new Reload(file, environment, sidecar, fields);
--- a/sidecar/src/main/java/dapplequay/net/Sidecar.java
+++ b/sidecar/src/main/java/dapplequay/net/Sidecar.java
@@ -319,9 +319,18 @@
         usedUs = used;
     }
 
+    /** By then, us after the order, an ending has to be over whatever stands still. */
+    public long endsWithinUs() {
+        return ending().latestUs();
+    }
+
+    private Ending ending() {
+        return Ending.of(setup.shortestAimUs(), setup.longestDeadlineUs());
+    }
+
     /** Ends in order, and returns when nothing is held any more. Called again, it goes on by the first call's times. */
     public void end() throws InterruptedException {
-        end(Ending.of(setup.shortestAimUs(), setup.longestDeadlineUs()));
+        end(ending());
     }
 
     void end(Ending ordered) throws InterruptedException {
