Tests of what SIGTERM and SIGHUP may meet, with the real program

Sound before, each by an argument over two threads or more: SIGTERM against heads and bodies half read, an attempt that breaks after it, an answer half passed on, a connect under way, new connections, a second SIGTERM, a reload before and after it, a drain, a start; SIGHUP against a request whose class, tenant, time and attempts the new settings do away with, and against half a file. Each waits for the event that has to come first, and for no time.

--- a/sidecar/src/test/java/dapplequay/cli/SignalCrossingsTest.java
+++ b/sidecar/src/test/java/dapplequay/cli/SignalCrossingsTest.java
@@ -9,6 +9,7 @@
 import java.io.RandomAccessFile;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
@@ -172,6 +173,81 @@
         Program.await("the last line", () -> told("ended") > 0);
     }
 
+    @Test
+    void whatIsUnderWayAtSigtermIsAnsweredAndNeitherASecondOneNorAReloadNorADrainChangesThat() throws Exception {
+        Path config = file(settings());
+        start(config).awaitReady();
+        Client inHead = client().beginsToQuote();
+        Client inBody = client().beginsToPay();
+        Client kept = client().quotes();
+        kept.isServed();
+        Client retried = client().quotes();
+        Upstream.Attempt first = upstream.next();
+        Client held = client().quotes();
+        Upstream.Attempt last = upstream.next();
+        Client half = client().quotes();
+        Upstream.Attempt begun = upstream.next();
+        begun.write("HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n" + "x".repeat(100_000));
+        Head answer = half.reader.response();
+        program.signal("HUP");
+        program.signal("TERM");
+        program.awaitLog("ending: ");
+        awaitTaken(1);
+
+        first.reset();
+        retried.isServed();
+        inHead.sendsTheRest();
+        inHead.isServed();
+        inBody.sendsTheRest();
+        inBody.isServed();
+        begun.write("x".repeat(100_000));
+        assertThat(half.reader.responseBody(answer)).hasSize(200_000);
+        for (int i = 0; i < 20; i++) {
+            Client late = client().quotes();
+            late.isServed();
+        }
+        program.signal("TERM");
+        Files.writeString(config, settings().replace("\"name\": \"pay\"", "\"name\": \"buy\""));
+        program.signal("HUP");
+        awaitTaken(2);
+        kept.quotes().isServed();
+        assertThat(program.call("GET /-/ready")).isEqualTo(503);
+        assertThat(program.call("PUT /-/drain")).isEqualTo(200);
+        assertThat(program.call("PUT /-/resume")).isEqualTo(409);
+        last.serve();
+        assertThat(held.answer()).isEqualTo(200);
+        awaitEnd();
+        assertThat(program.log).noneMatch(line -> line.contains("SEVERE"));
+    }
+
+    /** Its host is full when the signal comes, and lets it in after. */
+    @Test
+    void aConnectUnderWayAtSigtermIsWaitedFor() throws Exception {
+        try (ServerSocket full = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            List<Socket> crowd = new ArrayList<>();
+            for (int i = 0; i < 2; i++) {
+                crowd.add(open(new Socket(InetAddress.getLoopbackAddress(), full.getLocalPort())));
+            }
+            String text = settings().replace("\"connect_timeout_us\": 250000", "\"connect_timeout_us\": 10000000");
+            start(file(text.replace("127.0.0.1:" + upstream.port(), "127.0.0.1:" + full.getLocalPort()))).awaitReady();
+            Client client = client().quotes();
+            String connecting = String.format(":%04X 02 ", full.getLocalPort());
+            Program.await("connects", () -> Files.readString(Path.of("/proc/net/tcp")).contains(connecting)
+                    || Files.readString(Path.of("/proc/net/tcp6")).contains(connecting));
+            program.signal("TERM");
+            program.awaitLog("ending: ");
+            for (int i = 0; i < crowd.size(); i++) {
+                full.accept().close();
+            }
+            Socket attempt = open(full.accept());
+            MessageReader reader = new MessageReader(attempt.getInputStream());
+            new Upstream.Attempt(reader.request().get("X-Call-Id"), attempt).serve();
+            assertThat(client.answer()).isEqualTo(200);
+            client.close();
+            awaitEnd();
+        }
+    }
+
     /** The process stands in the reading of its configuration, a pipe that the test has the other end of. */
     @Test
     void sighupAndSigtermBeforeTheProcessServes() throws Exception {
@@ -201,6 +277,15 @@
         }
     }
 
+    /** Between the management address and the clients', while made-up requests are walked. */
+    @Test
+    void sigtermInAStartEndsTheProcessByItself() throws Exception {
+        start(file(settings()));
+        Program.await("a first answer", () -> program.call("GET /-/ready") > 0);
+        program.signal("TERM");
+        awaitEnd();
+    }
+
     /** The log's reader has gone to sleep: a line of more than a pipe holds keeps whoever writes it. */
     @Test
     void aLogThatNobodyReadsNeitherStopsTheServiceNorTheEnd() throws Exception {
@@ -241,4 +326,39 @@
         awaitTaken(1);
         client().quotes().isServed();
     }
+
+    @Test
+    void requestsUnderWayKeepWhatTheyCameUnderThroughAReload() throws Exception {
+        String text = settings();
+        Path config = file(text);
+        start(config).awaitReady();
+        Client gone = client().beginsToQuote();
+        Client kept = client().quotes();
+        Upstream.Attempt first = upstream.next();
+        Files.writeString(config, text.substring(0, text.length() / 2));
+        program.signal("HUP");
+        Program.await("half a file", () -> invalid() == 1);
+        // The class goes, another has but one attempt, less time than has passed, and its tenant is gone.
+        Files.writeString(config, text.replace("\"quote\"", "\"offer\"").replace("\"send_cap\": 3", "\"send_cap\": 1")
+                .replaceAll("\"deadline_us\": \\d+", "\"deadline_us\": 1000").replace("\"shop-a\"", "\"shop-c\"")
+                .replace("\"balancers\": 1", "\"balancers\": 30"));
+        for (int i = 0; i < 5; i++) {
+            program.signal("HUP");
+        }
+        Program.await("taken", () -> taken() > 0);
+        gone.sendsTheRest();
+        assertThat(gone.answer()).as("clear, and not lost").isEqualTo(400);
+        first.reset();
+        Upstream.Attempt second = upstream.next();
+        assertThat(second.id()).isEqualTo(kept.id);
+        second.serve();
+        assertThat(kept.answer()).isEqualTo(200);
+        kept.write(kept.start("GET", "offer") + "\r\n");
+        assertThat(kept.answer()).as("the tenant went").isEqualTo(403);
+        long before = taken();
+        file(text);
+        program.signal("HUP");
+        Program.await("as before", () -> taken() > before);
+        kept.quotes().isServed();
+    }
 }
