--- /dev/null
+++ b/sidecar/src/test/java/dapplequay/cli/LastMomentTest.java
@@ -0,0 +1,117 @@
+package dapplequay.cli;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import dapplequay.http.MessageReader;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** The last moments before the platform ends a process by force: what is held then fails, and the process goes. */
+@Timeout(60)
+class LastMomentTest {
+    private static final int PATIENCE_MS = 20_000;
+    /** The fewest ms between SIGTERM and SIGKILL where the longest deadline is over 3 s. */
+    private static final long KILLED_MS = 3_700;
+    private static final String LONG = "x".repeat(60_000);
+
+    @TempDir
+    private Path folder;
+    private final List<AutoCloseable> toClose = new ArrayList<>();
+    private Upstream upstream;
+    private Program program;
+    private int port;
+    private int calls;
+    private CompletableFuture<Long> gone;
+
+    @BeforeEach
+    void start() throws Exception {
+        upstream = open(new Upstream());
+        ServerSocket silent = open(new ServerSocket(0, 200, InetAddress.getLoopbackAddress()));
+        port = Program.freePort();
+        Path config = Files.writeString(folder.resolve("config.json"), Files.readString(Path.of("example/config.json"))
+                .replace("127.0.0.1:7070", "127.0.0.1:" + port)
+                .replace("127.0.0.1:8500", "127.0.0.1:" + silent.getLocalPort()).replace("\"on_request\"", "\"pushed\"")
+                .replaceAll("127.0.0.1:900[12]", "127.0.0.1:" + upstream.port())
+                .replaceAll("\"aim_us\": \\d+", "\"aim_us\": 1000000").replace("\"late_worth\": 0.0", "\"late_worth\": 0.5")
+                .replaceAll("\"deadline_us\": \\d+", "\"deadline_us\": 20000000"));
+        program = open(new Program(config, null, Program.freePort()));
+        program.awaitReady();
+    }
+
+    @AfterEach
+    void closeAll() throws Exception {
+        for (AutoCloseable one : toClose) {
+            one.close();
+        }
+    }
+
+    private <T extends AutoCloseable> T open(T one) {
+        toClose.add(one);
+        return one;
+    }
+
+    private Socket client() throws IOException {
+        Socket socket = open(new Socket(InetAddress.getLoopbackAddress(), port));
+        socket.setSoTimeout(PATIENCE_MS);
+        return socket;
+    }
+
+    private String quote() {
+        return "GET /quote/1 HTTP/1.1\r\nX-Call-Id: " + Integer.toHexString(++calls)
+                + "\r\nX-Caller: shop-a\r\nX-Budget-Ms: 15000\r\n\r\n";
+    }
+
+    private static void write(Socket to, String text) throws IOException {
+        to.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+    }
+
+    private static String status(Socket from) throws IOException {
+        MessageReader reader = new MessageReader(from.getInputStream());
+        if (!reader.await()) {
+            return "closed";
+        }
+        return reader.response().start[1];
+    }
+
+    private void tellToEnd() {
+        long from = System.nanoTime();
+        gone = program.process.onExit().thenApply(any -> (System.nanoTime() - from) / 1_000_000);
+        program.process.toHandle().destroy();
+    }
+
+    private void isGoneInTime() throws Exception {
+        long tookMs = gone.get(30, TimeUnit.SECONDS);
+        assertThat(program.process.exitValue()).isEqualTo(128 + 15);
+        assertThat(tookMs).isLessThan(KILLED_MS);
+    }
+
+    /** Discovery is silent all the while. */
+    @Test
+    void idleClientsThatNeverCloseDoNotKeepTheProcess() throws Exception {
+        List<Socket> idle = new ArrayList<>();
+        for (int i = 0; i < 20; i++) {
+            idle.add(client());
+            if (i % 2 == 0) {
+                write(idle.get(i), quote());
+                upstream.next().serve();
+                assertThat(status(idle.get(i))).isEqualTo("200");
+            }
+        }
+        tellToEnd();
+        isGoneInTime();
+    }
+}
