--- a/sidecar/src/main/java/dapplequay/cli/Main.java
+++ b/sidecar/src/main/java/dapplequay/cli/Main.java
@@ -5,6 +5,7 @@
 import dapplequay.settings.SettingsException;
 import java.io.IOException;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.Map;
 import java.util.logging.Level;
 import java.util.logging.Logger;
@@ -15,13 +16,16 @@
 import org.kohsuke.args4j.spi.SubCommand;
 import org.kohsuke.args4j.spi.SubCommandHandler;
 import org.kohsuke.args4j.spi.SubCommands;
-import sun.misc.Signal;
-import sun.misc.SignalHandler;
 
 /** The command line of the jar. */
 public final class Main {
     static final int BAD_USAGE = 2;
     static final int BAD_CONFIG = 3;
+    /** For the last lines of the log, which whoever reads it may take slowly. */
+    private static final long LAST_LINES_MS = 50;
+
+    /** Of the process, as the signal is; null where no sidecar is to be started. */
+    private static HangupSignal hangup;
 
     @Argument(required = true, metaVar = "COMMAND", handler = SubCommandHandler.class)
     @SubCommands({@SubCommand(name = "serve", impl = Serve.class),
@@ -36,6 +40,9 @@
     }
 
     public static void main(String[] args) {
+        if (args.length > 0 && args[0].equals("serve")) {
+            hangup = HangupSignal.taken();
+        }
         System.setProperty("java.util.logging.manager", Logs.Kept.class.getName());
         int status = run(args, System.getenv());
         if (status != 0) {
@@ -91,25 +98,23 @@
         @Override
         public int run(Map<String, String> environment) throws IOException {
             Logs.start(Level.parse(level));
-            Thread.setDefaultUncaughtExceptionHandler((thread, e) -> Logger.getLogger(Main.class.getName())
-                    .log(Level.SEVERE, "thread " + thread.getName() + " ended", e));
+            Thread.setDefaultUncaughtExceptionHandler((thread, e) -> {
+                Logger.getLogger(Main.class.getName()).log(Level.SEVERE, "thread " + thread.getName() + " ended", e);
+                Logs.awaitWritten(LAST_LINES_MS);       // it may have been the last thread of the process
+            });
             Path file = file(environment);
             ChangedFile changed = new ChangedFile(file);
             Map<?, ?> fields = Config.fields(file);
             KeptState state = KeptState.in(operators().stateFolder());
             Sidecar sidecar = state.begin(Config.read(file.toString(), fields, environment));
+            OrderlyExit exit = new OrderlyExit(() -> sidecar.endsWithinUs() / 1_000, List.of(sidecar::end, state::end));
             Runtime.getRuntime().addShutdownHook(new Thread(() -> {
-                try {
-                    sidecar.end();
-                    state.end();
-                } catch (InterruptedException e) {
-                    Thread.currentThread().interrupt();
-                }
+                exit.run();
+                Logs.awaitWritten(LAST_LINES_MS);
             }, "ending"));
-            // Left to the system, this signal would end the process in the middle of its work.
             Reload reload = new Reload(file, environment, sidecar, fields);
-            if (Signal.handle(new Signal("HUP"), signal -> reload.run()) == SignalHandler.SIG_IGN) {
-                // Who started this process had it ignored, and the JVM leaves that as it is, without a word.
+            hangup.sets(reload::run);
+            if (hangup.isIgnored()) {
                 Logger.getLogger(Main.class.getName()).warning("SIGHUP was ignored by who started this process: "
                         + file + " is read again when it changes");
                 Thread watch = new Thread(() -> changed.watch(reload::run), "changed-file");
