The decision for a repeat says until when its first byte may go out

Seen by reading: the window for repeats of keyed work was judged at the decision alone (Held.mayGo), and nothing of it reached the network. What the network needs for a connect came on top, up to the connect time-out: 1.5 s and more against a window of 0.5 s.

Changed: Held.beginBy is the first attempt that may have run, plus the window, less 20 ms for the way and the writing thread; mayGo asks the same moment, Actions.send hands it on, Decision.Send carries it. None (Long.MAX_VALUE) for a first attempt and for what may be repeated at any time.

Two things on the same lines. A leg that was never sent tells nothing of its host: it counted as one that met the zone. And Held.ended took the listed server for the attempt's: a long request whose host had gone from the list while it was connecting was failed, though it never ran, and now goes elsewhere (FacadeTest, fails before).

Bench and WireActionsTest only follow the signature.

With the window taken without the way 3 of the new tests fail, with the listed server asked 1.

--- a/core/src/main/java/dapplequay/Balance.java
+++ b/core/src/main/java/dapplequay/Balance.java
@@ -93,11 +93,11 @@
         if (!h.mayGo(now, s, settings.limits())) {
             return false;
         }
+        actions.send(h.request.id(), s.host, Math.max(MIN_ATTEMPT_US, h.usefulUntil - now), h.beginBy());
         h.sent(now, s);
         s.silentSince = s.own++ == 0 ? now : s.silentSince;
         set.zoneLoss.sent(now, s.zone);
         s.coldUntil = now + s.coldPause(now);
-        actions.send(h.request.id(), s.host, Math.max(MIN_ATTEMPT_US, h.usefulUntil - now));
         if (!watching) {
             watch(settings.limits().mayCancel());
         }
@@ -124,7 +124,7 @@
     public void outcome(long now, long id, int attempt, String host, Outcome outcome, long tookUs,
                         boolean closed, LoadReport report) {
         Server s = set.servers.get(host);
-        Held h = held.get(id);
+        Held h = closed ? held.remove(id) : held.get(id);
         if (s != null) {
             s.own = Math.max(0, s.own - (h != null && h.uploading ? 0 : 1));
             learn(now, s, outcome, tookUs, report);
@@ -132,13 +132,11 @@
                 usual.computeIfPresent(h.type.name(), (name, took) -> took + CLASS_GAIN * (tookUs - took));
             }
         }
-        if (h == null) {
+        if (h == null || closed) {
             return;
         }
-        h.ended(s, outcome.neverRan);
-        if (closed) {
-            held.remove(id);
-        } else if (h.out == 0) {
+        h.ended(outcome.neverRan);
+        if (h.out == 0) {
             proceed(now, h);
         }
     }
@@ -151,7 +149,7 @@
         }
         s.silentSince = now;
         boolean nobody = silent || outcome == Outcome.CONNECT_FAILED && tookUs < LATE_SHARE * set.leastAim;
-        boolean met = outcome != Outcome.CONNECT_FAILED && outcome != Outcome.TIMEOUT;
+        boolean met = outcome != Outcome.CONNECT_FAILED && outcome != Outcome.TIMEOUT && outcome != Outcome.NOT_SENT;
         if ((nobody || met) && set.zoneLoss.ended(s.zone, nobody)) {
             boolean lost = set.zoneLoss.isLost(s.zone);
             // What is back has started anew, long before the list says so.
@@ -167,19 +165,18 @@
     }
 
     /** Gives up the legs at servers that have fallen silent, where others may still serve the requests. */
-    private void watchLegs(long now) {
+    @Override
+    public void timer(long now, long token) {
         set.servers.values().forEach(s -> s.awaited = 0);
         held.values().stream().filter(h -> h.out > 0 && !h.uploading).forEach(h -> h.last().awaited +=
                 (now - Math.max(h.sentAt, h.last().silentSince)) / usual.get(h.type.name()));
         set.servers.values().stream().filter(s -> now >= s.shunUntil && s.awaited >= SILENT_TIMES).forEach(s -> {
             suspects.silent(now, s);
-            for (Held h : held.values()) {
-                if (h.out == 1 && !h.uploading && h.last() == s && h.cut < h.attempts.size() && set.buddies.stream()
-                        .anyMatch(o -> !o.trial && admission.usable(now, h, o))) {
-                    h.cut = h.attempts.size();
-                    actions.cancel(h.request.id(), h.cut - 1);
-                }
-            }
+            held.values().stream().filter(h -> h.out == 1 && !h.uploading && h.last() == s && h.cut < h.attempts.size()
+                    && set.buddies.stream().anyMatch(o -> !o.trial && admission.usable(now, h, o))).forEach(h -> {
+                        h.cut = h.attempts.size();
+                        actions.cancel(h.request.id(), h.cut - 1);
+                    });
         });
         set.shrink(now);
         watch(!held.isEmpty());
@@ -223,11 +220,6 @@
         held.remove(id);
     }
 
-    @Override
-    public void timer(long now, long token) {
-        watchLegs(now);
-    }
-
     @Override
     public void probed(long now, String host, Outcome outcome, long tookUs, LoadReport report) {
         set.servers.values().stream().filter(s -> s.host.equals(host)).forEach(s -> s.heard(now, report));
--- a/core/src/main/java/dapplequay/BalancerApi.java
+++ b/core/src/main/java/dapplequay/BalancerApi.java
@@ -150,8 +150,12 @@
 
     /** Carried out by the embedding program, in the order called, at the time of the event in hand. */
     interface Actions {
-        /** The attempts of a request are numbered 0, 1, 2 ... in the order of these calls. */
-        void send(long id, String host, long timeoutUs);
+        /**
+         * The attempts of a request are numbered 0, 1, 2 ... in the order of these calls. {@code beginBy}: its first
+         * byte may not go out at this time or later, as the window for repeats would be over; it is then NOT_SENT.
+         * Long.MAX_VALUE: at any time.
+         */
+        void send(long id, String host, long timeoutUs, long beginBy);
 
         void cancel(long id, int attempt);
 
--- a/core/src/main/java/dapplequay/Held.java
+++ b/core/src/main/java/dapplequay/Held.java
@@ -6,6 +6,9 @@
 
 /** A request taken and not yet answered, and the rules on where it may go. */
 final class Held {
+    /** What a repeat's first byte may take to its server, and a thread to write it, us. */
+    private static final long WAY_US = 20_000;
+
     final Request request;
     final ServiceClass type;
     final double worthShare;      // of its class's worth: less than 1 for a try that can only be late
@@ -36,11 +39,17 @@
         return ran == null || switch (type.semantics()) {
             case RETRYABLE -> true;
             case FRAGILE -> false;
-            case DEDUP -> now - firstMayHaveRunAt < type.windowUs() && (type.group() == Group.ALL
+            case DEDUP -> now < beginBy() && (type.group() == Group.ALL
                     || s.zone == ran.zone && (type.group() == Group.ZONE || s.cell == ran.cell));
         };
     }
 
+    /** Until when the first byte of its next attempt may go out: a repeat has to reach its server in the window. */
+    long beginBy() {
+        return firstMayHaveRun == null || type.semantics() == Semantics.RETRYABLE ? Long.MAX_VALUE
+                : firstMayHaveRunAt + type.windowUs() - WAY_US;
+    }
+
     /** Whether the client may safely try again. */
     boolean isRefusable() {
         return firstMayHaveRun == null || type.semantics() == Semantics.RETRYABLE
@@ -57,9 +66,9 @@
         }
     }
 
-    void ended(Server s, boolean neverRan) {
+    void ended(boolean neverRan) {
         out--;
-        if (neverRan && firstMayHaveRun == s && out == 0 && firstMayHaveRunAt == sentAt) {
+        if (neverRan && firstMayHaveRun == last() && out == 0 && firstMayHaveRunAt == sentAt) {
             firstMayHaveRun = null;
         }
     }
--- a/core/src/main/java/dapplequay/facade/Facade.java
+++ b/core/src/main/java/dapplequay/facade/Facade.java
@@ -304,8 +304,8 @@
         }
 
         @Override
-        public void send(long id, String host, long timeoutUs) {
-            decide(id, new Decision.Send(sends, host, timeoutUs));
+        public void send(long id, String host, long timeoutUs, long beginBy) {
+            decide(id, new Decision.Send(sends, host, timeoutUs, beginBy));
         }
 
         @Override
--- a/core/src/test/java/dapplequay/Bench.java
+++ b/core/src/test/java/dapplequay/Bench.java
@@ -69,6 +69,8 @@
     final List<String> lines = new ArrayList<>();
     final Balance module;
     long now = 1_000_000_000L;
+    /** Until when the last send's first byte may go out. */
+    long lastBeginBy;
     private long nextId = 100;
 
     Bench() {
@@ -158,7 +160,8 @@
     }
 
     @Override
-    public void send(long id, String host, long timeoutUs) {
+    public void send(long id, String host, long timeoutUs, long beginBy) {
+        lastBeginBy = beginBy;
         log.add(new Done("send", id, host, timeoutUs));
     }
 
--- a/core/src/test/java/dapplequay/RulesTest.java
+++ b/core/src/test/java/dapplequay/RulesTest.java
@@ -168,6 +168,46 @@
         assertEquals("refuse", late.outcome(first, Outcome.RESET).what());
     }
 
+    /** The window of 500 ms counts from the first send that may have run, however long the network takes to begin. */
+    @Test
+    void repeatOfKeyedWorkHasToBeginWithinItsWindowAndTheWayToTheServer() {
+        Bench b = new Bench().fleet(4, 0);
+        Done first = b.request(Bench.KEYED_ALL);
+        assertEquals(Long.MAX_VALUE, b.lastBeginBy, "nothing ran before it");
+        b.pass(100_000);
+        Done second = b.outcome(first, Outcome.CONNECT_FAILED);
+        long ran = b.now;
+        assertEquals(Long.MAX_VALUE, b.lastBeginBy, "nor before this one");
+        b.pass(100_000);
+        Done third = b.outcome(second, 1, Outcome.RESET, null);
+        assertEquals("send", third.what());
+        assertEquals(ran + 480_000, b.lastBeginBy);
+        b.pass(50_000);
+        assertEquals("send", b.outcome(third, 2, Outcome.NOT_SENT, null).what());
+        assertEquals(ran + 480_000, b.lastBeginBy, "what was stopped before its first byte opens no window");
+    }
+
+    @Test
+    void keyedWorkIsNotSentAgainWhereItsWindowIsAsGoodAsOver() {
+        for (long after : new long[] {479_999, 480_000}) {
+            Bench.Setup setup = new Bench.Setup();
+            setup.lateWorth = 0.5;
+            Bench b = new Bench(setup).fleet(4, 0);
+            Done send = b.request(Bench.KEYED_CELL);
+            b.pass(after);
+            assertEquals(after < 480_000 ? "send" : "fail", b.outcome(send, Outcome.RESET).what());
+        }
+    }
+
+    @Test
+    void whatMayBeRepeatedAtAnyTimeMayBeginAtAnyTime() {
+        Bench b = new Bench().fleet(4, 0);
+        Done send = b.request(Bench.SAFE);
+        b.pass(100_000);
+        assertEquals("send", b.outcome(send, Outcome.RESET).what());
+        assertEquals(Long.MAX_VALUE, b.lastBeginBy);
+    }
+
     @Test
     void sendCapHolds() {
         Bench.Setup setup = new Bench.Setup();
--- a/core/src/test/java/dapplequay/facade/FacadeTest.java
+++ b/core/src/test/java/dapplequay/facade/FacadeTest.java
@@ -56,6 +56,27 @@
                 .isEqualTo(new Decision.Fail());
     }
 
+    /** The window of the example's keyed class is 4 s, of which 20 ms are for the way. */
+    @Test
+    void aRepeatSaysUntilWhenItMayBegin() {
+        facade.news(new ListNews(Kind.CHANGES, List.of(new Line("s2", "north", 1, State.SERVING, 1, 0))));
+        Decision.Send first = (Decision.Send) facade.pick(1, PAY);
+        long sent = now.get();
+        assertThat(first.beginByUs()).isEqualTo(Long.MAX_VALUE);
+        now.addAndGet(100_000);
+        Decision.Send second = (Decision.Send) facade.report(1, 0, first.host(), LegEnd.RESET, 1, false, null);
+        assertThat(second.beginByUs()).isEqualTo(sent + 3_980_000);
+    }
+
+    /** A long request whose host has gone from the list meanwhile was taken for one that may have run. */
+    @Test
+    void aLongRequestThatNeverRanAtAHostThatIsGoneGoesElsewhere() {
+        Decision.Send sent = (Decision.Send) facade.pick(1, LONG);
+        facade.news(new ListNews(Kind.WHOLE, List.of(new Line("s2", "south", 2, State.SERVING, 1, 0))));
+        assertThat(facade.report(1, 0, sent.host(), LegEnd.NOT_CONNECTED, 1, false, null, Upload.COMING))
+                .isInstanceOf(Decision.Send.class);
+    }
+
     @Test
     void restsOnceServedOrGone() {
         Decision.Send send = (Decision.Send) facade.pick(1, PAY);
--- a/sidecar/src/main/java/dapplequay/benchlink/WireActions.java
+++ b/sidecar/src/main/java/dapplequay/benchlink/WireActions.java
@@ -13,8 +13,9 @@
         this.instance = instance;
     }
 
+    /** {@code beginBy} says nothing here: the simulator issues the attempt at the moment of the decision. */
     @Override
-    public void send(long id, String host, long timeoutUs) {
+    public void send(long id, String host, long timeoutUs, long beginBy) {
         out.action("ISSUE", instance).field("req", id).field("within_us", timeoutUs)
                 .field("host", host).end();
     }
--- a/sidecar/src/test/java/dapplequay/benchlink/WireActionsTest.java
+++ b/sidecar/src/test/java/dapplequay/benchlink/WireActionsTest.java
@@ -16,7 +16,7 @@
         WireWriter out = new WireWriter(bytes);
         WireActions actions = new WireActions(out, "proxy-4");
         out.open(9);
-        actions.send(1, "h:1", 80);
+        actions.send(1, "h:1", 80, 90);
         actions.cancel(1, 0);
         actions.refuse(2, 50);
         actions.fail(3);
