One guard before a leg's first byte: who waits, the window, the time, the host, a quiet connection

Causes, by reading. After connect() only the route and a cut were asked (IssuerConnection.connect), before the write to a used connection only a cut (write): a repeat could be written after its window, work after its time or for a client that had left but whose leg was not cut yet, and on a used connection also to a host told to drain between the choice of the connection and the write. And whatever the reading thread found while a leg was assigned was that leg's answer (serve): half a line, a whole second answer, or the end, of a connection that the leg took in that very moment. The end made it a failed connect, held against the host.

IssuerSide.mayBegin is asked right before the first byte, for new and used connections and for long requests: client there and not answered, not cut, window open, time left, host listed under this route. What it stops ends as NOT_SENT, once, and the module decides anew. A connect waits no longer than the window; cut short so, it tells nothing of the host. IssuerConnection.begins and came put a total order between "something was read" and "the leg begins": where bytes, the end or a break came first, or lie unread with the system, nothing is written and the leg goes out on another connection. A leg that is handed over stays its writer's until it begins, so that exactly one thread reports it. IssuerSide.free asks for the route under its lock: a connection freed while its host's drain was told stayed open until its idle time was over.

Left: bytes that the kernel has given out but whose thread has not run one more line when the write begins can't be told from an answer in this way; what comes after the write can't either, and the rest after an answer is for that.

--- a/sidecar/src/main/java/dapplequay/net/IssuerConnection.java
+++ b/sidecar/src/main/java/dapplequay/net/IssuerConnection.java
@@ -9,7 +9,9 @@
 import dapplequay.http.Sockets;
 import dapplequay.time.Deadlines;
 import java.io.ByteArrayOutputStream;
+import java.io.FilterInputStream;
 import java.io.IOException;
+import java.io.InputStream;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
 import java.util.logging.Level;
@@ -31,7 +33,14 @@
     private final Socket socket = new Socket();
     private volatile Drive drive;
     private volatile boolean isConnected;
+    /** This and the next three: under this connection's own lock. */
     private Leg leg;
+    /** The leg was handed over by another thread, which is about to write it and owns it until it does. */
+    private boolean handed;
+    /** The leg's first byte is about to go out, or has gone: what is read from now on may be its answer. */
+    private boolean begun;
+    /** Something was read, or the end, before a leg began: it is no leg's answer, and none may begin here. */
+    private boolean unfit;
     private Deadlines.Deadline idleEnd;
     private long idleSinceUs;
 
@@ -43,9 +52,10 @@
         leg = first;
     }
 
-    /** Only under the lock of the side's table of idle connections, or by this connection's thread. */
-    void assign(Leg next) {
+    /** A leg for it, as it leaves the table of idle ones; the leg stays the caller's until {@link #write} takes it. */
+    synchronized void assign(Leg next) {
         leg = next;
+        handed = true;
     }
 
     void idle(long sinceUs, Deadlines.Deadline end) {
@@ -65,27 +75,94 @@
         Sockets.close(socket);
     }
 
-    /** Writes the leg; if that fails, the reading thread finds the connection closed and reports it. */
-    void write(Leg now) {
+    /** What became of a leg that was to be written. */
+    enum Begin {
+        /** The connection has it, and its thread reports its end, also where the write has failed. */
+        TAKEN,
+        /** It may not go out any more, and has ended as never sent. The connection is of no more use. */
+        STOPPED,
+        /** The host has closed the connection or sent what nobody asked for: the leg may go out on another one. */
+        UNFIT
+    }
+
+    /** Writes the leg, or the beginning of a long one, where it may still go out and the connection is fit for it. */
+    Begin write(Leg now) {
         AcquirerRequest request = now.authorisation.request;
+        byte[] message = request.bytesFor(route.endpoint(), now.untilUs() - side.now());
+        if (!side.mayBegin(now, route)) {
+            return Begin.STOPPED;
+        }
+        if (!begins()) {
+            return Begin.UNFIT;
+        }
         boolean whole = false;
-        boolean begun = false;
+        boolean begins = false;
         try {
-            byte[] message = request.bytesFor(route.endpoint(), now.untilUs() - side.now());
-            if (!now.isCut()) {
-                socket.getOutputStream().write(message);
-                begun = request.isLong();
-                whole = !begun;
-            }
+            socket.getOutputStream().write(message);
+            begins = request.isLong();
+            whole = !begins;
         } catch (IOException e) {
             LOG.log(Level.FINE, "leg could not be written to {0}: {1}", new Object[] {route.endpoint(), e});
         } finally {
-            if (begun) {
+            if (begins) {
                 now.takenUp();
             } else {
                 writeEnded(now, whole);
             }
         }
+        return Begin.TAKEN;
+    }
+
+    /**
+     * Whether the leg in hand begins, right before its first byte: not where anything came before, be it half a line
+     * that still lies with the system, or the end that the reading thread has just seen. Either that thread says first
+     * that something came, or this says first that the leg has begun; only what comes then is taken for its answer.
+     */
+    private synchronized boolean begins() {
+        try {
+            unfit |= socket.getInputStream().available() > 0;
+        } catch (IOException e) {
+            unfit = true;
+        }
+        handed &= unfit;
+        begun = !unfit;
+        return begun;
+    }
+
+    /** Something has been read, or the end, or a break. */
+    private synchronized void came() {
+        unfit |= !begun;
+    }
+
+    /** The leg that has begun, or null. */
+    private synchronized Leg begunLeg() {
+        return begun ? leg : null;
+    }
+
+    /** The leg is over for this connection: what still comes is the rest of its answer. */
+    private synchronized void release() {
+        leg = null;
+    }
+
+    /** The answer is whole and read: from here on whatever comes is unasked. */
+    private synchronized void rest() {
+        begun = false;
+    }
+
+    /** Notes that something came at once, before any other thread can take the connection for a quiet one. */
+    private final class Noting extends FilterInputStream {
+        Noting(InputStream in) {
+            super(in);
+        }
+
+        @Override
+        public int read(byte[] to, int at, int most) throws IOException {
+            try {
+                return in.read(to, at, most);
+            } finally {
+                came();
+            }
+        }
     }
 
     private void writeEnded(Leg now, boolean whole) {
@@ -161,7 +238,8 @@
     public void run() {
         try {
             if (isConnected || connect()) {
-                MessageReader reader = new MessageReader(socket.getInputStream(), MessageReader.LONGEST_BODY);
+                MessageReader reader = new MessageReader(new Noting(socket.getInputStream()),
+                        MessageReader.LONGEST_BODY);
                 while (reader.await() && serve(reader)) { }
             }
         } catch (IOException e) {
@@ -173,38 +251,38 @@
     }
 
     private boolean connect() throws IOException {
-        Leg first = leg;
-        boolean ready = false;
+        Leg first = owed();
+        Begin begin = Begin.UNFIT;
         try {
             if (first.isCut()) {
                 return false;
             }
-            long waitUs = Math.min(side.connectTimeoutUs(), first.untilUs() - side.now());
+            // A repeat is not waited for beyond its window: nothing of it could go out any more.
+            long waitUs = Math.min(side.connectTimeoutUs(),
+                    Math.min(first.untilUs(), first.order.beginByUs()) - side.now());
             socket.setTcpNoDelay(true);
             // With the socket's own time-out: to close a socket that connects does not everywhere wake its thread.
-            socket.connect(route.endpoint(), (int) Math.max(1, waitUs / 1000));
-            // The host may have been told to drain while the connect was under way.
-            ready = route.equals(side.routeOf(first.order.host())) || !first.answered(LegEnd.NOT_SENT);
+            socket.connect(route.endpoint(), (int) Math.max(1, (waitUs + 999) / 1000));
+            begin = write(first);
+        } catch (SocketTimeoutException e) {
+            if (side.now() >= first.order.beginByUs()) {
+                first.answered(LegEnd.NOT_SENT);        // cut short by this side: it tells nothing of the host
+            }
+            throw e;
         } finally {
-            if (!ready) {
+            if (begin != Begin.TAKEN) {
                 first.writeEnded(false, side.now());
             }
         }
-        isConnected = ready;
-        if (ready) {
-            write(first);
-        }
-        return ready;
+        isConnected = begin == Begin.TAKEN;
+        return isConnected;
     }
 
     /** Reads what came; false where the connection is of no more use. */
     private boolean serve(MessageReader reader) throws IOException {
-        if (side.isIdle(this)) {
-            return false;           // bytes that nobody asked for
-        }
-        Leg served = leg;
+        Leg served = begunLeg();
         if (served == null) {
-            return false;           // taken out of use while the bytes came
+            return false;           // bytes that nobody asked for
         }
         try {
             Head head = reader.response();
@@ -220,18 +298,20 @@
                 return false;       // cut while the answer came; the end of the connection reports it
             }
             boolean wasWriting = served.isWriting();
-            leg = null;
+            release();
             side.answered(served);
             if (end == LegEnd.SERVED && !body.isWhole()) {
                 boolean whole = side.relay(served, load, head, body, start, this::close);
                 boolean open = whole && isOpenAfter(head, body, reader) && !wasWriting;
                 if (open) {
+                    rest();
                     side.free(this, served.order.host());
                 }
                 return open;
             }
             boolean open = body.isWhole() && isOpenAfter(head, body, reader) && !wasWriting;
             if (open) {
+                rest();
                 side.free(this, served.order.host());
             } else {
                 close();
@@ -290,8 +370,14 @@
         return unseen ? LegEnd.TURNED_AWAY : LegEnd.ERROR;
     }
 
-    /** The leg that the connection still owed when it ended, or null. */
-    Leg owed() {
-        return leg;
+    /** The leg whose end this connection has to report, or null: one that is handed over is still its writer's. */
+    synchronized Leg owed() {
+        return handed ? null : leg;
+    }
+
+    /** The same at its end: no leg begins on it any more. */
+    synchronized Leg owedAtEnd() {
+        unfit |= !begun;
+        return owed();
     }
 }
--- a/sidecar/src/main/java/dapplequay/net/IssuerSide.java
+++ b/sidecar/src/main/java/dapplequay/net/IssuerSide.java
@@ -74,10 +74,6 @@
         return setup.get().connectTimeoutUs();
     }
 
-    RoutingTable.Route routeOf(String uid) {
-        return table.routeOf(uid);
-    }
-
     /** Starts a leg. Its end is told to the conductor, by this thread if nothing went out at all. */
     void send(Leg leg) {
         RoutingTable.Route route = table.routeOf(leg.order.host());
@@ -89,20 +85,43 @@
             conductor.legEnded(leg, LegEnd.GIVEN_UP, null, null, null);
             return;
         }
-        IssuerConnection connection;
+        // The time of a long request begins with its last byte.
+        leg.endsWith(leg.isUploading() ? null
+                : deadlines.after(leg.untilUs() - now(), () -> leg.cut(LegEnd.TIMED_OUT)));
+        IssuerConnection.Begin begin = reuse(route, leg);
+        if (begin == IssuerConnection.Begin.STOPPED) {
+            neverSent(leg);
+        } else if (begin == IssuerConnection.Begin.UNFIT) {
+            open(route, leg);
+        }
+    }
+
+    /** Writes the leg to an idle connection, passing over those that prove unfit; UNFIT: there is none for it. */
+    private IssuerConnection.Begin reuse(RoutingTable.Route route, Leg leg) {
+        IssuerConnection.Begin begin = IssuerConnection.Begin.UNFIT;
+        IssuerConnection connection = takeIdle(route, leg);
+        while (connection != null) {
+            begin = connection.write(leg);
+            if (begin == IssuerConnection.Begin.TAKEN) {
+                return begin;
+            }
+            connection.close();
+            connection = begin == IssuerConnection.Begin.STOPPED ? null : takeIdle(route, leg);
+        }
+        return begin;
+    }
+
+    /** Opens a connection for the leg, in the place of an idle one where there are as many as there may be. */
+    private void open(RoutingTable.Route route, Leg leg) {
+        IssuerConnection connection = null;
         IssuerConnection evicted = null;
-        boolean fresh = false;
         synchronized (this) {
-            connection = takeIdle(route, leg);
-            if (connection == null) {
-                if (open >= most) {
-                    evicted = evict();
-                }
-                if (open < most || evicted != null) {
-                    connection = new IssuerConnection(this, route, leg);
-                    fresh = true;
-                    open++;
-                }
+            if (open >= most) {
+                evicted = evict();
+            }
+            if (open < most || evicted != null) {
+                connection = new IssuerConnection(this, route, leg);
+                open++;
             }
         }
         if (evicted != null) {
@@ -110,16 +129,10 @@
         }
         if (connection == null) {
             LOG.warning("no room for another connection to an issuer host");
-            conductor.legEnded(leg, LegEnd.NOT_SENT, null, null, null);
-            return;
-        }
-        // The time of a long request begins with its last byte.
-        leg.on(connection, leg.isUploading() ? null
-                : deadlines.after(leg.untilUs() - now(), () -> leg.cut(LegEnd.TIMED_OUT)));
-        if (!fresh) {
-            connection.write(leg);
+            neverSent(leg);
             return;
         }
+        leg.on(connection, -1);
         if (leg.isUploading()) {
             leg.takenUp();                  // its client's thread goes on from here
         } else {
@@ -127,6 +140,29 @@
         }
     }
 
+    /**
+     * Asked right before a leg's first byte, on a used connection as on a new one: whether it may still go out. While
+     * it waited, above all for its connect, the client may have left or been answered, the window for repeats or the
+     * time may be over, or the host may want no new work. What is stopped here never ran: the module decides anew.
+     */
+    boolean mayBegin(Leg leg, RoutingTable.Route route) {
+        long now = now();
+        boolean may = !leg.isCut() && !leg.authorisation.isOver() && now < leg.order.beginByUs()
+                && (leg.isUploading() || now < leg.untilUs()) && route.equals(table.routeOf(leg.order.host()));
+        if (!may) {
+            leg.answered(LegEnd.NOT_SENT);      // unless it has ended otherwise
+        }
+        return may;
+    }
+
+    /** Nothing of the leg went out, and no connection has it. */
+    private void neverSent(Leg leg) {
+        leg.answered(LegEnd.NOT_SENT);          // unless it has ended otherwise
+        leg.writeEnded(false, now());
+        deadlines.cancel(leg.deadline());
+        conductor.legEnded(leg, leg.broken(), null, null, null);
+    }
+
     /** Gives a connection its own thread. */
     void start(IssuerConnection connection) {
         try {
@@ -143,7 +179,7 @@
         }
     }
 
-    private IssuerConnection takeIdle(RoutingTable.Route route, Leg leg) {
+    private synchronized IssuerConnection takeIdle(RoutingTable.Route route, Leg leg) {
         Deque<IssuerConnection> ready = idle.get(route);
         if (ready == null) {
             return null;
@@ -159,7 +195,7 @@
                 last.remove();
                 deadlines.cancel(connection.idleEnd());
                 connection.assign(leg);
-                leg.afterIdle(idleUs);
+                leg.on(connection, idleUs);
                 return connection;
             }
         }
@@ -176,11 +212,6 @@
         return null;
     }
 
-    synchronized boolean isIdle(IssuerConnection connection) {
-        Deque<IssuerConnection> ready = idle.get(connection.route);
-        return ready != null && ready.contains(connection);
-    }
-
     /** The last piece of a long request is about to go out; false where its leg has ended. */
     boolean lastPiece(Leg leg, long budgetUs) {
         Deadlines.Deadline late = deadlines.after(budgetUs, () -> leg.cut(LegEnd.TIMED_OUT));
@@ -209,16 +240,20 @@
 
     /** The connection may be used again: before the client can send its next request, where the answer was short. */
     void free(IssuerConnection connection, String host) {
-        // Where the list has changed meanwhile, the next leg goes to another process.
-        if (connection.route.equals(table.routeOf(host))) {
-            synchronized (this) {
+        boolean stays;
+        synchronized (this) {
+            // Where the list has changed meanwhile, the next leg goes to another process. Asked under the lock: the
+            // news are in the table before the idle connections on the routes that are gone are closed.
+            stays = connection.route.equals(table.routeOf(host));
+            if (stays) {
                 Deque<IssuerConnection> ready = idle.computeIfAbsent(connection.route, e -> new ArrayDeque<>());
                 long idleUs = (long) (setup.get().connIdleUs() * IDLE_SHARE);
                 long stayUs = ready.isEmpty() ? idleUs : Math.min(idleUs, SPARE_US);
                 connection.idle(now(), deadlines.after(stayUs, () -> retire(connection)));
                 ready.addLast(connection);
             }
-        } else {
+        }
+        if (!stays) {
             connection.close();
         }
     }
@@ -267,7 +302,7 @@
             removeIdle(connection);
             deadlines.cancel(connection.idleEnd());
         }
-        Leg owed = connection.owed();
+        Leg owed = connection.owedAtEnd();
         if (owed != null) {
             LegEnd end = owed.broken();
             deadlines.cancel(owed.deadline());
--- a/sidecar/src/main/java/dapplequay/net/Leg.java
+++ b/sidecar/src/main/java/dapplequay/net/Leg.java
@@ -63,14 +63,15 @@
         return true;
     }
 
-    synchronized void on(IssuerConnection itsConnection, Deadlines.Deadline itsDeadline) {
-        connection = itsConnection;
+    /** The deadline that cuts it; null while a long request is still coming. */
+    synchronized void endsWith(Deadlines.Deadline itsDeadline) {
         deadline = itsDeadline;
     }
 
-    /** Its connection was used before, and idle for so long since. */
-    synchronized void afterIdle(long us) {
-        idleUs = us;
+    /** Its connection from now on, which was idle for so long before; -1: it is new. */
+    synchronized void on(IssuerConnection itsConnection, long itsIdleUs) {
+        connection = itsConnection;
+        idleUs = itsIdleUs;
     }
 
     /** -1: the connection is new. */
--- /dev/null
+++ b/sidecar/src/test/java/dapplequay/net/IssuerRig.java
@@ -0,0 +1,156 @@
+package dapplequay.net;
+
+import dapplequay.facade.Decision;
+import dapplequay.facade.HostLoad;
+import dapplequay.facade.LegEnd;
+import dapplequay.http.Head;
+import dapplequay.http.MessageReader;
+import dapplequay.management.Counts;
+import dapplequay.settings.SettingsReader;
+import dapplequay.time.Deadlines;
+import java.io.ByteArrayInputStream;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Consumer;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
+
+/**
+ * The issuer side alone before real hosts. Its clock stands still but for the test, which may do something at a
+ * thread's next look at it; where legs end, a thread may be held.
+ */
+final class IssuerRig {
+    static final long TIME_US = 10_000_000;
+
+    /** One leg's end, in the order told. */
+    record Ended(Leg leg, LegEnd end, String body) { }
+
+    final AtomicLong now = new AtomicLong(1_000_000_000);
+    final RoutingTable table = new RoutingTable();
+    final BlockingQueue<Ended> ends = new LinkedBlockingQueue<>();
+    final IssuerSide side;
+    volatile Consumer<Ended> atEnd = ended -> { };
+    /** When the listed hosts started, as the next list says. */
+    long bootMs;
+    private final Set<Integer> listed = ConcurrentHashMap.newKeySet();
+    private final AtomicReference<Runnable> atLook = new AtomicReference<>();
+    private volatile Thread looker;
+    private long ids;
+
+    IssuerRig(int most) {
+        SettingsReader.Setup setup = new SettingsReader.Setup(null, Map.of(), Map.of(), TIME_US, 3 * TIME_US);
+        side = new IssuerSide(table, new Deadlines(this::look), () -> setup, most, new Counts());
+        side.conductor(new Conductor(null, side) {
+            @Override
+            void legEnded(Leg leg, LegEnd end, HostLoad load, Head head, byte[] body) {
+                Ended ended = new Ended(leg, end, body == null ? null : new String(body, StandardCharsets.ISO_8859_1));
+                ends.add(ended);
+                atEnd.accept(ended);
+            }
+        });
+    }
+
+    private long look() {
+        long time = now.get();
+        boolean his = looker == null ? Thread.currentThread().getName().startsWith("issuer")
+                : Thread.currentThread() == looker;
+        Runnable action = his ? atLook.getAndSet(null) : null;
+        if (action != null) {
+            action.run();
+        }
+        return time;
+    }
+
+    /** To be done at the next look at the clock by this thread, or, null, by one that serves a connection. */
+    void atLook(Thread by, Runnable action) {
+        looker = by;
+        atLook.set(action);
+    }
+
+    /** The list: hosts s0, s1 ... at these ports. */
+    void list(String state, int... ports) {
+        IntStream.of(ports).forEach(listed::add);
+        List<String> targets = new ArrayList<>();
+        for (int i = 0; i < ports.length; i++) {
+            targets.add("{\"uid\":\"s" + i + "\",\"endpoint\":\"127.0.0.1:" + ports[i] + "\",\"az\":\"a\","
+                    + "\"boot_ms\":" + bootMs + ",\"state\":\"" + state + "\"}");
+        }
+        try {
+            table.take(RoutingTable.read(("{\"rev\":1,\"all\":true,\"targets\":[" + String.join(",", targets) + "]}")
+                    .getBytes(StandardCharsets.UTF_8)));
+        } catch (IOException e) {
+            throw new AssertionError(e);
+        }
+    }
+
+    Leg leg(String host, long beginByUs) {
+        return leg(host, beginByUs, "POST /pay HTTP/1.1", false);
+    }
+
+    /** One whose body is still to come from its client. */
+    Leg longLeg(String host, long beginByUs) {
+        return leg(host, beginByUs, "POST /pay HTTP/1.1\r\nContent-Length: 100000", true);
+    }
+
+    private Leg leg(String host, long beginByUs, String head, boolean isLong) {
+        try {
+            Head read = Head.request(head.getBytes(StandardCharsets.US_ASCII));
+            MessageReader reader = new MessageReader(new ByteArrayInputStream(new byte[0]), MessageReader.LONGEST_BODY);
+            AcquirerRequest request = new AcquirerRequest(read, new byte[0], isLong ? reader.body(read) : null, "pay",
+                    null, null, TIME_US);
+            return new Leg(new Authorisation(++ids, null, request, new Counts()),
+                    new Decision.Send(0, host, TIME_US, beginByUs), now.get());
+        } catch (IOException e) {
+            throw new AssertionError(e);
+        }
+    }
+
+    Ended next() throws InterruptedException {
+        Ended next = ends.poll(Host.PATIENCE_S, TimeUnit.SECONDS);
+        if (next == null) {
+            throw new AssertionError("no leg ended");
+        }
+        return next;
+    }
+
+    /** Sends a leg that is served, and lets its connection rest until it may be used again. */
+    Host.Seen served(String name, Host host) throws InterruptedException {
+        side.send(leg(name, Long.MAX_VALUE));
+        Ended ended = next();
+        if (ended.end() != LegEnd.SERVED) {
+            throw new AssertionError("not served: " + ended);
+        }
+        now.addAndGet(400_000);
+        return host.next();
+    }
+
+    /** The threads that serve connections to hosts that were listed here. */
+    private Stream<Thread> threads() {
+        return Thread.getAllStackTraces().keySet().stream().filter(t -> t.getName().startsWith("issuer")
+                && listed.contains(Integer.parseInt(t.getName().substring(t.getName().lastIndexOf(':') + 1))));
+    }
+
+    /** Waits until a connection's thread stands before the side's lock, which the caller holds. */
+    void awaitBlocked() {
+        while (threads().noneMatch(t -> t.getState() == Thread.State.BLOCKED)) {
+            Thread.onSpinWait();
+        }
+    }
+
+    /** Waits until no more than so many threads serve connections. */
+    void awaitThreads(int most) {
+        while (threads().count() > most) {
+            Thread.onSpinWait();
+        }
+    }
+}
--- /dev/null
+++ b/sidecar/src/test/java/dapplequay/net/StrayBytesTest.java
@@ -0,0 +1,141 @@
+package dapplequay.net;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import dapplequay.facade.LegEnd;
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** What comes on an idle connection, or ends it, in the very moment in which a leg takes it. */
+@Timeout(60)
+class StrayBytesTest {
+    /** What a host does on its idle connection. */
+    enum Does { CLOSES, RESETS, SENDS }
+
+    private static final String STRAY = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstray";
+
+    private final IssuerRig rig = new IssuerRig(10);
+
+    private static void write(Socket socket, String text) throws IOException {
+        socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+    }
+
+    /**
+     * The reading thread is held at the client's side of the answer before, when its connection is free already: the
+     * stray bytes lie with the system, and nobody has read them when the next leg takes the connection.
+     */
+    @ParameterizedTest
+    @ValueSource(strings = {"H", "HTTP/1.1 20", STRAY})
+    void whatLiesUnreadIsNotTheNextLegsAnswer(String stray) throws Exception {
+        CountDownLatch go = new CountDownLatch(1);
+        try (Host host = new Host((head, seen) -> Host.ok("done"))) {
+            rig.list("SERVING", host.port());
+            rig.atEnd = ended -> {
+                rig.atEnd = next -> { };
+                await(go);
+            };
+            Socket first = rig.served("s0", host).socket();
+            write(first, stray);
+            Leg leg = rig.leg("s0", Long.MAX_VALUE);
+            rig.side.send(leg);
+            go.countDown();
+            assertThat(rig.next()).isEqualTo(new IssuerRig.Ended(leg, LegEnd.SERVED, "done"));
+            assertThat(host.next().socket()).isNotSameAs(first);
+            assertThat(host.closed.poll(Host.PATIENCE_S, TimeUnit.SECONDS)).as("the first one is closed").isTrue();
+            assertThat(rig.ends).isEmpty();
+        }
+    }
+
+    private static void await(CountDownLatch gate) {
+        try {
+            gate.await();
+        } catch (InterruptedException e) {
+            throw new AssertionError(e);
+        }
+    }
+
+    /**
+     * The reading thread has seen the end, or stray bytes, and stands before the lock of the table in which its
+     * connection still is: there a leg takes it. It never ran there, and goes out on another one.
+     */
+    @ParameterizedTest
+    @EnumSource(Does.class)
+    void aLegTakesAConnectionWhoseThreadHasJustSeenItsEnd(Does what) throws Exception {
+        try (Host host = new Host((head, seen) -> Host.ok("done"))) {
+            rig.list("SERVING", host.port());
+            Socket first = rig.served("s0", host).socket();
+            Leg leg = rig.leg("s0", Long.MAX_VALUE);
+            synchronized (rig.side) {
+                switch (what) {
+                    case SENDS -> write(first, "HTTP/1.1 2");
+                    case RESETS -> {
+                        first.setSoLinger(true, 0);
+                        first.close();
+                    }
+                    default -> first.close();
+                }
+                rig.awaitBlocked();
+                rig.side.send(leg);
+            }
+            assertThat(rig.next()).isEqualTo(new IssuerRig.Ended(leg, LegEnd.SERVED, "done"));
+            assertThat(host.next().socket()).isNotSameAs(first);
+            rig.awaitThreads(1);
+            assertThat(rig.ends).as("told once").isEmpty();
+        }
+    }
+
+    /** The news of a drain come between the answer and the return of its connection to the idle ones. */
+    @Test
+    void aConnectionThatIsBeingFreedWhileItsHostBeginsToDrainIsClosed() throws Exception {
+        try (Host host = new Host((head, seen) -> Host.ok("done"))) {
+            rig.list("SERVING", host.port());
+            RoutingTable.Route route = rig.table.routeOf("s0");
+            synchronized (rig.side) {
+                rig.side.send(rig.leg("s0", Long.MAX_VALUE));
+                rig.awaitBlocked();
+                rig.list("DRAINING", host.port());
+                rig.side.closeIdle(List.of(route));
+            }
+            assertThat(rig.next().end()).isEqualTo(LegEnd.SERVED);
+            assertThat(host.closed.poll(Host.PATIENCE_S, TimeUnit.SECONDS)).isTrue();
+        }
+    }
+
+    /** At a bound of one: each leg evicts the other host's connection; none is used after that, nor counted twice. */
+    @Test
+    void evictedConnectionsAreCountedOnceAndNotUsedAgain() throws Exception {
+        IssuerRig one = new IssuerRig(1);
+        CountDownLatch go = new CountDownLatch(1);
+        try (Host a = new Host((head, seen) -> Host.ok("a")); Host b = new Host((head, seen) -> Host.ok("b"));
+             Host silent = new Host((head, seen) -> {
+                 go.await();
+                 return Host.ok("late");
+             })) {
+            one.list("SERVING", a.port(), b.port(), silent.port());
+            for (int i : IntStream.range(0, 20).toArray()) {
+                one.side.send(one.leg("s" + i % 2, Long.MAX_VALUE));
+                assertThat(one.next().body()).isEqualTo(i % 2 == 0 ? "a" : "b");
+                one.now.addAndGet(400_000);
+            }
+            assertThat(List.of(a.seen.size(), b.seen.size())).containsExactly(10, 10);
+            one.side.closeAllIdle();
+            one.awaitThreads(0);
+            one.side.send(one.leg("s2", Long.MAX_VALUE));
+            silent.next();
+            one.side.send(one.leg("s0", Long.MAX_VALUE));
+            assertThat(one.next().end()).as("there is room for one, and that is out").isEqualTo(LegEnd.NOT_SENT);
+            go.countDown();
+            assertThat(one.next().body()).isEqualTo("late");
+        }
+    }
+}
