Keyed work that may have run is failed and never refused, also where its group is all

Held.isRefusable let keyed work of group `all` be refused once an attempt may have run, as the contract's rule 2 allows ("a NOT_NOW is permitted only if the group is all"). The terms that the operators now hold are stricter: such work is never answered 429 or 503. The stricter reading keeps both; the client of such a class comes again within its window after a failure too.

--- a/core/src/main/java/dapplequay/Held.java
+++ b/core/src/main/java/dapplequay/Held.java
@@ -50,10 +50,9 @@
                 : firstMayHaveRunAt + type.windowUs() - WAY_US;
     }
 
-    /** Whether the client may safely try again. */
+    /** Whether the client may safely try again; of what may have run, only where running again does nothing. */
     boolean isRefusable() {
-        return firstMayHaveRun == null || type.semantics() == Semantics.RETRYABLE
-                || type.semantics() == Semantics.DEDUP && type.group() == Group.ALL;
+        return firstMayHaveRun == null || type.semantics() == Semantics.RETRYABLE;
     }
 
     void sent(long now, Server s) {
