--- a/core/src/test/java/dapplequay/RulesTest.java
+++ b/core/src/test/java/dapplequay/RulesTest.java
@@ -154,7 +154,7 @@
     }
 
     @Test
-    void keyedOfAllGoesAnywhereWithinItsWindowAndMayBeRefusedAfterIt() {
+    void keyedOfAllGoesAnywhereWithinItsWindowAndIsNeverRefusedOnceItMayHaveRun() {
         Bench b = new Bench().fleet(2, 0);
         Done send = b.request(Bench.KEYED_ALL);
         b.pass(1_000);
@@ -165,7 +165,62 @@
         Bench late = new Bench(setup).fleet(2, 0);
         Done first = late.request(Bench.KEYED_ALL);
         late.pass(500_001);     // the window is 500 ms from the first send that may have run
-        assertEquals("refuse", late.outcome(first, Outcome.RESET).what());
+        assertEquals("fail", late.outcome(first, Outcome.RESET).what());
+    }
+
+    @Test
+    void keyedWorkIsRefusedOnlyWhereEachOfItsAttemptsProvedThatItNeverRan() {
+        for (int type = Bench.KEYED_ALL; type <= Bench.KEYED_CELL; type++) {
+            for (Outcome outcome : Outcome.values()) {
+                if (outcome != Outcome.OK) {
+                    Bench b = new Bench().fleet(1, 0);
+                    Done send = b.request(type);
+                    b.pass(1_000);
+                    assertEquals(outcome.neverRan ? "refuse" : "fail", b.outcome(send, outcome).what(),
+                            type + " " + outcome);
+                }
+            }
+        }
+    }
+
+    /** The window of 500 ms counts from the first send that may have run, however long the network takes to begin. */
+    @Test
+    void repeatOfKeyedWorkHasToBeginWithinItsWindowAndTheWayToTheServer() {
+        Bench b = new Bench().fleet(4, 0);
+        Done first = b.request(Bench.KEYED_ALL);
+        assertEquals(Long.MAX_VALUE, b.lastBeginBy, "nothing ran before it");
+        b.pass(100_000);
+        Done second = b.outcome(first, Outcome.CONNECT_FAILED);
+        long ran = b.now;
+        assertEquals(Long.MAX_VALUE, b.lastBeginBy, "nor before this one");
+        b.pass(100_000);
+        Done third = b.outcome(second, 1, Outcome.RESET, null);
+        assertEquals("send", third.what());
+        assertEquals(ran + 480_000, b.lastBeginBy);
+        b.pass(50_000);
+        assertEquals("send", b.outcome(third, 2, Outcome.NOT_SENT, null).what());
+        assertEquals(ran + 480_000, b.lastBeginBy, "what was stopped before its first byte opens no window");
+    }
+
+    @Test
+    void keyedWorkIsNotSentAgainWhereItsWindowIsAsGoodAsOver() {
+        for (long after : new long[] {479_999, 480_000}) {
+            Bench.Setup setup = new Bench.Setup();
+            setup.lateWorth = 0.5;
+            Bench b = new Bench(setup).fleet(4, 0);
+            Done send = b.request(Bench.KEYED_CELL);
+            b.pass(after);
+            assertEquals(after < 480_000 ? "send" : "fail", b.outcome(send, Outcome.RESET).what());
+        }
+    }
+
+    @Test
+    void whatMayBeRepeatedAtAnyTimeMayBeginAtAnyTime() {
+        Bench b = new Bench().fleet(4, 0);
+        Done send = b.request(Bench.SAFE);
+        b.pass(100_000);
+        assertEquals("send", b.outcome(send, Outcome.RESET).what());
+        assertEquals(Long.MAX_VALUE, b.lastBeginBy);
     }
 
     @Test
