A client's bodies are read by a class of their own

BodyReader takes from AcquirerConnection what is held of a body and the pace that its client has to keep up.

--- a/sidecar/src/main/java/dapplequay/net/AcquirerConnection.java
+++ b/sidecar/src/main/java/dapplequay/net/AcquirerConnection.java
@@ -12,7 +12,6 @@
 import java.io.InputStream;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
-import java.util.Arrays;
 import java.util.logging.Level;
 import java.util.logging.Logger;
 
@@ -33,12 +32,6 @@
     /** Of a long request that was answered before it was whole: its client may read only after it has sent all. */
     private static final int LONG_DRAINED = 2 * MessageReader.LONGEST_BODY;
     private static final long LONG_LINGER_US = 5_000_000;
-    /** What is held of a body that is known to be long: enough to begin anew where a host can't be reached. */
-    private static final int HELD = 8 * 1024;
-    private static final int FIRST_PIECE = 2 * 1024;
-    /** A body has so long, us, and as long as it takes at so many bytes a second; waiting for it alone counts. */
-    private static final long BODY_US = 1_500_000;
-    private static final long BODY_RATE = 48_000;
     /** A client that does not take its answer must not hold the thread that writes it. */
     private static final long WRITE_US = 10_000_000;
     /** Peers take seconds over a piece of a long body; where nothing moves for so long, nothing will. */
@@ -55,6 +48,7 @@
 
     private final AcquirerSide side;
     private final Socket socket;
+    private final BodyReader bodies;
     private final long sinceUs;
     private State state = State.IDLE;
     private boolean asked;
@@ -65,14 +59,13 @@
     private volatile boolean handedOver;
     private volatile boolean hasRoom;
     private volatile String version = "HTTP/1.1";
-    private volatile Progress.Pace pace;
-    private Progress tooSlow;
     private MessageReader reader;
     private volatile Authorisation current;
 
     AcquirerConnection(AcquirerSide side, Socket socket) {
         this.side = side;
         this.socket = socket;
+        bodies = new BodyReader(side.deadlines(), this::requestIsLate);
         sinceUs = side.deadlines().now();
         idleEnd = side.deadlines().after(IDLE_US, () -> side.idleForLong(this));
     }
@@ -114,7 +107,7 @@
             if (current != null) {
                 side.conductor().clientLeft(current);
             }
-            bodyIsOver();
+            bodies.over();
             if (!handedOver) {
                 over();
             }
@@ -180,7 +173,7 @@
             if (head.lists("Expect", "100-continue") && !version.equals("HTTP/1.0") && !body.isBuffered()) {
                 socket.getOutputStream().write(CONTINUE);
             }
-            held = held(body);
+            held = bodies.held(body);
         } catch (BadMessage e) {
             lastRequest = true;         // where this message ends, and the next begins, nobody can say
             answer(Answers.plain(e.status, e.getMessage()));
@@ -203,12 +196,12 @@
         hasRoom = !counted || side.uploadBegins();
         try {
             if (!uploading) {
-                bodyIsOver();
+                bodies.over();
             }
             handle(head, held, body.isWhole() ? null : body, side.deadlines().now());
             if (uploading && current != null) {
                 carry(current, body);
-                bodyIsOver();
+                bodies.over();
             }
         } catch (BadMessage e) {
             answer(Answers.plain(e.status, e.getMessage()));
@@ -236,51 +229,13 @@
         return Answers.plain(408, "request did not come whole in time");
     }
 
-    /** All of a short body; of a long one as much as is held for another leg. It grows as the body comes. */
-    private byte[] held(Body body) throws IOException {
-        int most = body.length() < 0 ? MessageReader.MAX_BODY
-                : body.length() > MessageReader.MAX_BODY ? HELD : (int) body.length();
-        byte[] held = new byte[Math.min(most, FIRST_PIECE)];
-        int size = 0;
-        while (size < most && !body.isWhole()) {
-            if (size == held.length) {
-                held = Arrays.copyOf(held, Math.min(most, 2 * size));
-            }
-            size += Math.max(0, read(body, held, size, held.length - size));
-        }
-        return size == held.length ? held : Arrays.copyOf(held, size);
-    }
-
-    /** Reads of a body, as long as its client keeps up the pace that is asked of it. */
-    private int read(Body body, byte[] to, int at, int most) throws IOException {
-        if (body.isBuffered()) {
-            return body.read(to, at, most);
-        }
-        if (pace == null) {
-            pace = new Progress.Pace(side.deadlines(), BODY_US, BODY_RATE);
-            tooSlow = new Progress(side.deadlines(), pace, this::requestIsLate);
-        }
-        pace.waiting();
-        int read = body.read(to, at, most);
-        pace.came(Math.max(0, read));
-        return read;
-    }
-
-    private void bodyIsOver() {
-        if (pace != null) {
-            tooSlow.close();
-            pace = null;
-        }
-    }
-
     /** Carries the rest of a long request to the leg that is out, until it is whole or the request is over. */
     private void carry(Authorisation authorisation, Body body) throws IOException {
         byte[] piece = Pieces.take();
         boolean chunked = authorisation.request.isChunked();
         Progress.Moves moves = new Progress.Moves(side.deadlines(), STALL_US);
         try (Progress stuck = new Progress(side.deadlines(), moves, () -> {
-            Progress.Pace waited = pace;
-            if (waited != null && waited.isWaiting()) {
+            if (bodies.isWaiting()) {
                 requestIsLate();
             } else {
                 side.conductor().cutStuck(authorisation);
@@ -288,7 +243,7 @@
         })) {
             Leg leg = null;
             while (uploading && !authorisation.isOver()) {
-                int read = Math.max(0, read(body, piece, Chunks.ROOM, Pieces.SIZE));
+                int read = Math.max(0, bodies.read(body, piece, Chunks.ROOM, Pieces.SIZE));
                 boolean last = body.isWhole();
                 uploading = !last;
                 // From the first piece on that is not held, no other leg can follow: asked for once it is here.
