A client that has gone is missed behind whatever it sent, and before a stale request

Seen, by reading and by tests with real connections: a client's thread waited in beginRequest for the answer to the request in hand as soon as the first byte of more had come, and read nothing further. The end of the stream lay behind that byte, so that a client which sent another request, half of one or a heap of bytes and left, by FIN or by reset, was not missed: its attempt stayed out for its whole time, a rejection after its departure led to another attempt, and with its sending ended it still had each request served that it had sent in a row. A request that was read late, with its client's end behind it in the socket, was sent on before that end was looked for. A long request whose thread was in a connect was passed on whole to the last byte for a client that had left meanwhile.

At fault: AcquirerConnection.beginRequest (an unbounded wait on the monitor), handle (no look before the first decision), carry (no look before the last piece).

Changed: while an answer is due and bytes lie behind its request, the thread waits on the monitor for 25 ms at a time, so that the answer wakes it at once, and then reads on with a time-out of 1 ms (ClientInput): into the reader's buffer up to its limit; beyond that what comes is thrown away, and the answer in hand is the connection's last. At the end of the stream the request is given up and nothing that is buffered is served. From 2 MB thrown away on a look takes 64 kB, so that many floods cost little.

--- a/sidecar/src/main/java/dapplequay/http/Buffer.java
+++ b/sidecar/src/main/java/dapplequay/http/Buffer.java
@@ -24,6 +24,10 @@
         return end - start;
     }
 
+    boolean isFull() {
+        return size() == limit;
+    }
+
     byte at(int index) {
         return data[start + index];
     }
--- a/sidecar/src/main/java/dapplequay/http/MessageReader.java
+++ b/sidecar/src/main/java/dapplequay/http/MessageReader.java
@@ -39,6 +39,16 @@
         return buffer.size();
     }
 
+    /** Whether as much lies here unused as may. */
+    public boolean isFull() {
+        return buffer.isFull();
+    }
+
+    /** Reads once, behind what lies here unused: how many bytes, -1 at the end of the stream. Not where it is full. */
+    public int readAhead() throws IOException {
+        return buffer.fill(in);
+    }
+
     /** How much is read at once from now on, as far as it is buffered; 0: little. */
     void want(int bytes) {
         buffer.want(bytes);
--- a/sidecar/src/main/java/dapplequay/net/AcquirerConnection.java
+++ b/sidecar/src/main/java/dapplequay/net/AcquirerConnection.java
@@ -10,6 +10,7 @@
 import java.io.EOFException;
 import java.io.IOException;
 import java.io.InputStream;
+import java.io.InterruptedIOException;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.logging.Level;
@@ -25,6 +26,10 @@
     private static final long IDLE_US = 2_100_000;
     /** A stranger, one that has not asked for anything yet, has at least so long before it makes room. */
     private static final long STRANGER_US = 50_000;
+    /** While an answer is due and the client has sent more, it is looked for its departure each so many ms. */
+    private static final long AHEAD_MS = 25;
+    /** So long after it was last heard of, us, a client may have gone without having been missed. */
+    private static final long KNOWN_US = 20_000;
     /** A connection that has just come is not closed unheard: its first request is on its way. */
     private static final long FRESH_US = 100_000;
     /** What is still read after the last answer: clients that send without end are not waited for. */
@@ -59,6 +64,7 @@
     private volatile boolean handedOver;
     private volatile boolean hasRoom;
     private volatile String version = "HTTP/1.1";
+    private volatile ClientInput input;
     private MessageReader reader;
     private volatile Authorisation current;
 
@@ -96,7 +102,8 @@
     public void run() {
         try {
             socket.setTcpNoDelay(true);
-            reader = new MessageReader(socket.getInputStream(), MessageReader.LONGEST_BODY);
+            input = new ClientInput(socket, side.deadlines()::now);
+            reader = new MessageReader(input, MessageReader.LONGEST_BODY);
             while (reader.awaitRequest() && beginRequest()) {
                 readRequest();
             }
@@ -125,16 +132,43 @@
         }
     }
 
-    /** Waits for the answer to the request before; false where the connection takes no more. */
-    private synchronized boolean beginRequest() {
-        Waits.whileTrue(this, () -> state == State.BUSY);
-        if (state == State.IDLE) {
-            state = State.READING;
-            side.deadlines().cancel(idleEnd);
-            current = null;
-            return true;
+    /**
+     * Waits for the answer to the request before; false where the connection takes no more. A client that has sent
+     * more is looked for meanwhile, as its end would lie behind that.
+     */
+    private boolean beginRequest() throws IOException {
+        while (isBusyAfter(AHEAD_MS)) {
+            input.expect(reader, true);
         }
-        return false;
+        return begins();
+    }
+
+    /** Whether the answer is still due after so many ms, or a little earlier. */
+    private synchronized boolean isBusyAfter(long ms) throws InterruptedIOException {
+        if (state == State.BUSY) {
+            Waits.atMost(this, ms);
+        }
+        return state == State.BUSY;
+    }
+
+    /**
+     * Looks for the client where it is not known for sure to be there: what it sent lay in the buffer for a while, or
+     * perhaps in the socket, as this process came late. Else nothing is asked.
+     */
+    private void expectClient(long nowUs, boolean isWhole) throws IOException {
+        if (nowUs - input.heardUs() > KNOWN_US || side.isLate(nowUs)) {
+            input.expect(reader, isWhole);
+        }
+    }
+
+    private synchronized boolean begins() {
+        if (state != State.IDLE || input.isOverfull()) {
+            return false;
+        }
+        state = State.READING;
+        side.deadlines().cancel(idleEnd);
+        current = null;
+        return true;
     }
 
     /** The request is whole; IOException where the connection was closed to make room meanwhile. */
@@ -252,12 +286,16 @@
                     if (leg == null) {
                         return;
                     }
+                    expectClient(side.deadlines().now(), last);
                     if (!leg.connection().beginFor()) {
                         leg = null;
                     }
                 }
-                if (last && !side.conductor().lastPiece(leg)) {
-                    return;
+                if (last) {
+                    input.expect(reader, true);     // it may have left while this thread was elsewhere
+                    if (!side.conductor().lastPiece(leg)) {
+                        return;
+                    }
                 }
                 moves.moved();
                 Chunks.Span out = Chunks.span(piece, read, chunked, last);
@@ -291,12 +329,15 @@
         }
     }
 
-    private void handle(Head head, byte[] held, Body rest, long receivedUs) throws BadMessage {
+    private void handle(Head head, byte[] held, Body rest, long receivedUs) throws IOException {
         if (head.start[1].equals("/healthz")) {
             answer(head.start[0].equals("GET") ? side.health() : Answers.plain(405, "only GET"));
             return;
         }
         AcquirerRequest request = AcquirerRequest.check(head, held, rest, side.setup());
+        if (rest == null) {
+            expectClient(receivedUs, true);
+        }
         if (!side.isNewId(request.callId(), receivedUs)) {
             throw new BadMessage(409, "X-Call-Id of another request");
         }
@@ -311,7 +352,7 @@
 
     /** Whether the answer in hand is this connection's last; one that comes while its request does, has to be. */
     private boolean isLast() {
-        return lastRequest || uploading || side.empties() || side.isCrowded();
+        return lastRequest || uploading || input.isOverfull() || side.empties() || side.isCrowded();
     }
 
     private String connectionField(boolean last) {
--- a/sidecar/src/main/java/dapplequay/net/AcquirerSide.java
+++ b/sidecar/src/main/java/dapplequay/net/AcquirerSide.java
@@ -43,6 +43,7 @@
     private final Counts counts;
     private final Lifetime lifetime;
     private final Headroom headroom;
+    private final Punctuality punctuality;
 
     AcquirerSide(Door door, Supplier<Setup> setup, Facade facade, Conductor conductor,
                  Deadlines deadlines, Counts counts, Lifetime lifetime, Headroom headroom, int most,
@@ -58,6 +59,7 @@
         this.headroom = headroom;
         this.most = most;
         this.crowd = crowd;
+        punctuality = new Punctuality(deadlines.now());
     }
 
     InetSocketAddress address() {
@@ -112,6 +114,11 @@
         return headroom.pauseMs();
     }
 
+    /** Whether what is read at the moment may have lain unread for long. */
+    boolean isLate(long nowUs) {
+        return punctuality.isLate(nowUs);
+    }
+
     /** Whether each answer is its connection's last, as the sidecar is being emptied. */
     boolean empties() {
         return lifetime.empties();
@@ -182,6 +189,10 @@
      * clients' connections; but each client is a stranger at first, and a few must not hold up the others.
      */
     private synchronized void awaitRoom() throws InterruptedException {
+        if (connections.size() < most) {
+            return;
+        }
+        long sinceUs = deadlines.now();
         while (connections.size() >= most && !door.isShut()) {
             if (connections.stream().noneMatch(AcquirerConnection::closeIfStranger)
                     && connections.stream().filter(AcquirerConnection::isStranger).count() < most * FLOOD) {
@@ -189,6 +200,7 @@
             }
             wait(PAUSE_MS);
         }
+        punctuality.waited(sinceUs, deadlines.now());
     }
 
     synchronized void ended(AcquirerConnection connection) {
@@ -196,8 +208,9 @@
         notifyAll();
     }
 
-    /** While the sidecar is being emptied, idle connections are closed each turn. */
+    /** The timekeeper's turn. While the sidecar is being emptied, idle connections are closed. */
     void turn() {
+        punctuality.turn(deadlines.now());
         if (!lifetime.empties()) {
             return;
         }
--- /dev/null
+++ b/sidecar/src/main/java/dapplequay/net/ClientInput.java
@@ -0,0 +1,109 @@
+package dapplequay.net;
+
+import dapplequay.http.MessageReader;
+import java.io.EOFException;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.util.function.LongSupplier;
+
+/**
+ * What a client sends, read by its connection's thread alone. A client that ends its sending has gone, whether it
+ * closed or goes on reading: the two can't be told apart before something is written. The end of a stream shows only
+ * behind the last byte, so that one who waits for another thing than the next byte has to look for it.
+ */
+final class ClientInput extends InputStream {
+    /** A look waits for so long where nothing has come, ms; a socket knows no shorter time. */
+    private static final int LOOK_MS = 1;
+    /** So much is taken in by one look, bytes: who sends without end must not keep its thread from the answer, ... */
+    private static final int MOST_AT_ONCE = 1 << 20;
+    /** ... nor many of them the process from its work: from so many spilt bytes on, a look takes only so much. */
+    private static final int FLOOD = 2 << 20;
+    private static final int FLOOD_AT_ONCE = 64 * 1024;
+    private static final int PIECE = 8 * 1024;
+
+    private final Socket socket;
+    private final InputStream in;
+    private final LongSupplier clock;
+    private long heardUs;
+    private volatile long spiltBytes;
+    private volatile boolean isInHand;
+
+    /** {@code clock}: microseconds. */
+    ClientInput(Socket socket, LongSupplier clock) throws IOException {
+        this.socket = socket;
+        in = socket.getInputStream();
+        this.clock = clock;
+        heardUs = clock.getAsLong();
+    }
+
+    @Override
+    public int read() throws IOException {
+        byte[] one = new byte[1];
+        return read(one, 0, 1) < 0 ? -1 : one[0] & 0xFF;
+    }
+
+    @Override
+    public int read(byte[] into, int from, int length) throws IOException {
+        isInHand = false;
+        int count = in.read(into, from, length);
+        isInHand = count > 0;
+        heardUs = clock.getAsLong();
+        return count;
+    }
+
+    /** When the client was last known to be there, microseconds. */
+    long heardUs() {
+        return heardUs;
+    }
+
+    /** Whether something was read that the reading thread is about to use; any thread may ask. */
+    boolean isInHand() {
+        return isInHand;
+    }
+
+    /** Whether something was thrown away, so that nobody can say where the next request begins; any thread may ask. */
+    boolean isOverfull() {
+        return spiltBytes > 0;
+    }
+
+    /**
+     * Looks whether the client is still there, and takes in what has come: EOFException at the end of the stream. It is
+     * read into the reader's buffer; what does not fit there is thrown away if {@code spills}, and else left unread,
+     * with what is behind it.
+     */
+    void expect(MessageReader reader, boolean spills) throws IOException {
+        if (!look(reader, spills)) {
+            throw new EOFException("the client has left");
+        }
+    }
+
+    private boolean look(MessageReader reader, boolean spills) throws IOException {
+        byte[] spilt = null;
+        int most = spiltBytes < FLOOD ? MOST_AT_ONCE : FLOOD_AT_ONCE;
+        socket.setSoTimeout(LOOK_MS);
+        try {
+            for (int sum = 0, count; sum < most; sum += count) {
+                if (!reader.isFull()) {
+                    count = reader.readAhead();
+                } else if (spills) {
+                    spilt = spilt == null ? new byte[PIECE] : spilt;
+                    count = read(spilt, 0, PIECE);
+                    spiltBytes += Math.max(0, count);
+                } else {
+                    return true;
+                }
+                if (count < 0) {
+                    return false;
+                }
+            }
+        } catch (SocketTimeoutException e) {
+            heardUs = clock.getAsLong();        // nothing more, and no end: it is there
+        } finally {
+            isInHand = reader.hasBytes();
+            socket.setSoTimeout(0);
+        }
+        return true;
+    }
+}
--- a/sidecar/src/main/java/dapplequay/net/Waits.java
+++ b/sidecar/src/main/java/dapplequay/net/Waits.java
@@ -1,5 +1,6 @@
 package dapplequay.net;
 
+import java.io.InterruptedIOException;
 import java.util.function.BooleanSupplier;
 
 /** Waiting on a monitor where giving up half-way would leave somebody without an answer. */
@@ -20,4 +21,14 @@
             Thread.currentThread().interrupt();
         }
     }
+
+    /** For so many ms, or less; the caller holds the monitor, and asks again what it waits for. */
+    static void atMost(Object monitor, long ms) throws InterruptedIOException {
+        try {
+            monitor.wait(ms);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new InterruptedIOException("interrupted in a wait");
+        }
+    }
 }
--- /dev/null
+++ b/sidecar/src/test/java/dapplequay/net/ClientDepartureTest.java
@@ -0,0 +1,309 @@
+package dapplequay.net;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import dapplequay.http.Head;
+import dapplequay.http.MessageReader;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** A client that has gone, at moments where nobody reads its connection or something lies before its end. */
+@Timeout(90)
+class ClientDepartureTest {
+    /** Far less than the requests' own time, after which their attempts would end anyhow. */
+    private static final int SOON_S = 6;
+
+    private final List<AutoCloseable> toClose = new ArrayList<>();
+
+    @AfterEach
+    void closeAll() throws Exception {
+        for (AutoCloseable one : toClose) {
+            one.close();
+        }
+    }
+
+    private <T extends AutoCloseable> T open(T one) {
+        toClose.add(one);
+        return one;
+    }
+
+    private ClientRig rig(ClientRig.Hooks hooks, int... ports) throws IOException {
+        return open(new ClientRig(hooks, 100, ports));
+    }
+
+    /** Holds requests with this key until their attempt is given up, and answers the others. */
+    private Host holding(String key) throws IOException {
+        return open(new Host((head, seen) -> {
+            if (key.equals(head.get("Idempotency-Key"))) {
+                seen.socket().getInputStream().read();
+                return null;
+            }
+            return Host.ok("done");
+        }));
+    }
+
+    private static void leave(Host.Client client, boolean withReset) throws IOException {
+        client.socket.setSoLinger(withReset, 0);
+        client.close();
+    }
+
+    private static String key(Host host) throws Exception {
+        return host.next().head().get("Idempotency-Key");
+    }
+
+    private static String behind(String what) {
+        return switch (what) {
+            case "request" -> ClientRig.pay("behind");
+            case "half" -> ClientRig.pay("behind").substring(0, 50);
+            case "line" -> "\r\n";
+            case "much" -> "x".repeat(100_000);
+            default -> "";
+        };
+    }
+
+    /** Its thread read no further than the next request's first byte while one was out, and so never came to the end. */
+    @ParameterizedTest
+    @CsvSource({"request,false", "request,true", "half,false", "half,true", "line,false", "much,false", "much,true",
+        "nothing,false", "nothing,true"})
+    void departureBehindBytesIsNoticedAndNothingBehindItIsServed(String what, boolean withReset) throws Exception {
+        Host host = holding("held");
+        ClientRig rig = rig(new ClientRig.Hooks(), host.port());
+        Host.Client client = rig.client();
+        client.send(ClientRig.pay("held") + behind(what));
+        assertThat(key(host)).isEqualTo("held");
+        leave(client, withReset);
+        assertThat(host.closed.poll(SOON_S, TimeUnit.SECONDS)).as("given up").isTrue();
+        assertThat(rig.accepted().isClosedInTime()).isTrue();
+        Host.Client other = rig.client();
+        other.send(ClientRig.pay("other"));
+        assertThat(other.answer().status()).isEqualTo(200);
+        assertThat(key(host)).isEqualTo("other");
+        assertThat(host.seen).isEmpty();
+    }
+
+    /** Each was answered sooner than a client that waits behind bytes is looked for, and the next one followed. */
+    @Test
+    void requestsInARowAreNotServedToTheLastOneForAClientThatHasGone() throws Exception {
+        int row = 40;
+        Host host = open(new Host((head, seen) -> {
+            Thread.sleep(15);
+            return Host.ok("done");
+        }));
+        ClientRig rig = rig(new ClientRig.Hooks(), host.port());
+        Host.Client client = rig.client();
+        StringBuilder all = new StringBuilder();
+        for (int i = 0; i < row; i++) {
+            all.append(ClientRig.pay("row" + i));
+        }
+        client.send(all.toString());
+        assertThat(key(host)).isEqualTo("row0");
+        client.socket.shutdownOutput();
+        assertThat(rig.accepted().isClosedInTime()).isTrue();
+        assertThat(host.seen).as("of " + row).hasSizeLessThan(row / 2);
+    }
+
+    /** The page tells a close from nothing else; for an attempt, ending its sending is giving it up. */
+    @Test
+    void clientThatEndsItsSendingHasGoneThoughItStillReads() throws Exception {
+        Host host = holding("held");
+        ClientRig rig = rig(new ClientRig.Hooks(), host.port());
+        Host.Client client = rig.client();
+        client.send(ClientRig.pay("held"));
+        host.next();
+        client.socket.shutdownOutput();
+        assertThat(host.closed.poll(SOON_S, TimeUnit.SECONDS)).as("given up").isTrue();
+        assertThat(client.atEnd()).as("with no answer").isTrue();
+    }
+
+    /** A process that came late read a request that had been there, whole and with its end, for as long. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void requestWhoseClientLeftBeforeItWasReadIsNotSentOn(boolean withReset) throws Exception {
+        Host host = open(new Host((head, seen) -> Host.ok("done")));
+        CountDownLatch left = new CountDownLatch(1);
+        AtomicInteger connections = new AtomicInteger();
+        ClientRig rig = rig(new ClientRig.Hooks() {
+            @Override
+            void beforeRead() {
+                try {
+                    if (connections.get() == 2) {
+                        left.await();
+                    }
+                } catch (InterruptedException e) {
+                    throw new IllegalStateException(e);
+                }
+            }
+        }, host.port());
+        Host.Client other = rig.client();
+        connections.set(1);
+        other.send(ClientRig.pay("before"));
+        assertThat(other.answer().status()).isEqualTo(200);
+        Thread.sleep(20);           // the host's connection has rested, so that the next is written at once
+        rig.comesLate();
+        connections.set(2);
+        Host.Client stale = rig.client();
+        stale.send(ClientRig.pay("stale"));
+        leave(stale, withReset);
+        Thread.sleep(60);           // so long the process gets no processor time
+        left.countDown();
+        rig.accepted();
+        assertThat(rig.accepted().isClosedInTime()).isTrue();
+        other.send(ClientRig.pay("after"));
+        assertThat(other.answer().status()).isEqualTo(200);
+        assertThat(key(host)).isEqualTo("before");
+        assertThat(key(host)).isEqualTo("after");
+        assertThat(host.seen).isEmpty();
+    }
+
+    /** The first attempt fails only once its client has gone: the next one is due then, and must not begin. */
+    @ParameterizedTest
+    @ValueSource(strings = {"nothing", "half", "request"})
+    void attemptThatFailsAfterTheDepartureIsNotFollowedByAnother(String what) throws Exception {
+        Host.Script script = (head, seen) -> {
+            if ("other".equals(head.get("Idempotency-Key"))) {
+                return Host.ok("done");
+            }
+            try {
+                seen.socket().setSoTimeout(3_000);
+                seen.socket().getInputStream().read();
+            } catch (SocketTimeoutException e) {
+                // Not given up, though the client has gone: it fails now.
+            }
+            return "HTTP/1.1 503 Busy\r\nX-Rejected: 1\r\nContent-Length: 0\r\n\r\n";
+        };
+        Host first = open(new Host(script));
+        Host second = open(new Host(script));
+        ClientRig rig = rig(new ClientRig.Hooks(), first.port(), second.port());
+        Host.Client client = rig.client();
+        client.send(ClientRig.pay("held") + behind(what));
+        while (first.seen.isEmpty() && second.seen.isEmpty()) {
+            Thread.sleep(1);
+        }
+        leave(client, false);
+        assertThat(rig.accepted().isClosedInTime()).isTrue();
+        Host.Client other = rig.client();
+        other.send(ClientRig.pay("other"));
+        assertThat(other.answer().status()).isEqualTo(200);
+        assertThat(first.seen.size() + second.seen.size()).isEqualTo(2);
+    }
+
+    /** A host whose queue is full, so that connects wait, until it is opened; what it gets then, key by key. */
+    private static final class FullHost implements AutoCloseable {
+        final BlockingQueue<String> got = new LinkedBlockingQueue<>();
+        private final ServerSocket listener = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+        private final List<Socket> queue = new ArrayList<>();
+
+        FullHost() throws IOException {
+            try {
+                while (true) {
+                    Socket one = new Socket();
+                    queue.add(one);
+                    one.connect(listener.getLocalSocketAddress(), 300);
+                }
+            } catch (SocketTimeoutException e) {
+                queue.remove(queue.size() - 1).close();
+            }
+        }
+
+        int port() {
+            return listener.getLocalPort();
+        }
+
+        void opens() {
+            Host.daemon(() -> {
+                while (true) {
+                    Socket socket = listener.accept();
+                    Host.daemon(() -> serve(socket));
+                }
+            });
+        }
+
+        private void serve(Socket socket) throws IOException {
+            try (socket) {
+                MessageReader reader = new MessageReader(socket.getInputStream(), MessageReader.LONGEST_BODY);
+                while (reader.await()) {
+                    Head head = reader.request();
+                    String key = head.get("Idempotency-Key");
+                    try {
+                        reader.requestBody(head);
+                    } catch (IOException e) {
+                        key += " in part";
+                    }
+                    got.add(key);
+                    socket.getOutputStream().write(Host.ok("done").getBytes(StandardCharsets.ISO_8859_1));
+                }
+            }
+        }
+
+        @Override
+        public void close() throws IOException {
+            for (Socket one : queue) {
+                one.close();
+            }
+            listener.close();
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"nothing", "half", "request"})
+    void nothingIsWrittenWhereTheClientLeftDuringTheConnect(String what) throws Exception {
+        FullHost host = open(new FullHost());
+        ClientRig rig = rig(new ClientRig.Hooks(), host.port());
+        Host.Client client = rig.client();
+        client.send(ClientRig.pay("held") + behind(what));
+        ClientRig.Accepted accepted = rig.accepted();
+        while (accepted.read.get() == 0) {
+            Thread.sleep(1);
+        }
+        leave(client, false);
+        assertThat(accepted.closed.await(SOON_S, TimeUnit.SECONDS)).isTrue();
+        host.opens();
+        Host.Client other = rig.client();
+        other.send(ClientRig.pay("other"));
+        assertThat(other.answer().status()).isEqualTo(200);
+        assertThat(host.got).containsExactly("other");
+    }
+
+    /** The client's own thread is in the connect then, and all of the body lies in the socket when it comes back. */
+    @Test
+    void longRequestIsNotMadeWholeForAClientThatHasGone() throws Exception {
+        FullHost host = open(new FullHost());
+        ClientRig rig = rig(new ClientRig.Hooks(), host.port());
+        Host.Client client = rig.client();
+        String request = ClientRig.pay("long", 15_000, 100_000);
+        int held = 80_000;
+        client.send(request.substring(0, held));
+        ClientRig.Accepted accepted = rig.accepted();
+        while (accepted.read.get() < 10_000) {      // more than is held of it
+            Thread.sleep(1);
+        }
+        client.send(request.substring(held));
+        leave(client, false);
+        host.opens();
+        assertThat(accepted.isClosedInTime()).isTrue();
+        Host.Client other = rig.client();
+        other.send(ClientRig.pay("other"));
+        assertThat(other.answer().status()).isEqualTo(200);
+        while (!host.got.contains("other")) {
+            Thread.sleep(1);
+        }
+        assertThat(host.got).doesNotContain("long");
+    }
+}
