One orderly close for every client connection that the sidecar ends

Seen, by reading and by tests with real connections: a resting connection (idle for too long, at the bound, in a drain or an ending) was closed right after a look at what had come, and bytes in between turned that close into a reset. At the bound a stranger was closed after 50 ms also in the middle of its first request, before clients that rested, and a client with its last answer at once. What came when a resting connection had to be looked at later was not looked at again.

At fault: AcquirerConnection.closeIfIdle, closeToEmpty, closeIfStranger (available(), then close()); AcquirerSide.awaitRoom.

Ruled out: a request that is read after the decision is not sent on (the state changes under the connection's lock, and the reading thread asks it before and after a request); a request half read in a drain or an ending is served as the connection's last; a descriptor whose client never closes comes back.

Changed: OrderlyClose ends a connection for all causes: the sending side is shut, what comes is read and thrown away, up to 256 kB, and the descriptor comes back when the client closes, or after 0.1 s (resting), 1 s (last answer, as before) or 10 ms from the moment on at which the bound is reached, for all that are ending at once. What was read and not looked at yet counts as come. A stranger that sent nothing makes room after 50 ms as before, having no answer to lose; in the middle of a request, or with bytes not looked at, it has 0.5 s, but for a flood of strangers that were looked at.

Not changed: a long answer that is handed over, and a request that comes too slowly, still end their connection with its receiving side shut, so that bytes behind these meet a reset; a request that was read in the very instant between the system's return and the mark for it, and before the shutdown, is dropped as crossing.

SidecarTest and LongBodiesTest pass unchanged.

--- a/sidecar/src/main/java/dapplequay/net/AcquirerConnection.java
+++ b/sidecar/src/main/java/dapplequay/net/AcquirerConnection.java
@@ -4,12 +4,10 @@
 import dapplequay.http.Body;
 import dapplequay.http.Head;
 import dapplequay.http.MessageReader;
-import dapplequay.http.Sockets;
 import dapplequay.time.Deadlines;
 import dapplequay.management.Counts.End;
 import java.io.EOFException;
 import java.io.IOException;
-import java.io.InputStream;
 import java.io.InterruptedIOException;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
@@ -26,14 +24,14 @@
     private static final long IDLE_US = 2_100_000;
     /** A stranger, one that has not asked for anything yet, has at least so long before it makes room. */
     private static final long STRANGER_US = 50_000;
+    /** The same for one whose request has begun to come, where no flood of them fills the bound. */
+    private static final long HALF_US = 500_000;
     /** While an answer is due and the client has sent more, it is looked for its departure each so many ms. */
     private static final long AHEAD_MS = 25;
     /** So long after it was last heard of, us, a client may have gone without having been missed. */
     private static final long KNOWN_US = 20_000;
     /** A connection that has just come is not closed unheard: its first request is on its way. */
     private static final long FRESH_US = 100_000;
-    /** What is still read after the last answer: clients that send without end are not waited for. */
-    private static final int DRAINED = 256 * 1024;
     /** Of a long request that was answered before it was whole: its client may read only after it has sent all. */
     private static final int LONG_DRAINED = 2 * MessageReader.LONGEST_BODY;
     private static final long LONG_LINGER_US = 5_000_000;
@@ -53,11 +51,12 @@
 
     private final AcquirerSide side;
     private final Socket socket;
+    private final OrderlyClose ending;
     private final BodyReader bodies;
     private final long sinceUs;
     private State state = State.IDLE;
     private boolean asked;
-    private boolean late;
+    private volatile boolean late;
     private Deadlines.Deadline idleEnd;
     private volatile boolean lastRequest;
     private volatile boolean uploading;
@@ -71,13 +70,14 @@
     AcquirerConnection(AcquirerSide side, Socket socket) {
         this.side = side;
         this.socket = socket;
+        ending = new OrderlyClose(socket, side.deadlines());
         bodies = new BodyReader(side.deadlines(), this::requestIsLate);
         sinceUs = side.deadlines().now();
         idleEnd = side.deadlines().after(IDLE_US, () -> side.idleForLong(this));
     }
 
     void close() {
-        Sockets.close(socket);
+        ending.close();
     }
 
     private void over() {
@@ -107,7 +107,7 @@
             while (reader.awaitRequest() && beginRequest()) {
                 readRequest();
             }
-            drain();
+            ending.throwAway(uploading ? LONG_DRAINED : 0);
         } catch (IOException e) {
             LOG.log(Level.FINE, "acquirer connection ended: {0}", e.toString());
         } finally {
@@ -121,17 +121,6 @@
         }
     }
 
-    /** Bytes left unread would turn the close into a reset, and take the last answer from the client. */
-    private void drain() throws IOException {
-        InputStream in = socket.getInputStream();
-        byte[] unread = new byte[4 * 1024];
-        int most = uploading ? LONG_DRAINED : DRAINED;
-        int read = 0;
-        for (int sum = 0; read >= 0 && sum < most; sum += read) {
-            read = in.read(unread);
-        }
-    }
-
     /**
      * Waits for the answer to the request before; false where the connection takes no more. A client that has sent
      * more is looked for meanwhile, as its end would lie behind that.
@@ -162,7 +151,11 @@
     }
 
     private synchronized boolean begins() {
-        if (state != State.IDLE || input.isOverfull()) {
+        if (state == State.IDLE && input.isOverfull()) {
+            state = State.CLOSED;
+            ending.begin(LINGER_US);
+        }
+        if (state != State.IDLE) {
             return false;
         }
         state = State.READING;
@@ -189,10 +182,6 @@
         }
     }
 
-    private synchronized boolean isLate() {
-        return late;
-    }
-
     private void readRequest() throws IOException {
         Deadlines.Deadline whole = side.deadlines().after(HEAD_US, this::requestIsLate);
         Head head;
@@ -213,7 +202,7 @@
             answer(Answers.plain(e.status, e.getMessage()));
             return;
         } catch (EOFException e) {
-            if (!isLate()) {
+            if (!late) {
                 throw e;
             }
             lastRequest = true;
@@ -311,7 +300,7 @@
         } catch (BadMessage e) {
             side.conductor().spoilt(authorisation, Answers.plain(e.status, e.getMessage()));
         } catch (EOFException e) {
-            if (!isLate()) {
+            if (!late) {
                 side.conductor().clientLeft(authorisation);
                 throw e;
             }
@@ -366,7 +355,7 @@
         try {
             socket.getOutputStream().write(answer.bytes(connectionField(last)));
             if (last) {
-                lastWritten();
+                ending.begin(uploading ? LONG_LINGER_US : LINGER_US);
             }
         } catch (IOException e) {
             LOG.log(Level.FINE, "answer could not be written: {0}", e.toString());
@@ -378,11 +367,6 @@
         answered(last);
     }
 
-    private void lastWritten() throws IOException {
-        side.deadlines().after(uploading ? LONG_LINGER_US : LINGER_US, this::close);
-        socket.shutdownOutput();
-    }
-
     private synchronized void answered(boolean last) {
         state = last ? State.CLOSED : State.IDLE;
         if (!last) {
@@ -418,7 +402,7 @@
             whole = true;
         } catch (IOException e) {
             LOG.log(Level.FINE, "long answer broke: {0}", e.toString());
-            abort(body.length() < 0 && !chunked);
+            ending.abort(body.length() < 0 && !chunked);
         } finally {
             Pieces.give(piece);
             answered(true);
@@ -429,33 +413,41 @@
         return whole;
     }
 
-    private void abort(boolean withReset) {
-        try {
-            if (withReset) {
-                socket.setSoLinger(true, 0);
-            }
-        } catch (IOException e) {
-            LOG.log(Level.FINE, "no reset: {0}", e.toString());
+    /**
+     * Lets a connection between requests go; one on which something has come is served first. The client has {@code
+     * lingerUs} to close too. True where the connection is ending, by this call or an earlier one.
+     */
+    synchronized boolean closeIfIdle(long lingerUs) {
+        if (state == State.IDLE && !hasUnread()) {
+            state = State.CLOSED;
+            ending.begin(lingerUs);
         }
-        close();
+        return state == State.CLOSED;
     }
 
-    /**
-     * Ends a connection between requests; one on which something has come is served first. True where the
-     * connection is ending, by this call or an earlier one.
-     */
-    synchronized boolean closeIfIdle() {
+    /** It has rested for too long; what has just come, and may be no request, is waited for once more. */
+    synchronized void restedTooLong(long lingerUs) {
+        if (!closeIfIdle(lingerUs) && state == State.IDLE) {
+            idleEnd = side.deadlines().after(lingerUs, () -> side.idleForLong(this));
+        }
+    }
+
+    /** Whether something has come that was not looked at. */
+    private boolean hasUnread() {
+        ClientInput from = input;
         try {
-            if (state == State.IDLE && (reader == null || !reader.hasBytes())
-                    && socket.getInputStream().available() == 0) {
-                state = State.CLOSED;
-                close();
-            }
+            return from != null && from.isInHand() || socket.getInputStream().available() > 0;
         } catch (IOException e) {
-            state = State.CLOSED;
-            close();
+            return false;
         }
-        return state == State.CLOSED;
+    }
+
+    /** Has an end that has begun take no longer than this from now on, us; false where none has, or it is over. */
+    synchronized boolean hurry(long lingerUs) {
+        if (state == State.CLOSED) {
+            ending.begin(lingerUs);
+        }
+        return state == State.CLOSED && !ending.isClosed();
     }
 
     /** There is no time left to wait for the answer to the request in hand: it fails, better told than cut off. */
@@ -467,9 +459,9 @@
     }
 
     /** The same where the sidecar is being emptied: one that has just come is given the time to ask. */
-    synchronized void closeToEmpty() {
+    synchronized void closeToEmpty(long lingerUs) {
         if (asked || side.deadlines().now() - sinceUs >= FRESH_US) {
-            closeIfIdle();
+            closeIfIdle(lingerUs);
         }
     }
 
@@ -479,16 +471,20 @@
     }
 
     /**
-     * Closes a grown stranger that says nothing or only the beginning of a request, and one that has its last
-     * answer: true if this was one.
+     * Closes a grown stranger, which has no answer to lose: true if this was one. In the middle of a request it has
+     * longer, but for a {@code flood} of strangers, and where what came is not looked at yet, in any case.
      */
-    synchronized boolean closeIfStranger() {
-        boolean grown = isStranger() && side.deadlines().now() - sinceUs >= STRANGER_US;
-        if (grown || state == State.CLOSED) {
-            state = State.CLOSED;
-            close();
-            return true;
+    synchronized boolean closeIfStranger(boolean flood) {
+        if (!isStranger()) {
+            return false;
         }
-        return false;
+        long ageUs = side.deadlines().now() - sinceUs;
+        boolean waits = state == State.READING && !flood || hasUnread();
+        if (ageUs < (waits ? HALF_US : STRANGER_US)) {
+            return false;
+        }
+        state = State.CLOSED;
+        close();
+        return true;
     }
 }
--- a/sidecar/src/main/java/dapplequay/net/AcquirerSide.java
+++ b/sidecar/src/main/java/dapplequay/net/AcquirerSide.java
@@ -27,6 +27,9 @@
     private static final long STOP_MS = 500;
     /** Strangers are a flood from this share of the bound on. */
     private static final double FLOOD = 0.25;
+    /** A client that rests and is let go has so long to close too, us; where descriptors are short, so long. */
+    private static final long LINGER_US = 100_000;
+    private static final long SHORT_LINGER_US = 10_000;
 
     private final Supplier<Setup> setup;
     private final Facade facade;
@@ -182,27 +185,38 @@
         }
     }
 
-    /**
-     * At the bound the oldest stranger makes room, else the oldest idle connection, and while there is none
-     * the next waits. One at a time: closing all idle ones also met those just accepted, whose first request
-     * was still on its way. Strangers first, and a flood of them has to come of age, as it would close the
-     * clients' connections; but each client is a stranger at first, and a few must not hold up the others.
-     */
+    /** At the bound the next connection waits until another has ended. */
     private synchronized void awaitRoom() throws InterruptedException {
         if (connections.size() < most) {
             return;
         }
         long sinceUs = deadlines.now();
         while (connections.size() >= most && !door.isShut()) {
-            if (connections.stream().noneMatch(AcquirerConnection::closeIfStranger)
-                    && connections.stream().filter(AcquirerConnection::isStranger).count() < most * FLOOD) {
-                connections.stream().anyMatch(AcquirerConnection::closeIfIdle);
+            boolean someAreEnding = false;
+            for (AcquirerConnection connection : connections) {
+                someAreEnding |= connection.hurry(SHORT_LINGER_US);
+            }
+            if (!someAreEnding) {
+                makeRoom();
             }
             wait(PAUSE_MS);
         }
         punctuality.waited(sinceUs, deadlines.now());
     }
 
+    /**
+     * The oldest stranger goes, else the oldest idle connection. One at a time: closing all idle ones also met those
+     * just accepted, whose first request was still on its way. Strangers first, and a flood of them has to come of
+     * age, as it would close the clients' connections; but each client is a stranger at first, and a few must not
+     * hold up the others.
+     */
+    private void makeRoom() {
+        boolean flood = connections.stream().filter(AcquirerConnection::isStranger).count() >= most * FLOOD;
+        if (connections.stream().noneMatch(c -> c.closeIfStranger(flood)) && !flood) {
+            connections.stream().anyMatch(c -> c.closeIfIdle(SHORT_LINGER_US));
+        }
+    }
+
     synchronized void ended(AcquirerConnection connection) {
         connections.remove(connection);
         notifyAll();
@@ -215,7 +229,7 @@
             return;
         }
         List<AcquirerConnection> left = left();
-        left.forEach(AcquirerConnection::closeToEmpty);
+        left.forEach(connection -> connection.closeToEmpty(LINGER_US));
         lifetime.holds(left.size());
     }
 
@@ -240,7 +254,7 @@
     /** The connection has been idle for too long; in an ending it stays, as its client can't open another any more. */
     void idleForLong(AcquirerConnection connection) {
         if (!lifetime.isEnding()) {
-            connection.closeIfIdle();
+            connection.restedTooLong(LINGER_US);
         }
     }
 
--- /dev/null
+++ b/sidecar/src/main/java/dapplequay/net/OrderlyClose.java
@@ -0,0 +1,88 @@
+package dapplequay.net;
+
+import dapplequay.http.Sockets;
+import dapplequay.time.Deadlines;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.Socket;
+import java.util.logging.Level;
+import java.util.logging.Logger;
+
+/**
+ * The end of a client's connection, the same for all causes. A close over bytes that nobody has read resets the
+ * connection, and may take the last answer from the client. So the sending side ends first, what still comes is read
+ * and thrown away, and the descriptor comes back when the client has closed too, or after a bound of bytes and of
+ * time. Nothing that is read after {@link #begin} may be served: whoever calls it sees to that.
+ */
+final class OrderlyClose {
+    private static final Logger LOG = Logger.getLogger(OrderlyClose.class.getName());
+    /** What is still read: clients that send without end are not waited for. */
+    private static final int MOST = 256 * 1024;
+    private static final int PIECE = 4 * 1024;
+
+    private final Socket socket;
+    private final Deadlines deadlines;
+    private Deadlines.Deadline bound;
+    private long boundUs = Long.MAX_VALUE;
+    private boolean closed;
+
+    OrderlyClose(Socket socket, Deadlines deadlines) {
+        this.socket = socket;
+        this.deadlines = deadlines;
+    }
+
+    /**
+     * Nothing more is sent; the client has so long to close, microseconds. Once begun, a call with less time left
+     * hurries it, and no call grants more.
+     */
+    synchronized void begin(long lingerUs) {
+        long untilUs = deadlines.now() + lingerUs;
+        if (closed || untilUs >= boundUs) {
+            return;
+        }
+        try {
+            if (bound == null) {
+                socket.shutdownOutput();
+            }
+        } catch (IOException e) {
+            close();
+            return;
+        }
+        deadlines.cancel(bound);
+        boundUs = untilUs;
+        bound = deadlines.after(lingerUs, this::close);
+    }
+
+    /** At once. */
+    synchronized void close() {
+        closed = true;
+        deadlines.cancel(bound);
+        Sockets.close(socket);
+    }
+
+    /** At once, as an answer broke; {@code withReset}: where a plain end would be taken for that of the answer. */
+    synchronized void abort(boolean withReset) {
+        try {
+            if (withReset) {
+                socket.setSoLinger(true, 0);
+            }
+        } catch (IOException e) {
+            LOG.log(Level.FINE, "no reset: {0}", e.toString());
+        }
+        close();
+    }
+
+    synchronized boolean isClosed() {
+        return closed;
+    }
+
+    /** Reads on until the client ends, or the time is over; {@code more}: bytes beyond what is usual. */
+    void throwAway(int more) throws IOException {
+        InputStream in = socket.getInputStream();
+        byte[] unread = new byte[PIECE];
+        int read = 0;
+        for (int sum = 0; read >= 0 && sum < MOST + more; sum += read) {
+            read = in.read(unread);
+        }
+    }
+}
--- /dev/null
+++ b/sidecar/src/test/java/dapplequay/net/OrderlyCloseTest.java
@@ -0,0 +1,162 @@
+package dapplequay.net;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** How a client's connection ends, with bytes that come in the very moment. */
+@Timeout(90)
+class OrderlyCloseTest {
+    private final List<AutoCloseable> toClose = new ArrayList<>();
+    private volatile Host.Client sender;
+
+    @AfterEach
+    void closeAll() throws Exception {
+        for (AutoCloseable one : toClose) {
+            one.close();
+        }
+    }
+
+    private <T extends AutoCloseable> T open(T one) {
+        toClose.add(one);
+        return one;
+    }
+
+    private Host host() throws IOException {
+        return open(new Host((head, seen) -> Host.ok("done")));
+    }
+
+    private static Host.Client asked(ClientRig rig) throws IOException {
+        Host.Client client = rig.client();
+        client.send(ClientRig.pay("first"));
+        assertThat(client.answer().status()).isEqualTo(200);
+        return client;
+    }
+
+    private static void empty(ClientRig rig, String cause) {
+        if (cause.equals("drain")) {
+            rig.lifetime.drain();
+        } else if (cause.equals("ending")) {
+            rig.lifetime.end(0);
+        }
+    }
+
+    /** The close came over bytes that nobody had read, and reset the connection. */
+    @ParameterizedTest
+    @ValueSource(strings = {"idle", "drain", "ending"})
+    void requestInTheMomentOfTheEndIsNeitherServedNorMetWithAReset(String cause) throws Exception {
+        Host host = host();
+        ClientRig rig = open(new ClientRig(new ClientRig.Hooks() {
+            @Override
+            void beforeEnd() throws IOException {
+                sender.send(ClientRig.pay("crossing", 900, 8_000));
+            }
+        }, 100, host.port()));
+        sender = rig.client();
+        sender.send(ClientRig.pay("first"));
+        assertThat(host.next().head().get("Idempotency-Key")).isEqualTo("first");
+        assertThat(sender.answer().status()).isEqualTo(200);
+        empty(rig, cause);
+        assertThat(sender.atEnd()).as("the end, and no reset").isTrue();
+        sender.send("more that nobody reads");
+        sender.close();
+        assertThat(rig.accepted().isClosedInTime()).isTrue();
+        assertThat(host.seen).as("requests sent on after the end").isEmpty();
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"idle", "ending"})
+    void descriptorComesBackWhereTheClientNeverCloses(String cause) throws Exception {
+        Host host = host();
+        ClientRig rig = open(new ClientRig(new ClientRig.Hooks(), 100, host.port()));
+        Host.Client client = asked(rig);
+        empty(rig, cause);
+        assertThat(client.atEnd()).isTrue();
+        client.send(ClientRig.pay("late"));
+        assertThat(rig.accepted().isClosedInTime()).isTrue();
+        assertThat(host.seen).hasSize(1);
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"drain", "ending"})
+    void requestThatIsHalfReadWhenConnectionsAreToGoIsServedAsTheLast(String cause) throws Exception {
+        Host host = host();
+        ClientRig rig = open(new ClientRig(new ClientRig.Hooks(), 100, host.port()));
+        Host.Client half = asked(rig);
+        Host.Client resting = asked(rig);
+        ClientRig.Accepted accepted = rig.accepted();
+        int before = accepted.read.get();
+        String request = ClientRig.pay("half");
+        half.send(request.substring(0, 40));
+        while (accepted.read.get() < before + 40) {
+            Thread.sleep(1);
+        }
+        empty(rig, cause);
+        assertThat(resting.atEnd()).as("connections go").isTrue();
+        half.send(request.substring(40));
+        Host.Answer answer = half.answer();
+        assertThat(answer.status()).isEqualTo(200);
+        assertThat(answer.head().closes("HTTP/1.1")).isTrue();
+        assertThat(half.atEnd()).isTrue();
+    }
+
+    /** More than may lie unread behind a request: it is thrown away, so that the answer is the connection's last. */
+    @Test
+    void answerBehindAFloodArrivesWholeAndIsTheLast() throws Exception {
+        CountDownLatch sent = new CountDownLatch(1);
+        Host host = open(new Host((head, seen) -> {
+            sent.await();
+            return Host.ok("done");
+        }));
+        ClientRig rig = open(new ClientRig(new ClientRig.Hooks(), 100, host.port()));
+        Host.Client client = rig.client();
+        client.send(ClientRig.pay("first"));
+        host.next();
+        Host.daemon(() -> {
+            client.socket.getOutputStream().write(new byte[3 << 20]);       // far more than the sockets hold
+            sent.countDown();
+        });
+        Host.Answer answer = client.answer();
+        assertThat(answer.status()).isEqualTo(200);
+        assertThat(answer.head().closes("HTTP/1.1")).isTrue();
+        assertThat(client.atEnd()).isTrue();
+    }
+
+    /** At the bound it had to go before those that rest, in the middle of its first request. */
+    @Test
+    void clientInTheMiddleOfItsFirstRequestDoesNotMakeRoomForOthers() throws Exception {
+        int most = 12;              // three strangers would be a flood
+        Host host = host();
+        ClientRig rig = open(new ClientRig(new ClientRig.Hooks(), most, host.port()));
+        rig.stopClock(0);
+        List<Host.Client> resting = new ArrayList<>();
+        for (int i = 0; i < most - 1; i++) {
+            resting.add(asked(rig));
+            rig.accepted();
+        }
+        Host.Client half = rig.client();
+        String request = ClientRig.pay("half");
+        half.send(request.substring(0, 40));
+        ClientRig.Accepted accepted = rig.accepted();
+        while (accepted.read.get() < 40) {
+            Thread.sleep(1);
+        }
+        assertThat(resting.get(0).atEnd()).as("one goes for who may come next").isTrue();
+        rig.stopClock(60_000);      // of age
+        resting.get(0).close();
+        Host.Client next = rig.client();
+        assertThat(resting.get(1).atEnd()).isTrue();
+        next.send(ClientRig.pay("next"));
+        assertThat(next.answer().status()).isEqualTo(200);
+        half.send(request.substring(40));
+        assertThat(half.answer().status()).isEqualTo(200);
+    }
+}
