--- a/sidecar/src/main/java/dapplequay/net/AcquirerConnection.java
+++ b/sidecar/src/main/java/dapplequay/net/AcquirerConnection.java
@@ -4,15 +4,13 @@
 import dapplequay.http.Body;
 import dapplequay.http.Head;
 import dapplequay.http.MessageReader;
-import dapplequay.http.Sockets;
 import dapplequay.time.Deadlines;
 import dapplequay.management.Counts.End;
 import java.io.EOFException;
 import java.io.IOException;
-import java.io.InputStream;
+import java.io.InterruptedIOException;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
-import java.util.Arrays;
 import java.util.logging.Level;
 import java.util.logging.Logger;
 
@@ -26,19 +24,17 @@
     private static final long IDLE_US = 2_100_000;
     /** A stranger, one that has not asked for anything yet, has at least so long before it makes room. */
     private static final long STRANGER_US = 50_000;
+    /** The same for one whose request has begun to come, where no flood of them fills the bound. */
+    private static final long HALF_US = 500_000;
+    /** While an answer is due and the client has sent more, it is looked for its departure each so many ms. */
+    private static final long AHEAD_MS = 25;
+    /** So long after it was last heard of, us, a client may have gone without having been missed. */
+    private static final long KNOWN_US = 20_000;
     /** A connection that has just come is not closed unheard: its first request is on its way. */
     private static final long FRESH_US = 100_000;
-    /** What is still read after the last answer: clients that send without end are not waited for. */
-    private static final int DRAINED = 256 * 1024;
     /** Of a long request that was answered before it was whole: its client may read only after it has sent all. */
     private static final int LONG_DRAINED = 2 * MessageReader.LONGEST_BODY;
     private static final long LONG_LINGER_US = 5_000_000;
-    /** What is held of a body that is known to be long: enough to begin anew where a host can't be reached. */
-    private static final int HELD = 8 * 1024;
-    private static final int FIRST_PIECE = 2 * 1024;
-    /** A body has so long, us, and as long as it takes at so many bytes a second; waiting for it alone counts. */
-    private static final long BODY_US = 1_500_000;
-    private static final long BODY_RATE = 48_000;
     /** A client that does not take its answer must not hold the thread that writes it. */
     private static final long WRITE_US = 10_000_000;
     /** Peers take seconds over a piece of a long body; where nothing moves for so long, nothing will. */
@@ -55,30 +51,33 @@
 
     private final AcquirerSide side;
     private final Socket socket;
+    private final OrderlyClose ending;
+    private final BodyReader bodies;
     private final long sinceUs;
     private State state = State.IDLE;
     private boolean asked;
-    private boolean late;
+    private volatile boolean late;
     private Deadlines.Deadline idleEnd;
     private volatile boolean lastRequest;
     private volatile boolean uploading;
     private volatile boolean handedOver;
     private volatile boolean hasRoom;
     private volatile String version = "HTTP/1.1";
-    private volatile Progress.Pace pace;
-    private Progress tooSlow;
+    private volatile ClientInput input;
     private MessageReader reader;
     private volatile Authorisation current;
 
     AcquirerConnection(AcquirerSide side, Socket socket) {
         this.side = side;
         this.socket = socket;
+        ending = new OrderlyClose(socket, side.deadlines());
+        bodies = new BodyReader(side.deadlines(), this::requestIsLate);
         sinceUs = side.deadlines().now();
         idleEnd = side.deadlines().after(IDLE_US, () -> side.idleForLong(this));
     }
 
     void close() {
-        Sockets.close(socket);
+        ending.close();
     }
 
     private void over() {
@@ -103,45 +102,66 @@
     public void run() {
         try {
             socket.setTcpNoDelay(true);
-            reader = new MessageReader(socket.getInputStream(), MessageReader.LONGEST_BODY);
+            input = new ClientInput(socket, side.deadlines()::now);
+            reader = new MessageReader(input, MessageReader.LONGEST_BODY);
             while (reader.awaitRequest() && beginRequest()) {
                 readRequest();
             }
-            drain();
+            ending.throwAway(uploading ? LONG_DRAINED : 0);
         } catch (IOException e) {
             LOG.log(Level.FINE, "acquirer connection ended: {0}", e.toString());
         } finally {
             if (current != null) {
                 side.conductor().clientLeft(current);
             }
-            bodyIsOver();
+            bodies.over();
             if (!handedOver) {
                 over();
             }
         }
     }
 
-    /** Bytes left unread would turn the close into a reset, and take the last answer from the client. */
-    private void drain() throws IOException {
-        InputStream in = socket.getInputStream();
-        byte[] unread = new byte[4 * 1024];
-        int most = uploading ? LONG_DRAINED : DRAINED;
-        int read = 0;
-        for (int sum = 0; read >= 0 && sum < most; sum += read) {
-            read = in.read(unread);
+    /**
+     * Waits for the answer to the request before; false where the connection takes no more. A client that has sent
+     * more is looked for meanwhile, as its end would lie behind that.
+     */
+    private boolean beginRequest() throws IOException {
+        while (isBusyAfter(AHEAD_MS)) {
+            input.expect(reader, true);
         }
+        return begins();
     }
 
-    /** Waits for the answer to the request before; false where the connection takes no more. */
-    private synchronized boolean beginRequest() {
-        Waits.whileTrue(this, () -> state == State.BUSY);
-        if (state == State.IDLE) {
-            state = State.READING;
-            side.deadlines().cancel(idleEnd);
-            current = null;
-            return true;
+    /** Whether the answer is still due after so many ms, or a little earlier. */
+    private synchronized boolean isBusyAfter(long ms) throws InterruptedIOException {
+        if (state == State.BUSY) {
+            Waits.atMost(this, ms);
+        }
+        return state == State.BUSY;
+    }
+
+    /**
+     * Looks for the client where it is not known for sure to be there: what it sent lay in the buffer for a while, or
+     * perhaps in the socket, as this process came late. Else nothing is asked.
+     */
+    private void expectClient(long nowUs, boolean isWhole) throws IOException {
+        if (nowUs - input.heardUs() > KNOWN_US || side.isLate(nowUs)) {
+            input.expect(reader, isWhole);
         }
-        return false;
+    }
+
+    private synchronized boolean begins() {
+        if (state == State.IDLE && input.isOverfull()) {
+            state = State.CLOSED;
+            ending.begin(LINGER_US);
+        }
+        if (state != State.IDLE) {
+            return false;
+        }
+        state = State.READING;
+        side.deadlines().cancel(idleEnd);
+        current = null;
+        return true;
     }
 
     /** The request is whole; IOException where the connection was closed to make room meanwhile. */
@@ -162,10 +182,6 @@
         }
     }
 
-    private synchronized boolean isLate() {
-        return late;
-    }
-
     private void readRequest() throws IOException {
         Deadlines.Deadline whole = side.deadlines().after(HEAD_US, this::requestIsLate);
         Head head;
@@ -180,13 +196,13 @@
             if (head.lists("Expect", "100-continue") && !version.equals("HTTP/1.0") && !body.isBuffered()) {
                 socket.getOutputStream().write(CONTINUE);
             }
-            held = held(body);
+            held = bodies.held(body);
         } catch (BadMessage e) {
             lastRequest = true;         // where this message ends, and the next begins, nobody can say
             answer(Answers.plain(e.status, e.getMessage()));
             return;
         } catch (EOFException e) {
-            if (!isLate()) {
+            if (!late) {
                 throw e;
             }
             lastRequest = true;
@@ -203,12 +219,12 @@
         hasRoom = !counted || side.uploadBegins();
         try {
             if (!uploading) {
-                bodyIsOver();
+                bodies.over();
             }
             handle(head, held, body.isWhole() ? null : body, side.deadlines().now());
             if (uploading && current != null) {
                 carry(current, body);
-                bodyIsOver();
+                bodies.over();
             }
         } catch (BadMessage e) {
             answer(Answers.plain(e.status, e.getMessage()));
@@ -236,51 +252,13 @@
         return Answers.plain(408, "request did not come whole in time");
     }
 
-    /** All of a short body; of a long one as much as is held for another leg. It grows as the body comes. */
-    private byte[] held(Body body) throws IOException {
-        int most = body.length() < 0 ? MessageReader.MAX_BODY
-                : body.length() > MessageReader.MAX_BODY ? HELD : (int) body.length();
-        byte[] held = new byte[Math.min(most, FIRST_PIECE)];
-        int size = 0;
-        while (size < most && !body.isWhole()) {
-            if (size == held.length) {
-                held = Arrays.copyOf(held, Math.min(most, 2 * size));
-            }
-            size += Math.max(0, read(body, held, size, held.length - size));
-        }
-        return size == held.length ? held : Arrays.copyOf(held, size);
-    }
-
-    /** Reads of a body, as long as its client keeps up the pace that is asked of it. */
-    private int read(Body body, byte[] to, int at, int most) throws IOException {
-        if (body.isBuffered()) {
-            return body.read(to, at, most);
-        }
-        if (pace == null) {
-            pace = new Progress.Pace(side.deadlines(), BODY_US, BODY_RATE);
-            tooSlow = new Progress(side.deadlines(), pace, this::requestIsLate);
-        }
-        pace.waiting();
-        int read = body.read(to, at, most);
-        pace.came(Math.max(0, read));
-        return read;
-    }
-
-    private void bodyIsOver() {
-        if (pace != null) {
-            tooSlow.close();
-            pace = null;
-        }
-    }
-
     /** Carries the rest of a long request to the leg that is out, until it is whole or the request is over. */
     private void carry(Authorisation authorisation, Body body) throws IOException {
         byte[] piece = Pieces.take();
         boolean chunked = authorisation.request.isChunked();
         Progress.Moves moves = new Progress.Moves(side.deadlines(), STALL_US);
         try (Progress stuck = new Progress(side.deadlines(), moves, () -> {
-            Progress.Pace waited = pace;
-            if (waited != null && waited.isWaiting()) {
+            if (bodies.isWaiting()) {
                 requestIsLate();
             } else {
                 side.conductor().cutStuck(authorisation);
@@ -288,7 +266,7 @@
         })) {
             Leg leg = null;
             while (uploading && !authorisation.isOver()) {
-                int read = Math.max(0, read(body, piece, Chunks.ROOM, Pieces.SIZE));
+                int read = Math.max(0, bodies.read(body, piece, Chunks.ROOM, Pieces.SIZE));
                 boolean last = body.isWhole();
                 uploading = !last;
                 // From the first piece on that is not held, no other leg can follow: asked for once it is here.
@@ -297,12 +275,16 @@
                     if (leg == null) {
                         return;
                     }
+                    expectClient(side.deadlines().now(), last);
                     if (!leg.connection().beginFor()) {
                         leg = null;
                     }
                 }
-                if (last && !side.conductor().lastPiece(leg)) {
-                    return;
+                if (last) {
+                    input.expect(reader, true);     // it may have left while this thread was elsewhere
+                    if (!side.conductor().lastPiece(leg)) {
+                        return;
+                    }
                 }
                 moves.moved();
                 Chunks.Span out = Chunks.span(piece, read, chunked, last);
@@ -318,7 +300,7 @@
         } catch (BadMessage e) {
             side.conductor().spoilt(authorisation, Answers.plain(e.status, e.getMessage()));
         } catch (EOFException e) {
-            if (!isLate()) {
+            if (!late) {
                 side.conductor().clientLeft(authorisation);
                 throw e;
             }
@@ -336,12 +318,15 @@
         }
     }
 
-    private void handle(Head head, byte[] held, Body rest, long receivedUs) throws BadMessage {
+    private void handle(Head head, byte[] held, Body rest, long receivedUs) throws IOException {
         if (head.start[1].equals("/healthz")) {
             answer(head.start[0].equals("GET") ? side.health() : Answers.plain(405, "only GET"));
             return;
         }
         AcquirerRequest request = AcquirerRequest.check(head, held, rest, side.setup());
+        if (rest == null) {
+            expectClient(receivedUs, true);
+        }
         if (!side.isNewId(request.callId(), receivedUs)) {
             throw new BadMessage(409, "X-Call-Id of another request");
         }
@@ -356,7 +341,7 @@
 
     /** Whether the answer in hand is this connection's last; one that comes while its request does, has to be. */
     private boolean isLast() {
-        return lastRequest || uploading || side.empties() || side.isCrowded();
+        return lastRequest || uploading || input.isOverfull() || side.empties() || side.isCrowded();
     }
 
     private String connectionField(boolean last) {
@@ -370,7 +355,7 @@
         try {
             socket.getOutputStream().write(answer.bytes(connectionField(last)));
             if (last) {
-                lastWritten();
+                ending.begin(uploading ? LONG_LINGER_US : LINGER_US);
             }
         } catch (IOException e) {
             LOG.log(Level.FINE, "answer could not be written: {0}", e.toString());
@@ -382,11 +367,6 @@
         answered(last);
     }
 
-    private void lastWritten() throws IOException {
-        side.deadlines().after(uploading ? LONG_LINGER_US : LINGER_US, this::close);
-        socket.shutdownOutput();
-    }
-
     private synchronized void answered(boolean last) {
         state = last ? State.CLOSED : State.IDLE;
         if (!last) {
@@ -422,7 +402,7 @@
             whole = true;
         } catch (IOException e) {
             LOG.log(Level.FINE, "long answer broke: {0}", e.toString());
-            abort(body.length() < 0 && !chunked);
+            ending.abort(body.length() < 0 && !chunked);
         } finally {
             Pieces.give(piece);
             answered(true);
@@ -433,33 +413,41 @@
         return whole;
     }
 
-    private void abort(boolean withReset) {
-        try {
-            if (withReset) {
-                socket.setSoLinger(true, 0);
-            }
-        } catch (IOException e) {
-            LOG.log(Level.FINE, "no reset: {0}", e.toString());
+    /**
+     * Lets a connection between requests go; one on which something has come is served first. The client has {@code
+     * lingerUs} to close too. True where the connection is ending, by this call or an earlier one.
+     */
+    synchronized boolean closeIfIdle(long lingerUs) {
+        if (state == State.IDLE && !hasUnread()) {
+            state = State.CLOSED;
+            ending.begin(lingerUs);
         }
-        close();
+        return state == State.CLOSED;
     }
 
-    /**
-     * Ends a connection between requests; one on which something has come is served first. True where the
-     * connection is ending, by this call or an earlier one.
-     */
-    synchronized boolean closeIfIdle() {
+    /** It has rested for too long; what has just come, and may be no request, is waited for once more. */
+    synchronized void restedTooLong(long lingerUs) {
+        if (!closeIfIdle(lingerUs) && state == State.IDLE) {
+            idleEnd = side.deadlines().after(lingerUs, () -> side.idleForLong(this));
+        }
+    }
+
+    /** Whether something has come that was not looked at. */
+    private boolean hasUnread() {
+        ClientInput from = input;
         try {
-            if (state == State.IDLE && (reader == null || !reader.hasBytes())
-                    && socket.getInputStream().available() == 0) {
-                state = State.CLOSED;
-                close();
-            }
+            return from != null && from.isInHand() || socket.getInputStream().available() > 0;
         } catch (IOException e) {
-            state = State.CLOSED;
-            close();
+            return false;
         }
-        return state == State.CLOSED;
+    }
+
+    /** Has an end that has begun take no longer than this from now on, us; false where none has, or it is over. */
+    synchronized boolean hurry(long lingerUs) {
+        if (state == State.CLOSED) {
+            ending.begin(lingerUs);
+        }
+        return state == State.CLOSED && !ending.isClosed();
     }
 
     /** There is no time left to wait for the answer to the request in hand: it fails, better told than cut off. */
@@ -471,9 +459,9 @@
     }
 
     /** The same where the sidecar is being emptied: one that has just come is given the time to ask. */
-    synchronized void closeToEmpty() {
+    synchronized void closeToEmpty(long lingerUs) {
         if (asked || side.deadlines().now() - sinceUs >= FRESH_US) {
-            closeIfIdle();
+            closeIfIdle(lingerUs);
         }
     }
 
@@ -483,16 +471,20 @@
     }
 
     /**
-     * Closes a grown stranger that says nothing or only the beginning of a request, and one that has its last
-     * answer: true if this was one.
+     * Closes a grown stranger, which has no answer to lose: true if this was one. In the middle of a request it has
+     * longer, but for a {@code flood} of strangers, and where what came is not looked at yet, in any case.
      */
-    synchronized boolean closeIfStranger() {
-        boolean grown = isStranger() && side.deadlines().now() - sinceUs >= STRANGER_US;
-        if (grown || state == State.CLOSED) {
-            state = State.CLOSED;
-            close();
-            return true;
+    synchronized boolean closeIfStranger(boolean flood) {
+        if (!isStranger()) {
+            return false;
+        }
+        long ageUs = side.deadlines().now() - sinceUs;
+        boolean waits = state == State.READING && !flood || hasUnread();
+        if (ageUs < (waits ? HALF_US : STRANGER_US)) {
+            return false;
         }
-        return false;
+        state = State.CLOSED;
+        close();
+        return true;
     }
 }
