A zone is left only where another has hosts: the only one was lost, and then taken for cold

Checked: the lines come from Balance.learn, four attempts in a row that met nobody. Ruled out: hosts that restarted (most of these zones were never gone; a third of the connections come up late there, beyond the connect's 100 ms).

At fault: ZoneLoss.isLost, which asks for no other zone; with the only one lost, Admission.usable lets nothing through but one try a second, Admission.pick's last resort sends all to one buddy, and once the zone is back Balance.learn takes each of its hosts for freshly started, for up to 24 s. And learn took an attempt that was given up or cut (CANCELLED) for one that met somebody, so that a client that left made a lost zone come back.

Change: BuddySet.form forgets losses where all zones with ready hosts are lost; only an answer or a reset tells of somebody; what is back is what has just been met. Admission keeps no settings of its own (four lines).

--- a/core/src/main/java/dapplequay/Admission.java
+++ b/core/src/main/java/dapplequay/Admission.java
@@ -12,7 +12,6 @@
     private static final double ASKING_WORTH = 0.5;
 
     private final BuddySet set;
-    private Settings settings;
     private boolean someRepeatable;
 
     Admission(BuddySet set) {
@@ -20,7 +19,6 @@
     }
 
     void use(Settings next) {
-        settings = next;
         someRepeatable = next.classes().stream().anyMatch(c -> c.semantics() != Semantics.FRAGILE);
     }
 
@@ -52,7 +50,7 @@
             }
         }
         if (head == null) {           // each is failing, on trial or cold: the first in order that the rules allow
-            return set.buddies.stream().filter(s -> h.mayGo(now, s, settings.limits()) && !h.attempts.contains(s)
+            return set.buddies.stream().filter(s -> h.mayGo(now, s, set.settings.limits()) && !h.attempts.contains(s)
                     && (s.warmth(now) >= 1 || s.own == 0)).findFirst().orElse(null);
         }
         if (order != set.buddies) {
@@ -69,14 +67,14 @@
 
     /** Crossing zones has a price: a diversion crosses only if it saves that share of the aim. */
     private boolean worthDiverting(long now, Held h, Server s, Server head) {
-        return s.zone == head.zone || s.zone == settings.zone()
+        return s.zone == head.zone || s.zone == set.settings.zone()
                 || Math.min(1, head.figure(now) / h.type.aimUs()) - s.figure(now) / h.type.aimUs()
-                > settings.prices().crossZone();
+                > set.settings.prices().crossZone();
     }
 
     /** By the rules and for all that is known of it; a suspect is tried by what can be repeated, one at a time. */
     boolean usable(long now, Held h, Server s) {
-        return h.mayGo(now, s, settings.limits()) && !h.attempts.contains(s) && now >= s.shunUntil
+        return h.mayGo(now, s, set.settings.limits()) && !h.attempts.contains(s) && now >= s.shunUntil
                 && (!set.zoneLoss.isLost(s.zone) || set.zoneLoss.mayTry(now, s.zone) && h.attempts.isEmpty())
                 && !(s.trial && (s.own > 0 || someRepeatable && h.type.semantics() == Semantics.FRAGILE))
                 && (s.warmth(now) >= 1 || h.attempts.isEmpty() && s.own == 0 && now >= s.coldUntil);
--- a/core/src/main/java/dapplequay/Balance.java
+++ b/core/src/main/java/dapplequay/Balance.java
@@ -144,18 +144,17 @@
     private void learn(long now, Server s, Outcome outcome, long tookUs, LoadReport report) {
         // No answer at all since the leg began: the machine is gone, which tells nothing of queues.
         boolean silent = outcome == Outcome.TIMEOUT && s.answeredAt <= now - tookUs && (s.own > 0 || s.trial);
-        if (outcome == Outcome.OK || outcome == Outcome.ERROR || outcome == Outcome.REFUSED) {
-            s.answeredAt = now;
-        }
+        boolean answered = outcome == Outcome.OK || outcome == Outcome.ERROR || outcome == Outcome.REFUSED;
+        s.answeredAt = answered ? now : s.answeredAt;
         s.silentSince = now;
         boolean nobody = silent || outcome == Outcome.CONNECT_FAILED && tookUs < LATE_SHARE * set.leastAim;
-        boolean met = outcome != Outcome.CONNECT_FAILED && outcome != Outcome.TIMEOUT && outcome != Outcome.NOT_SENT;
+        boolean met = answered || outcome == Outcome.RESET;     // what was given up met nobody, nor did it not
         if ((nobody || met) && set.zoneLoss.ended(s.zone, nobody)) {
-            boolean lost = set.zoneLoss.isLost(s.zone);
             // What is back has started anew, long before the list says so.
-            set.servers.values().stream().filter(o -> o.zone == s.zone && !lost).forEach(o -> o.startedUs = now);
-            actions.log("zone " + (lost ? "lost: " : "back: ") + settings.zones().get(s.zone));
+            set.servers.values().stream().filter(o -> met && o.zone == s.zone).forEach(o -> o.startedUs = now);
             set.form(now);
+            actions.log((met ? "zone back: " : set.zoneLoss.isLost(s.zone) ? "zone lost: " : "no zone answers: ")
+                    + settings.zones().get(s.zone));
         }
         suspects.judge(now, s, outcome, silent);
         s.heard(now, report);
--- a/core/src/main/java/dapplequay/BuddySet.java
+++ b/core/src/main/java/dapplequay/BuddySet.java
@@ -39,8 +39,8 @@
     int answers = 1;              // the guess at the start counts as one
     ColdBudget cold;
     final SplittableRandom random;
-    final ZoneLoss zoneLoss;
-    private Settings settings;
+    ZoneLoss zoneLoss;
+    Settings settings;
     private int size = SIZE;
     private long resizedAt;
 
@@ -106,6 +106,9 @@
     /** Fills the set from the ready servers, when the list, a zone's loss or the set's size changes. */
     void form(long now) {
         List<Server> ready = servers.values().stream().filter(s -> s.ready).toList();
+        if (ready.stream().allMatch(s -> zoneLoss.isLost(s.zone))) {
+            zoneLoss = new ZoneLoss(settings.zones().size(), Suspects.SHUN_US);  // there is no other to turn to
+        }
         Comparator<Server> permuted = Comparator.comparingDouble((Server s) -> s.orderKey / s.size)
                 .thenComparing(s -> s.host);
         int home = homeZone();
