After any failed call to discovery its list is whole within 5.6 s of its return

Term: after a call that failed, was refused or was given up, a change counts as told 6 s after discovery had it and could be reached.

Seen by reading. ListClock.longestPauseUs bounded the pause after silent calls only; after a refusal, a reset, a 503 or rubbish Watch.run kept AskPace.failedUs, up to half of ask_within. Watch.hear refused an older version for 30 s (OLDER_US). Watch.moveTo: an address that came between a call's failure and facade.news(failed) waited out that pause, as news() takes back what watchAnew() had wanted; A, B, A left hasMoved() false with the socket closed, a failure as it seemed. A doubted list of the old address was believed when moveTo cut its second call, and Doubt slept in the watch's thread. Sound, as the closed socket ends the call and the loop looks again: a move between the lock and the connect, before the request is written, while the answer is read.

One bound in ListClock: no call waits until one has succeeded; the next begins 3.25 s after the failed one began at the latest (1.95 s within 4 s of a new address) and has 2.35 s. The first pause is drawn from all of that time, later ones from its second half; where discovery shows that others queue, the watch lets their first calls go before. Moves are counted and not compared; pauses are waits that a move and the end cut short; a move forgets the doubt. LostCount: of an older list drains count at once, missing hosts from the third list and 1 s on, what it brings back after 30 s; its changes are watched for under their own count. Doubt has what failed calls leave of the grace.

Ruled out: giving up after 2.35 s (more calls, in vain where discovery drops what has waited 3 s), believing an older list as a whole within 6 s (RestartTest: a late discovery would bring back what drains).

--- a/core/src/main/java/dapplequay/membership/AskPace.java
+++ b/core/src/main/java/dapplequay/membership/AskPace.java
@@ -6,8 +6,9 @@
 /**
  * When an instance asks for the list. Pure: no clock; pauses are in microseconds. One of many asks a discovery service
  * that does not grow with them. Their first questions are spread over half of the time within which each has to ask, by
- * the instance's number; after a failure an instance backs off, doubling, with jitter over half of the pause. An agent
- * of its own, to which lists are pushed, it asks at once: what the agent has counts as told, so that a pause after a
+ * the instance's number; after a failure an instance backs off, doubling, with jitter over half of the pause. (On
+ * sockets {@link ListClock} goes before that: what discovery has counts as told soon after it is back.) An agent of its
+ * own, to which lists are pushed, it asks at once: what the agent has counts as told, so that a pause after a
  * failed call takes from the drain's grace.
  */
 public final class AskPace {
--- a/core/src/main/java/dapplequay/membership/ListClock.java
+++ b/core/src/main/java/dapplequay/membership/ListClock.java
@@ -11,11 +11,24 @@
  * <p>What it is held to (the operators' page on the standing test): a call that stays silent is broken. What it missed
  * counts as told {@link #MISSED_US} after it fell silent, and of a call that may wait no sooner than {@link
  * #AFTER_WAIT_US} after that wait is over, whether it arrived or not; then the drain's grace begins. When a call fell
- * silent nobody here can tell, so that its beginning stands for it. From this follow
+ * silent nobody here can tell, so that its beginning stands for it. And before all else: after a call that failed, was
+ * refused or was given up, a change counts {@link #MISSED_US} after discovery had it and could be reached. From this
+ * follow
  * <ul>
- * <li>the limit of a call that does not wait: half of {@link #MISSED_US}, so that one more of the same length is
- *     whole before anything counts. An agent of the sidecar's own answers at once and is left no longer than a sixth;
- *     after a new configuration, what the new address has counts {@link #MOVED_US} later, and two calls fit into that;
+ * <li>after any failure: calls do not wait until one has succeeded, and the next one begins no later than {@link
+ *     #AGAIN_US} after the failed one began (after one that waited: ended). Discovery may have come back just after
+ *     that one began, and left it hanging: then the next one is whole {@link #AGAIN_US} + {@link #CALL_US} = 5.6 s
+ *     after the return where discovery answers within {@link #CALL_US}, its connect and its queue included. 0.4 s
+ *     and the whole of the grace are left for taking it over;
+ * <li>the limit of a call that does not wait: all of {@link #AGAIN_US}. Giving up sooner would bring nothing sooner,
+ *     and a discovery that has too many callers works for nobody where all have hung up by the time of their turn. An
+ *     agent of the sidecar's own answers at once and is left no longer than a sixth of {@link #MISSED_US}. After a
+ *     new configuration, what the new address has counts {@link #MOVED_US} later, and two calls fit into that;
+ * <li>the pause before it: drawn from all of that time after the first failure, as one event has met the whole fleet
+ *     at one moment, and from its second half after further ones, as fewer calls do then. How soon an agent is asked
+ *     again, the module says, within the same bound;
+ * <li>the watch after the first success: at once where discovery is idle. Where the answer shows that others queue,
+ *     it begins {@link #AGAIN_US} after the call that was answered, behind the first calls of those;
  * <li>the limit of one that waits: its wait and a third of {@link #AFTER_WAIT_US}, which leaves two thirds and the
  *     grace for connecting anew, asking what there is now, and acting on it;
  * <li>an answer that has begun to come has a quarter of {@link #MISSED_US} for the rest, within the limit: it is
@@ -26,9 +39,9 @@
  *     within which each has to ask anyhow, a quarter of them taken at random: watches that one change has ended do not
  *     end together again.
  * </ul>
- * The call after a silent one does not wait: it either brings what was missed, or is seen to be silent in its turn,
- * after half of what is left until the missed counts. Where discovery stays silent there is nothing to know: the list
- * stays as it is, and calls go on at the module's pace.
+ * The call after a silent watch follows at once: it either brings what was missed, or is seen to be silent in its turn,
+ * after half of what is left until the missed counts; the next ones have their full time. Where discovery stays silent
+ * there is nothing to know: the list stays as it is, and calls go on within the bound.
  */
 public final class ListClock {
     /** What a call that has fallen silent missed counts as told so much later. */
@@ -39,6 +52,15 @@
     public static final long MOVED_US = 4_000_000;
     /** The longest wait that is asked for. */
     public static final long LONGEST_WAIT_US = 20_000_000;
+    /** From the beginning of a call that failed to that of the next one, at the most. */
+    static final long AGAIN_US = 3_250_000;
+    /** What a call after a failure has for connect and answer, at the least. */
+    static final long CALL_US = 2_350_000;
+    /** Discovery works for a quarter of a second on a call: an answer that takes longer than two had to queue. */
+    private static final long QUEUED_US = 500_000;
+    /** The two in the time that a new address is left: 3.8 s of 4 together. */
+    static final long MOVED_AGAIN_US = 1_950_000;
+    static final long MOVED_CALL_US = 1_850_000;
     /** That it has nothing to tell yet: what was missed counts as told after {@link #MISSED_US} all the same. */
     static final long AGENT_WAIT_US = MISSED_US - AFTER_WAIT_US;
     private static final double ASKED_SHARE = 0.75;
@@ -53,12 +75,16 @@
     private final Supplier<Discovery> settings;
     private final SplittableRandom random;
     private boolean isMoved;
-    private boolean isUnsure;       // the last call was silent: what there is now is asked for, without a wait
+    private long movedUs = NEVER;   // the first call to the new address began then
+    private boolean isUnsure;       // the last call failed: what there is now is asked for, without a wait
+    private boolean watchWasSilent;         // it was the last call
     private long beganUs;
     private long waitUs;
     private long limitUs;
+    private long againUs = NEVER;   // the next call begins then: one that failed came before
     private long toldUs = NEVER;    // from then on what was missed since discovery was last heard counts as told
     private long nextToldUs = NEVER;        // the same of what the last silent call missed
+    private long returnToldUs = NEVER;      // the same of what came after the last call that failed
 
     /**
      * {@code settings}: of the moment, as they may change; {@code random}: spreads this one's calls among the others'.
@@ -75,16 +101,25 @@
     public long begin(long now, boolean all) {
         Discovery discovery = settings.get();
         beganUs = now;
+        againUs = NEVER;
+        movedUs = isMoved && movedUs == NEVER ? now : movedUs;
         waitUs = all ? 0 : isUnsure ? 1 : longestWaitUs(discovery);
         if (waitUs > 1) {
             limitUs = now + waitUs + AFTER_WAIT_US / 3;
         } else {
-            long usualUs = isMoved ? MOVED_US / 2 : discovery.onRequest() ? MISSED_US / 2 : MISSED_US / 6;
-            limitUs = now + (now >= toldUs ? usualUs : Math.min(usualUs, Math.max(LEAST_LIMIT_US, (toldUs - now) / 2)));
+            long usualUs = isNewThere(now) ? MOVED_CALL_US : discovery.onRequest() ? AGAIN_US : MISSED_US / 6;
+            long leftUs = watchWasSilent && now < toldUs ? (toldUs - now) / 2 : usualUs;
+            limitUs = now + Math.min(usualUs, Math.max(LEAST_LIMIT_US, leftUs));
         }
+        watchWasSilent = false;
         return waitUs;
     }
 
+    /** Whether what a new address has is about to count. */
+    private boolean isNewThere(long now) {
+        return isMoved && now - movedUs < MOVED_US;
+    }
+
     private long longestWaitUs(Discovery discovery) {
         if (!discovery.onRequest()) {
             return AGENT_WAIT_US;
@@ -103,6 +138,18 @@
         limitUs = Math.min(limitUs, now + ANSWER_US);
     }
 
+    /**
+     * When the watch may begin that follows on the answer which has just come: at once, but after a failure that has
+     * met others, too, where the answer shows that they queue. Then it leaves them their turn: it begins as late as a
+     * further call of one that had not been heard yet, and within half of the time for which none is needed. To be
+     * asked before {@link #heard}.
+     */
+    public long watchFromUs(long now) {
+        Discovery discovery = settings.get();
+        boolean queued = isUnsure && discovery.onRequest() && now - beganUs > QUEUED_US;
+        return queued ? beganUs + Math.min(AGAIN_US, discovery.askWithinUs() / 2) : now;
+    }
+
     /** It was answered whole, and that was taken over. */
     public void heard() {
         isMoved = false;
@@ -111,19 +158,42 @@
 
     private void settle() {
         isUnsure = false;
+        watchWasSilent = false;
+        movedUs = NEVER;
+        againUs = NEVER;
         toldUs = NEVER;
         nextToldUs = NEVER;
+        returnToldUs = NEVER;
     }
 
-    /** It was given up: true where the next one follows at once, false where the module's pace is kept. */
+    /** It was given up: true where the next one follows at once, false where a pause is kept. */
     public boolean silent() {
         nextToldUs = beganUs + Math.max(MISSED_US, waitUs + AFTER_WAIT_US);
         toldUs = Math.min(toldUs, nextToldUs);
+        watchWasSilent = waitUs > 1;
         boolean first = !isUnsure;
-        isUnsure = true;
+        again(beganUs);
+        againUs = first ? beganUs : againUs;
         return first;
     }
 
+    /**
+     * It failed before its time was over. {@code spoke}: by an answer that can't be used, so that discovery was there,
+     * and may have been since an earlier failure; else it was not, and what it has to tell begins to count anew.
+     */
+    public void failed(long now, boolean spoke) {
+        long countsUs = now + MISSED_US;
+        returnToldUs = spoke ? Math.min(returnToldUs, countsUs) : countsUs;
+        again(waitUs > 1 ? now : beganUs);
+    }
+
+    private void again(long fromUs) {
+        long mostUs = isNewThere(fromUs) ? MOVED_AGAIN_US : AGAIN_US;
+        long leastUs = isUnsure ? mostUs / 2 : 0;
+        againUs = fromUs + leastUs + random.nextLong(mostUs - leastUs + 1);
+        isUnsure = true;
+    }
+
     /** Discovery is at another address: what was missed at the old one is of no use to anybody. */
     public void moved() {
         isMoved = true;
@@ -131,18 +201,27 @@
     }
 
     /**
-     * The longest pause before the next call: {@link Long#MAX_VALUE} where nothing that was missed is about to count.
+     * The longest pause before the next call: {@link Long#MAX_VALUE} where none failed, and nothing that was missed
+     * is about to count.
      */
     public long longestPauseUs(long now) {
+        long pauseUs = againUs == NEVER ? NEVER : Math.max(1, againUs - now);
         long countsUs = now < toldUs ? toldUs : nextToldUs;
-        return countsUs == NEVER || now >= countsUs ? NEVER : Math.max(1, (long) (PAUSE_SHARE * (countsUs - now)));
+        return countsUs == NEVER || now >= countsUs ? pauseUs
+                : Math.min(pauseUs, Math.max(1, (long) (PAUSE_SHARE * (countsUs - now))));
+    }
+
+    /** Whether that pause is kept in full, whatever the module wants: many share one discovery. */
+    public boolean keepsPause() {
+        return settings.get().onRequest();
     }
 
     /**
-     * What is left of the drain's grace for what has just come, after a silence that may have eaten of it; 0 or more.
+     * What is left of the drain's grace for what has just come, after failures that may have eaten of it; 0 or more.
      */
     public long graceLeftUs(long now) {
         long graceUs = settings.get().drainGraceUs();
-        return toldUs > now ? graceUs : Math.max(0, graceUs - (now - toldUs));
+        long countsUs = Math.min(toldUs, returnToldUs);
+        return countsUs > now ? graceUs : Math.max(0, graceUs - (now - countsUs));
     }
 }
--- a/core/src/main/java/dapplequay/recovery/Doubt.java
+++ b/core/src/main/java/dapplequay/recovery/Doubt.java
@@ -34,6 +34,11 @@
         doubting = false;
     }
 
+    /** Discovery is elsewhere: neither answer counts. */
+    public void forget() {
+        doubting = false;
+    }
+
     /** The pause before the second question, and the longest wait for its answer. */
     public static long pauseUs(long drainGraceUs) {
         return (long) (drainGraceUs * PAUSE_SHARE);
--- a/sidecar/src/main/java/dapplequay/net/RoutingTable.java
+++ b/sidecar/src/main/java/dapplequay/net/RoutingTable.java
@@ -110,6 +110,36 @@
         return before;
     }
 
+    /**
+     * What an update with an older version takes out, as changes to the version known: hosts that it says drain or are
+     * deleted, and, with {@code ends}, those that it does not name. A drain before a later start of the host is over.
+     */
+    synchronized Update outsOf(Update older, boolean ends) {
+        List<Line> outs = new ArrayList<>();
+        Map<String, InetSocketAddress> endpoints = new HashMap<>();
+        Set<String> named = new HashSet<>();
+        for (Line line : older.news().lines()) {
+            named.add(line.uid());
+            Listed listed = routes.get(line.uid());
+            boolean drains = line.state() == State.DRAINING && listed != null && listed.state() == State.SERVING
+                    && line.bootMs() >= listed.line().bootMs();
+            if (drains || line.state() == State.DELETED && listed != null) {
+                outs.add(in(line.state(), listed.line()));
+                endpoints.put(line.uid(), listed.route().endpoint());
+            }
+        }
+        for (Listed listed : routes.values()) {
+            if (ends && !named.contains(listed.line().uid())) {
+                outs.add(in(State.DELETED, listed.line()));
+            }
+        }
+        return new Update(revision, new ListNews(ListNews.Kind.CHANGES, outs), endpoints);
+    }
+
+    private static Line in(State state, Line known) {
+        return new Line(known.uid(), known.zone(), known.cell(), state, known.weight(), known.bootMs());
+    }
+
     private Set<Route> serving() {
         Set<Route> serving = new HashSet<>();
         for (Listed listed : routes.values()) {
--- a/sidecar/src/main/java/dapplequay/net/Watch.java
+++ b/sidecar/src/main/java/dapplequay/net/Watch.java
@@ -7,21 +7,24 @@
 import dapplequay.http.Sockets;
 import dapplequay.membership.ListClock;
 import dapplequay.recovery.Doubt;
+import dapplequay.recovery.LostCount;
 import dapplequay.settings.Json;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.net.SocketException;
 import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
+import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
 import java.util.logging.Level;
 import java.util.logging.Logger;
 
 /**
  * The discovery client: watches for changes as long as the module wants that, one call after the other. How long a
- * call may wait, and whether the next one follows at once, {@link ListClock} says. When to begin again after a failure
- * is the module's to say: it backs off with jitter, as all sidecars share one discovery service. A new address is
- * asked at once, and for the whole list: its versions may be counted anew.
+ * call may wait, and how soon the next one follows after a failure, {@link ListClock} says; an agent of the sidecar's
+ * own is asked again as soon as the module wants that. A new address is asked at once, and for the whole list: its
+ * versions may be counted anew.
  */
 final class Watch implements Runnable {
     private static final Logger LOG = Logger.getLogger(Watch.class.getName());
@@ -30,18 +33,18 @@
      * second.
      */
     private static final long CONNECT_US = 1_000_000;
-    /** For so long, us, a list older than the one known is taken for a mistake of who gave it. */
-    private static final long OLDER_US = 30_000_000;
     /** For so long, us, after it was heard a version counts: a quiet watch, and as long as an older one is refused. */
-    static final long VERSION_COUNTS_US = ListClock.LONGEST_WAIT_US + ListClock.AFTER_WAIT_US + OLDER_US;
+    static final long VERSION_COUNTS_US = ListClock.LONGEST_WAIT_US + ListClock.AFTER_WAIT_US + LostCount.ALL_US;
 
     private final RoutingTable table;
     private final Facade facade;
     private final IssuerSide issuers;
     private InetSocketAddress discovery;
-    /** The open connection and whom it leads to; both change under the lock, as {@link #moveTo} closes it. */
+    private int moves;
+    /** The open connection and whom it leads to; all change under the lock, as {@link #moveTo} closes it. */
     private Socket socket;
     private InetSocketAddress asked;
+    private int askedMoves;                 // an address that has come back is a new one: its socket was closed
     private boolean whole;
     private boolean anyVersion;             // of a start that knows none, or at another address
     private final Sidecar.Memory memory;
@@ -50,8 +53,11 @@
     private final Doubt doubt = new Doubt();
     private long doubtEndsUs;               // no second answer is waited for any longer
     private RoutingTable.Update doubted;
+    private final LostCount lostCount = new LostCount();
+    private long followed;                  // the version asked after, while older ones than the one known come
+    private long notBeforeUs;               // the next question about a list that is not believed yet
     private String fault;
-    private long olderSinceUs;
+    private boolean spoke;                  // discovery has answered the call under way
     private MessageReader reader;
     private long waitUs;
     private volatile boolean isEnded;
@@ -73,36 +79,18 @@
     public void run() {
         try {
             while (!isEnded) {
-                facade.awaitWatch(clock.longestPauseUs(now.getAsLong()));
+                pause();
                 try {
                     // Handed over before anything else is done: a drain counts as told once its bytes came.
                     hear(call());
+                    notBeforeUs = whole ? notBeforeUs : clock.watchFromUs(now.getAsLong());
                     clock.heard();
                     if (fault != null) {
                         fault = null;
                         LOG.info("discovery answers again");
                     }
                 } catch (IOException | RuntimeException | OutOfMemoryError e) {
-                    drop();
-                    if (isEnded) {
-                        return;
-                    }
-                    if (doubt.isDoubting()) {
-                        LOG.warning("the list that was doubted counts: no second one came");
-                        doubt.failed();
-                        believe(doubted);
-                    }
-                    if (hasMoved()) {
-                        continue;       // no failure of discovery's: the next call goes to the new address
-                    }
-                    if (!e.toString().equals(fault)) {       // one line a cause: an agent is asked again very soon
-                        fault = e.toString();
-                        LOG.log(Level.WARNING, "discovery call failed: {0}", fault);
-                    }
-                    if (e instanceof SocketTimeoutException && clock.silent()) {
-                        continue;       // what it may have missed counts soon: the next one is not put off
-                    }
-                    facade.news(ListNews.failed());
+                    failed(e, now.getAsLong());
                 }
             }
         } catch (InterruptedException e) {
@@ -112,13 +100,59 @@
         }
     }
 
+    private void failed(Throwable e, long failedUs) {
+        drop();
+        if (isEnded || hasMoved()) {
+            return;             // no failure of discovery's: the next call, if any, goes to the new address
+        }
+        if (doubt.isDoubting()) {
+            LOG.warning("the list that was doubted counts: no second one came");
+            doubt.failed();
+            believe(doubted);
+        }
+        if (!e.toString().equals(fault)) {       // one line a cause: an agent is asked again very soon
+            fault = e.toString();
+            LOG.log(Level.WARNING, "discovery call failed: {0}", fault);
+        }
+        if (!(e instanceof SocketTimeoutException)) {
+            clock.failed(failedUs, spoke);
+        } else if (clock.silent()) {
+            return;             // what it may have missed counts soon: the next one is not put off
+        }
+        facade.news(ListNews.failed());
+        if (hasMoved()) {
+            facade.watchAnew();         // the address came just before the module was told of the old one's failure
+        }
+    }
+
+    /** Until the next call may begin; a new address is asked at once. */
+    private void pause() throws InterruptedException {
+        long begunUs = now.getAsLong();
+        long pauseUs = clock.longestPauseUs(begunUs);
+        facade.awaitWatch(pauseUs);
+        if (pauseUs != Long.MAX_VALUE) {
+            rest(begunUs + pauseUs, clock::keepsPause);
+        }
+        rest(notBeforeUs, () -> true);
+    }
+
+    private synchronized void rest(long untilUs, BooleanSupplier isKept) throws InterruptedException {
+        long leftUs = untilUs - now.getAsLong();
+        while (leftUs > 0 && !isEnded && !hasMoved() && isKept.getAsBoolean()) {
+            wait((leftUs + 999) / 1_000);
+            leftUs = untilUs - now.getAsLong();
+        }
+    }
+
     /** Another address from now on; a call that waits at the old one is cut, as its news may never come. */
     void moveTo(InetSocketAddress next) {
         synchronized (this) {
+            notifyAll();            // other settings, too, may end a pause
             if (next.equals(discovery)) {
                 return;
             }
             discovery = next;
+            moves++;
             Sockets.close(socket);
         }
         LOG.log(Level.INFO, "discovery is at {0} now", Sockets.text(next));
@@ -141,14 +175,15 @@
 
     /** No more calls; one that waits is cut. */
     void end() {
-        isEnded = true;
         synchronized (this) {
+            isEnded = true;
+            notifyAll();
             Sockets.close(socket);
         }
     }
 
     private synchronized boolean hasMoved() {
-        return !discovery.equals(asked);
+        return asked != null && moves != askedMoves;
     }
 
     private synchronized void drop() {
@@ -160,18 +195,19 @@
     private Socket connected() throws IOException {
         Socket opened;
         synchronized (this) {
+            if (isEnded) {
+                throw new SocketException("ended");
+            }
             if (socket != null && !hasMoved()) {
                 begin();
                 return socket;
             }
             drop();
-            boolean moved = asked != null && hasMoved();
-            anyVersion |= moved;
-            whole |= moved;
-            if (moved) {
-                clock.moved();
+            if (hasMoved()) {
+                forgetTheOther();
             }
             asked = discovery;
+            askedMoves = moves;
             socket = opened = new Socket();
         }
         begin();
@@ -181,25 +217,30 @@
         return opened;
     }
 
-    /**
-     * What is older than what is known takes nothing back that was told since. A discovery that has lost its count
-     * goes on so, and is believed after a while.
-     */
-    private void hear(RoutingTable.Update update) throws IOException, InterruptedException {
-        if (!anyVersion && update.revision() < table.revision()) {
-            long nowUs = now.getAsLong();
-            olderSinceUs = olderSinceUs == 0 ? nowUs : olderSinceUs;
-            if (nowUs - olderSinceUs < OLDER_US) {
-                throw new IOException("a list older than the one known");
-            }
-            if (update.news().kind() == ListNews.Kind.CHANGES) {
-                whole = true;       // changes to a list that is not known here: all of it is needed
-                return;
-            }
+    /** Discovery is elsewhere: what is doubted, and how versions are counted, was the other one's. */
+    private void forgetTheOther() {
+        anyVersion = true;
+        whole = true;
+        clock.moved();
+        doubt.forget();
+        doubted = null;
+        lostCount.forget();
+        notBeforeUs = 0;
+    }
+
+    /** Takes over what counts of an answer, and sees to it that the rest is asked for. */
+    private void hear(RoutingTable.Update update) {
+        notBeforeUs = 0;
+        boolean isWhole = update.news().kind() == ListNews.Kind.WHOLE;
+        if (!anyVersion && update.revision() < table.revision() && !hearOlder(update, isWhole)) {
+            return;
+        }
+        if (lostCount.isLost()) {
+            lostCount.forget();
+            whole |= !isWhole;      // changes to a list of which not all was taken over
         }
-        olderSinceUs = 0;
         anyVersion = false;
-        if (update.news().kind() == ListNews.Kind.WHOLE && isDoubtful(update)) {
+        if (isWhole && isDoubtful(update)) {
             doubted = update;
             // The version stays: a life that begins with what is kept by now has to be told of the missing ones, too.
             take(new RoutingTable.Update(table.revision(), new ListNews(ListNews.Kind.CHANGES, update.news().lines()),
@@ -208,13 +249,37 @@
             // A silence before it may have eaten of the grace: doubt has only what is left of that.
             long nowUs = now.getAsLong();
             long pauseUs = Doubt.pauseUs(clock.graceLeftUs(nowUs));
+            notBeforeUs = nowUs + pauseUs;
             doubtEndsUs = nowUs + 2 * pauseUs;
-            Thread.sleep(pauseUs / 1_000);
             return;
         }
         take(update);
     }
 
+    /** True where all of it counts; else what it takes out does, as far as {@link LostCount} believes it. */
+    private boolean hearOlder(RoutingTable.Update update, boolean isWhole) {
+        if (!lostCount.isLost()) {
+            LOG.log(Level.WARNING, "a list with version {0}, older than {1}: what it brings back does not count yet",
+                    new Object[] {Long.toString(update.revision()), Long.toString(table.revision())});
+        }
+        long nowUs = now.getAsLong();
+        LostCount.Belief belief = lostCount.heard(nowUs);
+        if (belief == LostCount.Belief.ALL && isWhole) {
+            return true;
+        }
+        RoutingTable.Update outs = table.outsOf(update, isWhole && belief == LostCount.Belief.ENDS);
+        if (!outs.news().lines().isEmpty()) {
+            take(outs);
+        }
+        // Changes that follow on what was heard of this count are watched for; all else is asked for again.
+        boolean follows = isWhole ? belief == LostCount.Belief.ENDS
+                : belief == LostCount.Belief.ENDS && update.revision() >= followed && followed >= 0;
+        followed = follows ? update.revision() : -1;
+        whole = !follows;
+        notBeforeUs = follows ? 0 : nowUs + lostCount.pauseUs(nowUs);
+        return false;
+    }
+
     private boolean isDoubtful(RoutingTable.Update update) {
         int[] count = table.servingAndMissing(update);
         boolean second = doubt.isDoubting();
@@ -223,7 +288,7 @@
             LOG.log(Level.WARNING, "a list without {0} of {1} hosts that served {2}", new Object[] {count[1], count[0],
                 second ? "came again, and counts" : "is asked for again before it counts"});
         }
-        return !believed;
+        return !believed || second && hasMoved();       // doubted at one address, it is not believed at another
     }
 
     private void believe(RoutingTable.Update update) {
@@ -247,8 +312,10 @@
     }
 
     private RoutingTable.Update call() throws IOException {
+        spoke = false;
         Socket to = connected();
-        String query = whole ? "" : "?after=" + table.revision() + "&wait_ms=" + Math.max(1, waitUs / 1_000);
+        long after = lostCount.isLost() ? followed : table.revision();
+        String query = whole ? "" : "?after=" + after + "&wait_ms=" + Math.max(1, waitUs / 1_000);
         String request = "GET /v1/servers" + query + " HTTP/1.1\r\nHost: " + Sockets.text(asked) + "\r\n\r\n";
         to.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
         Head head = reader.response();
@@ -256,6 +323,7 @@
         if (!head.start[1].equals("200")) {
             throw new IOException("discovery answered " + head.start[1]);
         }
+        spoke = true;
         RoutingTable.Update update = RoutingTable.read(body);
         whole = false;
         if (head.closes(head.start[0]) || MessageReader.lastsToTheEnd(head) || reader.hasBytes()) {
--- a/sidecar/src/test/java/dapplequay/cli/ScriptedDiscovery.java
+++ b/sidecar/src/test/java/dapplequay/cli/ScriptedDiscovery.java
@@ -27,8 +27,8 @@
     private static final long DRIP_NS = 200_000_000L;
     private static final Pattern WATCH = Pattern.compile("after=(\\d+)&wait_ms=(\\d+)");
 
-    /** What a connection does with the calls on it. */
-    enum Mode { ANSWER, SILENT, DRIP, HALF }
+    /** What a connection does with the calls on it. RESET, BUSY (503) and RUBBISH end each at once. */
+    enum Mode { ANSWER, SILENT, DRIP, HALF, RESET, BUSY, RUBBISH }
 
     private final boolean pushed;
     private final int port;
@@ -41,6 +41,7 @@
     private long changedNs;
     private long refusingNs;
     private long toldNs = Long.MAX_VALUE;
+    private int failures;
     private boolean closed;
 
     private record Target(String uid, int port, String state, long revision) {
@@ -162,6 +163,36 @@
         }
     }
 
+    /**
+     * It can be reached from now on, by new connections, and has this host draining: calls that hang go on hanging, and
+     * it counts as told 6 s from now at the latest. Returns when that was.
+     */
+    synchronized long returnWith(int host) throws IOException {
+        if (listener.isClosed()) {
+            listen(port);
+        }
+        fresh = Mode.ANSWER;
+        tell(host, "DRAINING");
+        countsFrom(changedNs + SILENCE_NS);
+        return changedNs;
+    }
+
+    /** Its versions are counted from 1 again. */
+    synchronized void loseCount() {
+        revision = 1;
+        targets.replaceAll(target -> new Target(target.uid, target.port, target.state, 1));
+    }
+
+    /** How many calls a fault has ended, or left hanging. */
+    synchronized int failures() {
+        return failures;
+    }
+
+    /** Whether a call hangs. */
+    synchronized boolean isHanging() {
+        return connections.stream().anyMatch(c -> c.calling && c.mode == Mode.SILENT);
+    }
+
     /** No fault any more, and no trace of one. */
     synchronized void settle() throws IOException {
         silentOnes = 0;
@@ -240,6 +271,7 @@
                 calling = true;
                 answer = null;
                 if (mode == Mode.SILENT) {
+                    failures++;
                     silentNs = beginNs;
                     missed();
                 }
@@ -252,8 +284,33 @@
             countsFrom(Math.max(silentNs + SILENCE_NS, beginNs + waitNs + AFTER_WAIT_NS));
         }
 
+        /** False where the mode leaves calls to be answered. */
+        private boolean fails() throws IOException {
+            if (mode != Mode.RESET && mode != Mode.BUSY && mode != Mode.RUBBISH) {
+                return false;
+            }
+            failures++;
+            calling = false;
+            String text = mode == Mode.BUSY ? "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
+                    : "HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\nrubbish";
+            if (mode == Mode.RESET) {
+                reset();
+            } else {
+                socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+            }
+            return true;
+        }
+
         private void answerIfDue() {
             long now = System.nanoTime();
+            try {
+                if (calling && fails()) {
+                    return;
+                }
+            } catch (IOException e) {
+                reset();
+                return;
+            }
             if (!calling || mode == Mode.SILENT || answer == null && after == revision && now < beginNs + waitNs) {
                 return;
             }
--- /dev/null
+++ b/sidecar/src/test/java/dapplequay/net/WatchTest.java
@@ -0,0 +1,345 @@
+package dapplequay.net;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import dapplequay.facade.Facade;
+import dapplequay.facade.ListNews;
+import dapplequay.management.Counts;
+import dapplequay.membership.ListClock;
+import dapplequay.settings.Json;
+import dapplequay.settings.SettingsReader;
+import dapplequay.settings.SettingsReader.Setup;
+import dapplequay.time.Deadlines;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
+import java.util.logging.Handler;
+import java.util.logging.LogRecord;
+import java.util.logging.Logger;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/**
+ * The watch on real sockets, its clock in the test's hand: where it stands still no pause ever ends by itself, and
+ * wherever the watch reads it, or logs a line, a test can make another event fall.
+ */
+@Timeout(60)
+class WatchTest {
+    private static final int HOSTS = 4;
+
+    private final List<AutoCloseable> toClose = new ArrayList<>();
+    private final RoutingTable table = new RoutingTable();
+    private final AtomicLong clock = new AtomicLong(System.nanoTime() / 1_000);
+    private volatile Runnable atClock = () -> { };
+    private volatile Consumer<String> atLog = line -> { };
+    private final Logger logger = Logger.getLogger(Watch.class.getName());
+    private final Handler handler = new Handler() {
+        @Override
+        public void publish(LogRecord line) {
+            atLog.accept(line.getMessage());
+        }
+
+        @Override
+        public void flush() { }
+
+        @Override
+        public void close() { }
+    };
+    private Watch watch;
+    private Thread thread;
+
+    @BeforeEach
+    void listen() {
+        logger.addHandler(handler);
+    }
+
+    @AfterEach
+    void closeAll() throws Exception {
+        atClock = () -> { };
+        atLog = line -> { };
+        logger.removeHandler(handler);
+        if (watch != null) {
+            watch.end();
+            thread.interrupt();
+            thread.join();
+        }
+        for (AutoCloseable one : toClose) {
+            one.close();
+        }
+    }
+
+    private Host discovery(Host.Script script) throws IOException {
+        Host host = new Host(script);
+        toClose.add(host);
+        return host;
+    }
+
+    /** Discovery that leaves every call open. */
+    private Host silent() throws IOException {
+        CountDownLatch never = new CountDownLatch(1);
+        return discovery((head, seen) -> {
+            never.await();
+            return null;
+        });
+    }
+
+    private static InetSocketAddress at(Host host) {
+        return new InetSocketAddress(InetAddress.getLoopbackAddress(), host.port());
+    }
+
+    private static String target(int number, String state) {
+        return "{\"uid\":\"s" + number + "\",\"endpoint\":\"127.0.0.1:" + (7_000 + number) + "\",\"az\":\"north\","
+                + "\"pod_group\":1,\"state\":\"" + state + "\",\"capacity_hint\":1,\"boot_ms\":0}";
+    }
+
+    private static String list(long revision, boolean all, String... targets) {
+        return "{\"rev\":" + revision + ",\"all\":" + all + ",\"targets\":[" + String.join(",", targets) + "]}";
+    }
+
+    /** The list with which the watch begins: all serve, at version 6. */
+    private static String known() {
+        String[] targets = new String[HOSTS];
+        for (int i = 0; i < HOSTS; i++) {
+            targets[i] = target(i, "SERVING");
+        }
+        return list(6, true, targets);
+    }
+
+    /** Starts a watch at that address; the next call is due at once. */
+    private void start(Host first, long graceUs) throws Exception {
+        String text = Files.readString(Path.of("example/config.json"))
+                .replace("\"ask_within_us\"", "\"drain_grace_us\": " + graceUs + ", \"ask_within_us\"");
+        Setup setup = SettingsReader.of(((Map<?, ?>) Json.parse(text.getBytes())).get("settings"), "example");
+        Facade facade = new Facade(setup, 7, clock::get, line -> { });
+        RoutingTable.Update known = RoutingTable.read(known().getBytes());
+        table.take(known);
+        facade.news(new ListNews(ListNews.Kind.RESTORED, known.news().lines()));
+        facade.watchAnew();
+        IssuerSide issuers = new IssuerSide(table, new Deadlines(clock::get), () -> setup, 4, new Counts());
+        ListClock listClock = new ListClock(() -> setup.settings().discovery(), new SplittableRandom(7));
+        watch = new Watch(at(first), table, facade, issuers, new Sidecar.Memory(true, list -> { }), listClock, () -> {
+            atClock.run();
+            return clock.get();
+        });
+        thread = new Thread(watch, "watch");
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    private static String query(Host.Seen seen) {
+        return seen.head().start[1];
+    }
+
+    /** Lost, the new address was asked at the end of the pause after the old one's failure. */
+    @Test
+    void anAddressThatComesRightAfterACallHasFailedIsAskedAtOnce() throws Exception {
+        Host old = discovery((head, seen) -> null);
+        Host next = silent();
+        atLog = line -> {
+            if (line.startsWith("discovery call failed")) {
+                watch.moveTo(at(next));         // before the module is told of the failure
+            }
+        };
+        start(old, 250_000);
+        assertThat(query(next.next())).isEqualTo("/v1/servers");
+        assertThat(old.seen).hasSize(1);
+    }
+
+    /** The address is the same again when the watch looks, but its call was cut: a failure, as it seemed. */
+    @Test
+    void anAddressThatComesBackIsAskedAtOnceAndForAll() throws Exception {
+        Host first = silent();
+        Host second = silent();
+        start(first, 250_000);
+        assertThat(query(first.next())).contains("after=6");
+        CountDownLatch stands = new CountDownLatch(1);
+        CountDownLatch go = new CountDownLatch(1);
+        atClock = () -> {
+            stands.countDown();
+            try {
+                go.await();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        };
+        watch.moveTo(at(second));
+        stands.await();
+        watch.moveTo(at(first));
+        atClock = () -> { };
+        go.countDown();
+        assertThat(query(first.next())).isEqualTo("/v1/servers");
+        assertThat(second.seen).isEmpty();
+    }
+
+    /** Whatever the watch is at: connecting, writing, reading, taking over, or between two calls. */
+    @ParameterizedTest
+    @ValueSource(ints = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12})
+    void aNewAddressIsAskedAtOnceWhereverItsConfigurationFalls(int reading) throws Exception {
+        AtomicInteger version = new AtomicInteger(6);
+        Host old = discovery((head, seen) -> Host.ok(list(version.incrementAndGet(), false)));
+        Host next = silent();
+        AtomicInteger readings = new AtomicInteger();
+        atClock = () -> {
+            if (readings.incrementAndGet() == reading) {
+                watch.moveTo(at(next));
+            }
+        };
+        start(old, 250_000);
+        String query = query(next.next());
+        if (reading < 3) {              // before the first call: nothing was asked elsewhere
+            assertThat(query).contains("after=6");
+        } else {
+            assertThat(query).isEqualTo("/v1/servers");
+        }
+    }
+
+    /** Half a minute of pause would be left; what the old address had lost is not believed at the new one. */
+    @Test
+    void aNewAddressCutsTheDoubtShortAndForgetsIt() throws Exception {
+        Host old = discovery((head, seen) -> Host.ok(list(7, true, target(0, "DRAINING"))));
+        Host next = silent();
+        CountDownLatch doubted = new CountDownLatch(1);
+        atLog = line -> {
+            if (line.startsWith("a list without")) {
+                doubted.countDown();
+            }
+        };
+        start(old, 200_000_000);
+        doubted.await();
+        watch.moveTo(at(next));
+        next.next();
+        assertThat(table.size()).as("none is gone").isEqualTo(HOSTS);
+        assertThat(table.routeOf("s0")).as("the drain counts").isNull();
+    }
+
+    /** From the doubt on to the reading of the second answer: it confirms nothing once the address has changed. */
+    @ParameterizedTest
+    @ValueSource(ints = {1, 2, 3, 4, 6, 8, 10, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22})
+    void aDoubtIsForgottenWhereverANewAddressFalls(int reading) throws Exception {
+        Host old = discovery((head, seen) -> Host.ok(list(7, true, target(0, "DRAINING"))));
+        Host next = silent();
+        AtomicInteger readings = new AtomicInteger(-1);         // since the doubt began
+        AtomicInteger sizeThen = new AtomicInteger();
+        atLog = line -> {
+            if (line.startsWith("a list without") && readings.get() < 0) {
+                readings.set(0);
+            }
+        };
+        atClock = () -> {
+            clock.addAndGet(5_000);
+            if (readings.get() >= 0 && readings.incrementAndGet() == reading) {
+                sizeThen.set(table.size());
+                watch.moveTo(at(next));
+            }
+        };
+        start(old, 250_000);
+        next.next();
+        assertThat(table.size()).as("as it was when the address changed").isEqualTo(sizeThen.get());
+    }
+
+    @Test
+    void anEndCutsTheDoubtShort() throws Exception {
+        Host old = discovery((head, seen) -> Host.ok(list(7, true)));
+        CountDownLatch doubted = new CountDownLatch(1);
+        atLog = line -> {
+            if (line.startsWith("a list without")) {
+                doubted.countDown();
+            }
+        };
+        start(old, 200_000_000);
+        doubted.await();
+        watch.end();
+        thread.join(20_000);
+        assertThat(thread.isAlive()).isFalse();
+    }
+
+    private void letTimePass(AtomicLong aheadUs) {
+        atClock = () -> clock.set(System.nanoTime() / 1_000 + aheadUs.get());
+    }
+
+    /** Versions from 1 again: what is gone is acted on step by step, what comes back waits, and changes are heard. */
+    @Test
+    void aDiscoveryThatLostItsCountIsFollowed() throws Exception {
+        CountDownLatch missedOnce = new CountDownLatch(1);
+        CountDownLatch change = new CountDownLatch(1);
+        CountDownLatch never = new CountDownLatch(1);
+        AtomicInteger wholes = new AtomicInteger();
+        String whole = list(2, true, target(0, "DRAINING"), target(2, "SERVING"), target(3, "SERVING"),
+                target(9, "SERVING"));
+        letTimePass(new AtomicLong());
+        Host lost = discovery((head, seen) -> {
+            String query = query(seen);
+            if (query.contains("after=6&")) {
+                return Host.ok(list(2, false));
+            } else if (query.contains("after=2&")) {
+                change.await();
+                return Host.ok(list(3, false, target(2, "DELETED"), target(8, "SERVING")));
+            } else if (query.contains("after=3&")) {
+                never.await();
+            } else if (wholes.incrementAndGet() == 2) {
+                missedOnce.await();
+            }
+            return Host.ok(whole);
+        });
+        start(lost, 250_000);
+        assertThat(query(lost.next())).contains("after=6&");
+        assertThat(query(lost.next())).isEqualTo("/v1/servers");
+        assertThat(query(lost.next())).isEqualTo("/v1/servers");
+        assertThat(table.routeOf("s0")).as("a drain counts at once").isNull();
+        assertThat(table.routeOf("s1")).as("missing once").isNotNull();
+        missedOnce.countDown();
+        assertThat(query(lost.next())).contains("after=2&");
+        assertThat(table.routeOf("s1")).as("missing again").isNull();
+        assertThat(table.routeOf("s9")).as("what comes back waits").isNull();
+        assertThat(table.routeOf("s2")).isNotNull();
+        change.countDown();
+        assertThat(query(lost.next())).contains("after=3&");
+        assertThat(table.routeOf("s2")).isNull();
+        assertThat(table.routeOf("s8")).isNull();
+        assertThat(table.routeOf("s3")).isNotNull();
+        assertThat(table.revision()).as("a life that begins with it refuses older ones, too").isEqualTo(6);
+    }
+
+    /** What waited is believed after half a minute; a newer version before that has all of it asked for. */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void whatWaitedCountsInTheEnd(boolean newer) throws Exception {
+        CountDownLatch never = new CountDownLatch(1);
+        AtomicLong aheadUs = new AtomicLong();
+        AtomicInteger followed = new AtomicInteger();
+        letTimePass(aheadUs);
+        Host lost = discovery((head, seen) -> {
+            String query = query(seen);
+            if (query.contains("after=2&") && followed.incrementAndGet() == 1) {
+                aheadUs.addAndGet(newer ? 0 : 31_000_000);
+                return Host.ok(list(newer ? 7 : 2, false));
+            }
+            if (followed.get() > 0 && query.contains("after=")) {
+                never.await();
+            }
+            return Host.ok(list(newer && followed.get() > 0 ? 7 : 2, true, target(0, "SERVING"), target(1, "SERVING"),
+                    target(2, "SERVING"), target(9, "SERVING")));
+        });
+        start(lost, 250_000);
+        String last = "";
+        while (followed.get() == 0 || !last.contains(newer ? "after=7&" : "after=2&") || !newer && followed.get() < 2) {
+            last = query(lost.next());
+        }
+        assertThat(table.routeOf("s9")).isNotNull();
+        assertThat(table.routeOf("s3")).isNull();
+    }
+}
