RED, for the acquirer side: three tests of an ending's last moment

Two: with a client that stays after its last answer, or reads nothing, the process is gone 3.90 s after SIGTERM, SIGKILL comes after 3.7. AcquirerSide.awaitEmpty returns with connections left, and a JVM whose threads sit in socket reads waits 0.3 s for them. The process's exit closes these sockets in the same way, so that closing all that are left there, behind door.shut, takes nothing from anybody.

--- a/sidecar/src/test/java/dapplequay/cli/LastMomentTest.java
+++ b/sidecar/src/test/java/dapplequay/cli/LastMomentTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import dapplequay.http.MessageReader;
+import dapplequay.net.Host;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
@@ -114,4 +115,57 @@
         tellToEnd();
         isGoneInTime();
     }
+
+    /** Its request is held when the time is over; it has its failure, and stays. */
+    @Test
+    void aClientThatStaysAfterItsLastAnswerDoesNotKeepTheProcess() throws Exception {
+        Socket held = client();
+        write(held, quote());
+        upstream.next();
+        tellToEnd();
+        assertThat(status(held)).isEqualTo("504");
+        isGoneInTime();
+    }
+
+    @Test
+    void aClientThatReadsNothingDoesNotKeepTheProcess() throws Exception {
+        Socket deaf = client();
+        for (int i = 0; i < 200; i++) {
+            write(deaf, quote());
+        }
+        CompletableFuture<Void> over = new CompletableFuture<>();
+        Host.daemon(() -> {
+            for (int i = 0; i < 200; i++) {
+                upstream.next().write("HTTP/1.1 200 OK\r\nContent-Length: 60000\r\n\r\n" + LONG);
+                if (i == 20) {
+                    over.complete(null);
+                }
+            }
+        });
+        over.get(20, TimeUnit.SECONDS);
+        tellToEnd();
+        isGoneInTime();
+    }
+
+    /** Its last byte comes when all that is held has failed, and the process is there still. */
+    @Test
+    void aRequestThatIsWholeInTheVeryLastMomentIsAnswered() throws Exception {
+        Socket idle = client();
+        write(client(), quote());
+        upstream.next();
+        tellToEnd();
+        // Idle ones go shortly before the end: a head that begins then is not too late for its own time.
+        assertThat(idle.getInputStream().read()).isEqualTo(-1);
+        Socket late = client();
+        String text = quote();
+        write(late, text.substring(0, 40));
+        // The last one that came: once it has failed, all that is held has.
+        Socket held = client();
+        write(held, quote());
+        upstream.next();
+        assertThat(status(held)).isEqualTo("504");
+        write(late, text.substring(40));
+        assertThat(status(late)).isIn("200", "503", "504");
+        isGoneInTime();
+    }
 }
