A cold host's ramp holds for the fleet: turns that lapse, and no way round them

Admission.pick, where nothing was usable, sent to a cold host with nothing of its own out and did not look at coldUntil, again for every refusal. BuddySet.listed notes the hosts before form() has counted the senders, so that after the instances' own restart all first sends fell into 0.2 s. Balance.learn made a zone's hosts cold without a moment of the first send. A pause kept from one's own last send leaves each a send for the moment in which all want one.

Changed: a cold host is sent to in turns, one a pause, from a random moment on, which is worked out when it is asked for, from the senders and pace then known. A turn lapses after half of the settings' time, or an eighth of the pause. What did not serve misses a turn. Nothing is sent on the first guess at the pace while others serve. Where all is cold, one request out of each may be followed by the next once it is answered, as long as the budget bears one of each.

Tries in a lost zone, before it is known to be back, are not counted by the tests: they come from who was not told.

--- a/core/src/main/java/dapplequay/Admission.java
+++ b/core/src/main/java/dapplequay/Admission.java
@@ -13,7 +13,6 @@
 
     private final BuddySet set;
     private Settings settings;
-    private boolean someRepeatable;
 
     Admission(BuddySet set) {
         this.set = set;
@@ -21,7 +20,6 @@
 
     void use(Settings next) {
         settings = next;
-        someRepeatable = next.classes().stream().anyMatch(c -> c.semantics() != Semantics.FRAGILE);
     }
 
     /** Where the request goes now, one of so many held; null: it has to be answered. */
@@ -51,9 +49,9 @@
                 unasked = s;
             }
         }
-        if (head == null) {           // each is failing, on trial or cold: the first in order that the rules allow
+        if (head == null) {           // each is failing, on trial or cold: the first that rules and budget allow
             return set.buddies.stream().filter(s -> h.mayGo(now, s, settings.limits()) && !h.attempts.contains(s)
-                    && (s.warmth(now) >= 1 || s.own == 0)).findFirst().orElse(null);
+                    && (s.warmth(now) >= 1 || s.hasTurn(now, true))).findFirst().orElse(null);
         }
         if (order != set.buddies) {
             List<Server> open = order.stream().filter(s -> usable(now, h, s)).toList();
@@ -78,7 +76,8 @@
     boolean usable(long now, Held h, Server s) {
         return h.mayGo(now, s, settings.limits()) && !h.attempts.contains(s) && now >= s.shunUntil
                 && (!set.zoneLoss.isLost(s.zone) || set.zoneLoss.mayTry(now, s.zone) && h.attempts.isEmpty())
-                && !(s.trial && (s.own > 0 || someRepeatable && h.type.semantics() == Semantics.FRAGILE))
-                && (s.warmth(now) >= 1 || h.attempts.isEmpty() && s.own == 0 && now >= s.coldUntil);
+                && !(s.trial && (s.own > 0 || h.type.semantics() == Semantics.FRAGILE
+                && settings.classes().stream().anyMatch(c -> c.semantics() != Semantics.FRAGILE)))
+                && (s.warmth(now) >= 1 || h.attempts.isEmpty() && s.hasTurn(now, false));
     }
 }
--- a/core/src/main/java/dapplequay/Balance.java
+++ b/core/src/main/java/dapplequay/Balance.java
@@ -84,24 +84,23 @@
     /** Sends the request on if anything may take it, and answers it otherwise. */
     private void proceed(long now, Held h) {
         Server s = h.usefulUntil - now < MIN_ATTEMPT_US ? null : admission.pick(now, h, held.size());
-        if (s == null || !send(now, h, s)) {
+        if (s != null && h.mayGo(now, s, settings.limits())) {
+            send(now, h, s);
+        } else {
             answer(now, h);
         }
     }
 
-    private boolean send(long now, Held h, Server s) {
-        if (!h.mayGo(now, s, settings.limits())) {
-            return false;
-        }
+    private void send(long now, Held h, Server s) {
         h.sent(now, s);
         s.silentSince = s.own++ == 0 ? now : s.silentSince;
         set.zoneLoss.sent(now, s.zone);
-        s.coldUntil = now + s.coldPause(now);
+        s.turnsFrom = now;
+        s.turnPhase = 0;
         actions.send(h.request.id(), s.host, Math.max(MIN_ATTEMPT_US, h.usefulUntil - now));
         if (!watching) {
             watch(settings.limits().mayCancel());
         }
-        return true;
     }
 
     /** The one final answer. Refused where the client may safely try again, failed otherwise. */
@@ -150,12 +149,13 @@
             s.answeredAt = now;
         }
         s.silentSince = now;
+        s.turnPhase -= outcome == Outcome.OK ? 0 : 1;     // a cold one that did not serve misses a turn
         boolean nobody = silent || outcome == Outcome.CONNECT_FAILED && tookUs < LATE_SHARE * set.leastAim;
         boolean met = outcome != Outcome.CONNECT_FAILED && outcome != Outcome.TIMEOUT;
         if ((nobody || met) && set.zoneLoss.ended(s.zone, nobody)) {
             boolean lost = set.zoneLoss.isLost(s.zone);
             // What is back has started anew, long before the list says so.
-            set.servers.values().stream().filter(o -> o.zone == s.zone && !lost).forEach(o -> o.startedUs = now);
+            set.servers.values().stream().filter(o -> o.zone == s.zone && !lost).forEach(o -> o.startedCold(now, now));
             actions.log("zone " + (lost ? "lost: " : "back: ") + settings.zones().get(s.zone));
             set.form(now);
         }
--- a/core/src/main/java/dapplequay/BuddySet.java
+++ b/core/src/main/java/dapplequay/BuddySet.java
@@ -4,12 +4,7 @@
 import dapplequay.limits.ColdBudget;
 import dapplequay.membership.Scatter;
 import dapplequay.membership.ZoneLoss;
-import java.util.ArrayList;
-import java.util.Comparator;
-import java.util.LinkedHashMap;
-import java.util.List;
-import java.util.Map;
-import java.util.SplittableRandom;
+import java.util.*;
 import java.util.stream.IntStream;
 
 /** The servers that are listed, and the few of them, in a fixed order, that this balancer sends to. */
@@ -82,14 +77,15 @@
         }
         Server s = servers.computeIfAbsent(e.host(), host -> new Server(host, settings.position(), this));
         boolean ready = e.state() == HostState.READY;
-        boolean changed = s.ready != ready || s.size != sizeOf(e) || s.startedUs != e.startedUs();
+        double entrySize = Math.max(0.05, e.weight());
+        boolean changed = s.ready != ready || s.size != entrySize || s.startedUs != e.startedUs();
         boolean anew = ready && e.startedUs() > s.startedUs;
         s.ready = ready;
         s.draining = e.state() == HostState.DRAINING;
         if (e.zone() >= 0) {
             s.zone = e.zone();
             s.cell = e.cell();
-            s.size = sizeOf(e);
+            s.size = entrySize;
             s.startedUs = e.startedUs();
         }
         if (anew) {
@@ -99,10 +95,6 @@
         return changed;
     }
 
-    private static double sizeOf(FleetEntry e) {
-        return Math.max(0.05, e.weight());
-    }
-
     /** Fills the set from the ready servers, when the list, a zone's loss or the set's size changes. */
     void form(long now) {
         List<Server> ready = servers.values().stream().filter(s -> s.ready).toList();
@@ -115,10 +107,7 @@
         int reachable = (int) foreign.stream().filter(s -> !zoneLoss.isLost(s.zone)).count();
         Server head = headOf(local.isEmpty() ? foreign : local);
         foreign.subList(Math.min(foreign.size(), reachable + LOST), foreign.size()).clear();
-        List<Server> set = new ArrayList<>(size);
-        if (head != null) {
-            set.add(head);
-        }
+        List<Server> set = new ArrayList<>(head == null ? List.of() : List.of(head));
         fill(set, local, size - Math.min(foreign.size(), FOREIGN));
         fill(set, foreign, size);
         buddies = set;
@@ -183,9 +172,8 @@
         long key = Scatter.mix(text.hashCode());
         double busy = Math.max(LEAST_BUSY, buddies.stream().mapToDouble(s -> s.held(now)).sum()
                 / buddies.stream().mapToDouble(s -> s.size).sum());
-        double lean = 1 + FOREIGN_LEAN / (busy * busy);
         buddies.forEach(s -> s.keyPlace = Scatter.draw(key ^ s.hash) / s.size
-                * (s.zone == settings.zone() ? 1 : lean));
+                * (s.zone == settings.zone() ? 1 : 1 + FOREIGN_LEAN / (busy * busy)));
         return buddies.stream().sorted(Comparator.comparingDouble((Server s) -> s.keyPlace)
                 .thenComparing(s -> s.host)).toList();
     }
--- a/core/src/main/java/dapplequay/Server.java
+++ b/core/src/main/java/dapplequay/Server.java
@@ -60,7 +60,8 @@
     long shunUntil;
     boolean trial;                // failed, and not yet proved sound again
     double doubt = DOUBT_NONE;
-    long coldUntil;               // while cold: nothing more before
+    long turnsFrom;               // while cold: the news of its start, or the last own send
+    double turnPhase;             // how many pauses count as over by then
 
     /** The paper permutes orders so that balancers that share a head do not share a second choice too. */
     Server(String host, int position, BuddySet set) {
@@ -74,12 +75,19 @@
     void restarted(long now) {
         reported = Double.NaN;
         shunUntil = 0;
-        coldUntil = now + set.random.nextLong(coldPause(now));
+        startedCold(now, startedUs);
         trial = false;
         doubt = DOUBT_NONE;
         clearFlag(now);
     }
 
+    /** Of many balancers that learn of a start together, each has its first turn at a moment of its own. */
+    void startedCold(long now, long at) {
+        startedUs = at;
+        turnsFrom = now;
+        turnPhase = 1 + set.random.nextDouble();
+    }
+
     /** Requests held, as last reported, with own sends since; where good answers tell no count, others do the same. */
     double held(long now) {
         double alike = answeredAt > 0 && doubt <= DOUBT_NONE && Double.isNaN(reported) ? set.senders : 1;
@@ -160,8 +168,11 @@
         return set.cold.warmth(now, startedUs);
     }
 
-    /** Between two sends of this balancer while it is cold, us; 1 where it is warm. */
-    long coldPause(long now) {
-        return warmth(now) >= 1 ? 1 : 1 + set.cold.pauseUs(pace() / size, set.senders, warmth(now));
+    /** Whether this balancer may send to it though it is cold; {@code alone}: as nothing better is left. */
+    boolean hasTurn(long now, boolean alone) {
+        long pause = set.cold.pauseUs(pace() / size, set.senders, warmth(now));
+        boolean turn = (alone || set.answers > 1) && set.cold.isTurn(now - turnsFrom + turnPhase * pause, pause);
+        boolean next = alone && answeredAt > turnsFrom && doubt <= DOUBT_NONE && hasRoom(now, 1);
+        return own == 0 && (turn || next && set.cold.bearsOneOfEach(pause));
     }
 }
--- a/core/src/main/java/dapplequay/Suspects.java
+++ b/core/src/main/java/dapplequay/Suspects.java
@@ -4,7 +4,7 @@
 import dapplequay.BalancerApi.Outcome;
 
 /** Failure diversion: which servers are passed over, and when one is tried again. */
-final class Suspects {
+record Suspects(BuddySet set, Actions actions) {
     /** A failing one is passed over for so long, us; a lost zone is tried as often. */
     static final long SHUN_US = 1_000_000;
     // To the odds, in logarithms, that a server fails: what a failure adds and an answer takes away.
@@ -13,14 +13,6 @@
     /** A silent one is tried again after this, us. */
     private static final long SILENT_US = 300_000;
 
-    private final BuddySet set;
-    private final Actions actions;
-
-    Suspects(BuddySet set, Actions actions) {
-        this.set = set;
-        this.actions = actions;
-    }
-
     /** What an outcome says about the server's health and its flag. */
     void judge(long now, Server s, Outcome outcome, boolean silent) {
         switch (outcome) {
--- a/core/src/main/java/dapplequay/limits/ColdBudget.java
+++ b/core/src/main/java/dapplequay/limits/ColdBudget.java
@@ -18,6 +18,16 @@
 
     /** The pause after one instance's send to a cold server that, warm, needs {@code paceUs} for a request. */
     public long pauseUs(double paceUs, double senders, double warmth) {
-        return (long) (paceUs * senders / (MARGIN * cold.tipMultiple() * warmth));
+        return 1 + (long) (paceUs * senders / (MARGIN * cold.tipMultiple() * warmth));
+    }
+
+    /** Whether an instance has a turn: one a pause. It lapses, or all would take up together what they have left. */
+    public boolean isTurn(double sinceUs, long pauseUs) {
+        return sinceUs >= pauseUs && sinceUs % pauseUs < Math.max(pauseUs / 8, cold.tipAfterUs() / 2);
+    }
+
+    /** Whether it bears one request out of each instance, whatever the pause: these and what it works off meanwhile. */
+    public boolean bearsOneOfEach(long pauseUs) {
+        return MARGIN * pauseUs <= (1 - 1 / cold.tipMultiple()) * cold.tipAfterUs();
     }
 }
--- a/core/src/test/java/dapplequay/Bench.java
+++ b/core/src/test/java/dapplequay/Bench.java
@@ -76,7 +76,11 @@
     }
 
     Bench(Setup setup) {
-        module = new Balance(setup.settings(), 42, this);
+        this(setup, 42);
+    }
+
+    Bench(Setup setup, long seed) {
+        module = new Balance(setup.settings(), seed, this);
     }
 
     static FleetEntry host(String name, int zone) {
--- /dev/null
+++ b/core/src/test/java/dapplequay/ColdRampTest.java
@@ -0,0 +1,246 @@
+package dapplequay;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import dapplequay.BalancerApi.ColdStart;
+import dapplequay.BalancerApi.HostState;
+import dapplequay.BalancerApi.ListKind;
+import dapplequay.BalancerApi.LoadReport;
+import dapplequay.BalancerApi.Outcome;
+import dapplequay.Bench.Done;
+import dapplequay.limits.ColdBudget;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Locale;
+import java.util.function.Consumer;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/**
+ * What a whole fleet sends to cold hosts. Of the N calls that the settings allow one in their time, all instances
+ * together may go past N by 2 root N + 2, which is put down to chance, in no window and at no host.
+ */
+class ColdRampTest {
+    private static final int SEEDS = 40;
+    private static final long BEFORE_US = 3_000_000;
+    private static final long AFTER_US = 6_000_000;
+
+    /** How the instances learn of the start: from the list, as new processes, or as a lost zone answers again. */
+    enum News { LISTED, INSTANCES_RESTARTED, ZONE_BACK }
+
+    record Case(String name, int balancers, int hosts, double coldShare, News news, Consumer<ColdFleet> setup) {
+        @Override
+        public String toString() {
+            return name + ", " + balancers + " instances, " + hosts + " hosts";
+        }
+    }
+
+    private static void halfSpeed(ColdFleet f) {
+        f.halfSpeed = true;
+    }
+
+    private static void errors(ColdFleet f) {
+        f.halfSpeed = true;
+        f.coldErrors = 0.3;
+    }
+
+    private static void burst(ColdFleet f) {
+        f.halfSpeed = true;
+        f.burstAtUs = 2_500_000;
+    }
+
+    private static void overloaded(ColdFleet f) {
+        f.load = 4;
+        f.favoured = 1;
+    }
+
+    static Stream<Case> cases() {
+        return Stream.of(new int[] {6, 10}, new int[] {20, 20}, new int[] {30, 12}).flatMap(size -> Stream.of(
+                new Case("one cold", size[0], size[1], 0, News.LISTED, ColdRampTest::halfSpeed),
+                new Case("several cold", size[0], size[1], 0.25, News.LISTED, ColdRampTest::halfSpeed),
+                new Case("all but one cold", size[0], size[1], 0.9, News.LISTED, ColdRampTest::halfSpeed),
+                new Case("all cold", size[0], size[1], 1, News.LISTED, ColdRampTest::halfSpeed),
+                new Case("all cold, errors", size[0], size[1], 1, News.LISTED, ColdRampTest::errors),
+                new Case("all cold, late burst", size[0], size[1], 1, News.LISTED, ColdRampTest::burst),
+                new Case("all cold, all overloaded", size[0], size[1], 1, News.LISTED, ColdRampTest::overloaded),
+                new Case("several cold, instances new", size[0], size[1], 0.25, News.INSTANCES_RESTARTED,
+                        ColdRampTest::halfSpeed),
+                new Case("all cold, instances new", size[0], size[1], 1, News.INSTANCES_RESTARTED,
+                        ColdRampTest::halfSpeed),
+                new Case("zone back", size[0], size[1], 0.5, News.ZONE_BACK, ColdRampTest::halfSpeed)));
+    }
+
+    private static ColdFleet play(long seed, Case c) {
+        ColdFleet f = new ColdFleet(seed);
+        f.balancers = c.balancers();
+        f.hosts = c.hosts();
+        c.setup().accept(f);
+        f.begin();
+        f.runUntil(ColdFleet.T0 + BEFORE_US);
+        List<ColdFleet.Host> all = new ArrayList<>(f.all.values());
+        List<ColdFleet.Host> cold = c.news() == News.ZONE_BACK ? all.stream().filter(h -> h.zone == 1).toList()
+                : all.subList(0, Math.max(1, (int) (c.coldShare() * all.size())));
+        if (c.news() == News.ZONE_BACK) {
+            cold.forEach(h -> h.silent = true);
+            f.runUntil(f.now + 4_000_000);
+        }
+        f.startCold(cold);
+        f.newsAt = f.now;
+        switch (c.news()) {
+            case LISTED -> f.tell(cold);
+            case INSTANCES_RESTARTED -> f.restartInstances();
+            case ZONE_BACK -> f.at(f.now + 3_000_000, () -> f.tell(cold));
+        }
+        f.runUntil(f.now + AFTER_US);
+        return f;
+    }
+
+    @ParameterizedTest
+    @MethodSource("cases")
+    void allInstancesTogetherKeepWithinTheBudget(Case c) {
+        List<String> over = new ArrayList<>();
+        for (long seed = 1; seed <= SEEDS; seed++) {
+            double worst = play(seed, c).worst();
+            if (worst > 1) {
+                over.add(String.format(Locale.ROOT, "seed %d: %.2f of the bound", seed, worst));
+            }
+        }
+        assertThat(over).isEmpty();
+    }
+
+    /** A cold host works off a third of its budget: less than half of it would leave it idle between requests. */
+    @Test
+    void aFleetThatIsColdAsAWholeIsStillUsed() {
+        double used = 0;
+        for (long seed = 1; seed <= SEEDS; seed++) {
+            used += play(seed, new Case("all cold", 20, 20, 1, News.LISTED, f -> { })).used();
+        }
+        assertThat(used / SEEDS).isGreaterThan(0.4);
+    }
+
+    /** However long nobody wanted the host: what each may send alone does not pile up for the moment when all do. */
+    @Test
+    void turnsThatNobodyTookLapse() {
+        ColdBudget budget = new ColdBudget(new ColdStart(0.31, 8_800_000, 3, 3_000_000));
+        long pause = budget.pauseUs(110_000, 30, 0.31);
+        long atOnce = 0;
+        for (int instance = 0; instance < 1_000; instance++) {
+            atOnce += budget.isTurn(60_000_000 + pause * instance / 1_000.0, pause) ? 1 : 0;
+        }
+        assertThat(atOnce).isBetween(160L, 180L);
+        assertThat(budget.isTurn(pause - 1, pause)).isFalse();
+        assertThat(budget.isTurn(pause, pause)).isTrue();
+        assertThat(budget.isTurn(pause + 1_500_000, pause)).isFalse();
+        assertThat(budget.isTurn(2 * pause, pause)).isTrue();
+    }
+
+    @Test
+    void shortPausesLeaveNoTurnToLapse() {
+        ColdBudget budget = new ColdBudget(new ColdStart(0.31, 8_800_000, 3, 3_000_000));
+        long pause = budget.pauseUs(110_000, 4, 0.31);
+        assertThat(pause).isLessThan(1_500_000);
+        for (long since = pause; since < 3 * pause; since += 10_000) {
+            assertThat(budget.isTurn(since, pause)).isTrue();
+        }
+    }
+
+    /** With one out of each it holds no more than there are instances, and takes as many more as it works off. */
+    @Test
+    void oneOutOfEachIsBorneByAsManyAsTheBudgetLeavesRoomFor() {
+        ColdBudget budget = new ColdBudget(new ColdStart(0.31, 8_800_000, 3, 3_000_000));
+        double calls = 3 * 0.31 * 3_000_000 / 110_000;
+        assertThat(budget.bearsOneOfEach(budget.pauseUs(110_000, 0.66 * calls, 0.31))).isTrue();
+        assertThat(budget.bearsOneOfEach(budget.pauseUs(110_000, 0.67 * calls, 0.31))).isFalse();
+    }
+
+    private static Bench coldAlone(long seed) {
+        Bench b = anInstance(seed);
+        b.module.fleet(b.now, ListKind.RESTORED, List.of(Bench.host("a0", 0, HostState.READY, b.now)));
+        return b;
+    }
+
+    private static Bench anInstance(long seed) {
+        Bench.Setup setup = new Bench.Setup();
+        setup.position = (int) seed;
+        setup.balancers = 30;
+        return new Bench(setup, seed);
+    }
+
+    /** Where a zone answers again its hosts start cold, and the instances must not all turn to them in one moment. */
+    @Test
+    void firstTurnsAtAZoneThatIsBackAreSpread() {
+        int instances = 100;
+        int[] open = new int[20];      // of 100 ms each, in which a pause goes from 6.7 s to 4.3 s
+        for (long seed = 1; seed <= instances; seed++) {
+            Bench b = anInstance(seed).fleet(1, 2);
+            for (int i = 0; i < 4; i++) {
+                b.module.set.zoneLoss.ended(1, true);
+            }
+            Done asked = b.request(Bench.SAFE);
+            assertThat(asked.host()).startsWith("b");
+            b.pass(10_000).outcome(asked, Outcome.OK);
+            assertThat(b.module.set.zoneLoss.isLost(1)).isFalse();
+            Server other = b.module.set.servers.get(asked.host().equals("b0") ? "b1" : "b0");
+            b.module.set.answers = 2;
+            for (int i = 0; i < open.length; i++) {
+                open[i] += other.hasTurn(b.now + i * 100_000, false) ? 1 : 0;
+            }
+        }
+        assertThat(Arrays.stream(open).max().orElseThrow()).isBetween(1, instances * 3 / 10);
+    }
+
+    @Test
+    void aColdHostThatDidNotServeMissesATurn() {
+        Bench b = coldAlone(1);
+        Done send = b.request(Bench.SAFE);
+        while (send.host() == null) {
+            send = b.pass(10_000).request(Bench.SAFE);
+        }
+        long sentAt = b.now;
+        b.pass(10_000).outcome(send, Outcome.TIMEOUT);
+        Server host = b.module.set.servers.get("a0");
+        while (!host.hasTurn(b.now, true)) {
+            b.pass(10_000);
+        }
+        ColdBudget budget = b.module.set.cold;
+        long pause = budget.pauseUs(b.module.set.pace(), 30, host.warmth(b.now));
+        assertThat(b.now - sentAt).isBetween(2 * pause - 10_000, 2 * pause + 20_000);
+    }
+
+    /** The first guess at what a request takes may be far off: a cold host gets nothing on it while others serve. */
+    @Test
+    void nothingGoesToAColdHostBeforeTheFirstAnswer() {
+        Bench b = anInstance(1);
+        b.module.fleet(b.now, ListKind.RESTORED, List.of(Bench.host("a0", 0, HostState.READY, 0),
+                Bench.host("a1", 0, HostState.READY, b.now)));
+        Server cold = b.module.set.servers.get("a1");
+        for (int i = 0; i < 100; i++) {
+            assertThat(cold.hasTurn(b.pass(100_000).now, false)).isFalse();
+        }
+        Done send = b.request(Bench.SAFE);
+        b.pass(10_000).outcome(send, 0, Outcome.OK, new LoadReport(0, 0));
+        int turns = 0;
+        for (int i = 0; i < 100; i++) {
+            turns += cold.hasTurn(b.pass(100_000).now, false) ? 1 : 0;
+        }
+        assertThat(turns).isPositive();
+    }
+
+    /** Each new process has a host's first turn at a moment of its own, also when the first list names the start. */
+    @Test
+    void firstTurnsAfterTheFleetsOwnRestartAreSpread() {
+        int seeds = 100;
+        int sent = 0;
+        for (long seed = 1; seed <= seeds; seed++) {
+            Bench b = coldAlone(seed);
+            for (int i = 0; i < 30; i++) {
+                sent += b.pass(10_000).request(Bench.SAFE).host() == null ? 0 : 1;
+            }
+        }
+        // The pause is 40 ms x 30 / (0.4 x 3 x 0.15) = 6.7 s, a turn lasts an eighth of it, and 0.3 s go by.
+        assertThat(sent).isBetween(5, 30);
+    }
+}
