An ending's last moment: what becomes whole then is refused, and no connection keeps the process

Seen by three tests with the real program (LastMomentTest): a process was gone 3.90 s after SIGTERM, SIGKILL coming after 3.7, where a client stayed after its last answer or read nothing, as the JVM's exit waits 0.3 s for threads that sit in socket reads; and a request whose last byte came once failHeld had gone over the connections was sent on and cut off by the exit.

At fault: AcquirerSide.awaitEmpty, which returned with connections left, and failHeld, which looks at the request in hand alone.

Change: from the moment on at which what is held fails, a request that becomes whole is refused at once, asked after it stands where failHeld looks for it; and what is left behind the shut door is closed, as the exit would do anyhow.

--- a/sidecar/src/main/java/dapplequay/net/AcquirerConnection.java
+++ b/sidecar/src/main/java/dapplequay/net/AcquirerConnection.java
@@ -335,6 +335,11 @@
         }
         Authorisation authorisation = new Authorisation(side.nextId(), this, request, side.counts());
         current = authorisation;
+        if (side.isOver() && authorisation.claim()) {
+            authorisation.ended(End.THROTTLED);         // it never ran, and there is no time for it to
+            answer(Answers.refusal(0));
+            return;
+        }
         long leftUs = request.budgetUs() - (side.deadlines().now() - receivedUs);
         side.conductor().begin(authorisation, request.call(leftUs));
     }
--- a/sidecar/src/main/java/dapplequay/net/AcquirerSide.java
+++ b/sidecar/src/main/java/dapplequay/net/AcquirerSide.java
@@ -45,6 +45,7 @@
     private final CallIds callIds = new CallIds();
     private final Counts counts;
     private final Lifetime lifetime;
+    private volatile boolean isOver;
     private final Headroom headroom;
     private final Punctuality punctuality;
 
@@ -265,10 +266,18 @@
      */
     void awaitEmpty(long lateUs, long untilUs, long marginUs) throws InterruptedException {
         if (!isEmptyBy(lateUs, untilUs)) {
+            isOver = true;          // before those that are held are gone over: each is seen here or sees this
             left().forEach(AcquirerConnection::failHeld);
             isEmptyBy(lateUs, untilUs + marginUs);
         }
         door.shut();
+        // The exit would close them in the same way, but only once threads that sit in their reads were waited for.
+        left().forEach(AcquirerConnection::close);
+    }
+
+    /** Whether what is held has failed for want of time: what becomes whole now could not be answered any more. */
+    boolean isOver() {
+        return isOver;
     }
 
     private synchronized boolean isEmptyBy(long lateUs, long untilUs) throws InterruptedException {
