The test of a repeat whose connect is late fills the other host's backlog for certain

It failed once in four runs (200 in place of 502), on a busy machine: the other host's thread took the first filler only after the backlog had proved full, so that a place was free again and the repeat came up, and was written, within its window: rightly so. Now that thread has accepted before the rest is filled. The verdict is the same as before.

--- a/sidecar/src/test/java/dapplequay/net/BrokenAnswersTest.java
+++ b/sidecar/src/test/java/dapplequay/net/BrokenAnswersTest.java
@@ -35,7 +35,7 @@
 class BrokenAnswersTest {
     private static final AtomicInteger CALLS = new AtomicInteger();
 
-    private final List<AutoCloseable> toClose = new ArrayList<>();
+    private final List<AutoCloseable> toClose = new CopyOnWriteArrayList<>();
 
     @AfterEach
     void closeAll() throws Exception {
@@ -157,16 +157,22 @@
         List<Socket> fillers = new CopyOnWriteArrayList<>();
         AtomicInteger seen = new AtomicInteger();
         CountDownLatch broken = new CountDownLatch(1);
+        CountDownLatch bothAccept = new CountDownLatch(2);
         CountDownLatch windowOver = new CountDownLatch(1);
         for (int i = 0; i < 2; i++) {
             ServerSocket own = hosts[i];
             ServerSocket other = hosts[1 - i];
             Host.daemon(() -> {
                 Socket first = open(own.accept());
-                if (fillers.isEmpty()) {
+                boolean fillsOther = fillers.isEmpty();
+                bothAccept.countDown();
+                if (fillsOther) {
                     MessageReader reader = new MessageReader(first.getInputStream());
                     reader.requestBody(reader.request());
                     seen.incrementAndGet();
+                    fillers.add(new Socket());
+                    fillers.get(0).connect(other.getLocalSocketAddress());
+                    bothAccept.await();             // the other takes no more from here on, and its backlog stays full
                     WriteGuardTest.fill(other, fillers);
                     reset(first);
                     broken.countDown();
