--- a/core/src/test/java/dapplequay/ColdFleet.java
+++ b/core/src/test/java/dapplequay/ColdFleet.java
@@ -171,7 +171,7 @@
         }
 
         @Override
-        public void send(long id, String name, long timeoutUs) {
+        public void send(long id, String name, long timeoutUs, long beginBy) {
             Try t = open.get(id);
             Host host = all.get(name);
             int attempt = t.attempts++;
