Tests' free ports lie below those that the system hands out, as one was taken before its program had it

Seen: in the first full run DiscoveryReturnTest failed, the rest of sidecar's 405 and core's 241 tests passed. It ended after 60.15 s with a call to a management address that was read for 60 s: the call was connected within the first 0.15 s, when no program could listen yet (eight of them take about 1 s from exec to ready). Its port, found free and given back, had gone to another listener, or the call had met itself.

At fault: Program.freePort, which asked for any port and closed it again. Ruled out: the management address itself.

Change: such ports are taken from 20000 to 32000, which the system gives to nobody who asks for any, and each is handed out once.

--- a/sidecar/src/test/java/dapplequay/cli/Program.java
+++ b/sidecar/src/test/java/dapplequay/cli/Program.java
@@ -16,7 +16,10 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CopyOnWriteArrayList;
 
@@ -28,6 +31,11 @@
     final List<String> log = new CopyOnWriteArrayList<>();
     private final int management;
 
+    private static final int LOWEST_PORT = 20_000;
+    private static final int HIGHEST_PORT = 32_000;
+    private static final Random RANDOM = new Random();
+    private static final Set<Integer> GIVEN = new HashSet<>();
+
     /** {@code socket}: its descriptor 0, or null; {@code management}: a port that is free, or 0 for none. */
     Program(Path config, ServerSocketChannel socket, int management) throws Exception {
         this(config, socket, management, false, List.of());
@@ -66,9 +74,20 @@
         reader.start();
     }
 
-    static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return socket.getLocalPort();
+    /**
+     * A port that nobody listens at, handed out once. It lies below those that the system gives to whoever asks for any:
+     * one of these may go to another listener or connection before the program has it, and a call to it then hangs.
+     */
+    static synchronized int freePort() {
+        while (true) {
+            int port = LOWEST_PORT + RANDOM.nextInt(HIGHEST_PORT - LOWEST_PORT);
+            try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+                if (GIVEN.add(socket.getLocalPort())) {
+                    return port;
+                }
+            } catch (IOException e) {
+                // Taken: another one is tried.
+            }
         }
     }
 
