--- a/sidecar/src/main/java/dapplequay/net/IssuerSide.java
+++ b/sidecar/src/main/java/dapplequay/net/IssuerSide.java
@@ -25,12 +25,10 @@
     /** A host closes at the full time; what is written to a connection from then on ends as a reset. */
     private static final double IDLE_SHARE = 0.7;
     /**
-     * A connection rests so long after an answer: what a host sends or closes right behind it, be it some milliseconds
-     * late, shows by then, and is not taken for the answer to the next leg, or that leg for one that may have run. Each
-     * leg holds its connection so much longer: at thirty a second to one host that is 0.6 of a connection, and 1.5 with
-     * 50 ms, where hosts hold few for all instances together.
+     * A connection rests so long after an answer: what a host sends or closes right behind it shows by then,
+     * and is not taken for the answer to the next leg, or that leg for one that may have run.
      */
-    static final long REST_US = 20_000;
+    private static final long REST_US = 3_000;
 
     /**
      * A spare connection, one beside another idle one, is kept so long. Hosts hold a bounded number for all instances
