What can't be refused any more goes on to the least loaded host, also where none has room

Cause: Balance.timer cuts an attempt at a host that has fallen silent where another is usable; Admission.pick then asks for room, finds none at any, and returns null, which Balance.answer turns into a refusal, or, for keyed work that may have run, into a failure. Refusing early spares a host work that a client may bring again; failing early spares it work that nobody else does.

Changed: the last line of Admission.pick lets what is not refusable go to the least figure whatever its room. RulesTest has it for keyed classes of each group after a reset, an error and a cut: three failures without the change.

--- a/core/src/main/java/dapplequay/Admission.java
+++ b/core/src/main/java/dapplequay/Admission.java
@@ -44,7 +44,7 @@
             }
             head = head == null ? s : head;
             least = least == null || figure < least.figure(now) ? s : least;
-            if (s.own == 0 && now - Math.max(s.silentSince, s.reportAt) > h.type.aimUs()
+            if (s.own == 0 && now - Math.max(s.silentSince, s.reportAt) > h.type.aimUs() && h.worthShare > ASKING_WORTH
                     && (unasked == null || s.silentSince < unasked.silentSince)) {
                 unasked = s;
             }
@@ -60,9 +60,9 @@
         }
         // Past TH_v everywhere a head that many share would be swamped: the least figure takes it, or the first in the
         // key's order that has room, as all who know the same would find the same least one. Better refused early than
-        // failed late; but one not heard of for long is asked first, else figures that keep all away would stay.
+        // failed late, where it may be refused at all; but one long unheard of is asked, or all may keep away for good.
         set.grow(now, requestsHeld);
-        return least.hasRoom(now, h.worthShare) ? least : h.worthShare > ASKING_WORTH ? unasked : null;
+        return least.hasRoom(now, h.worthShare) || !h.isRefusable() ? least : unasked;
     }
 
     /** Crossing zones has a price: a diversion crosses only if it saves that share of the aim. */
--- a/core/src/test/java/dapplequay/RulesTest.java
+++ b/core/src/test/java/dapplequay/RulesTest.java
@@ -183,6 +183,25 @@
         }
     }
 
+    /** It was failed at once, though its time was not over and another host could still serve it. */
+    @ParameterizedTest
+    @EnumSource(value = Outcome.class, names = {"RESET", "ERROR", "CANCELLED"})
+    void whatCanNotBeRefusedAnyMoreGoesOnAlsoWhereNobodyHasRoom(Outcome outcome) {
+        for (int type = Bench.KEYED_ALL; type <= Bench.KEYED_CELL; type++) {
+            Bench b = new Bench().fleet(2, 0);
+            Done send = b.request(type);
+            for (int i = 0; i < 6; i++) {
+                for (String host : List.of("a0", "a1")) {
+                    b.module.probed(b.pass(20_000).now, host, Outcome.OK, 1_000, new LoadReport(200, 200));
+                }
+            }
+            assertEquals("refuse", b.request(type).what(), "nobody has room");
+            Done second = b.outcome(send, outcome);
+            assertEquals("send", second.what(), type + " after " + outcome);
+            assertNotEquals(send.host(), second.host());
+        }
+    }
+
     /** The window of 500 ms counts from the first send that may have run, however long the network takes to begin. */
     @Test
     void repeatOfKeyedWorkHasToBeginWithinItsWindowAndTheWayToTheServer() {
