A keyed repeat stays where its first attempt went, also if the list moves that host

Seen: with an attempt out at a0 of pod 5 (or zone 0), a list line that puts a0 into pod 6 (zone 1), then a reset: the repeat went to a host of pod 6, which has never seen the key. The effect could be done twice.

At fault: Held.sent kept the Server, and Held.mayGo read its zone and cell as BuddySet.note had rewritten them since. The same where the id is listed anew, as another process in another place.

Changed: Held keeps zone and cell as they were when the first attempt that may have run went out. Checked: all that sends asks Held.mayGo; a host that an attempt went to is not asked again, also not after it moved; of the place where it was sent nobody may be left, and the request then fails and is not refused.

Test: RulesTest.repeatOfKeyedWorkStaysWhereTheFirstAttemptWent, by pod and zone, with and without another host in the old place, moved and moved with a new start. With the mend taken out both of its cases fail ("expected: <fail> but was: <send>"). RulesTest, MechanismTest, NoOtherZoneTest, ColdRampTest, FacadeTest and SourceLimitsTest pass.

--- a/core/src/main/java/dapplequay/Held.java
+++ b/core/src/main/java/dapplequay/Held.java
@@ -9,6 +9,9 @@
     /** What a repeat's first byte may take to its server, and a thread to write it, us. */
     private static final long WAY_US = 20_000;
 
+    /** An attempt, and where its server was listed when it went out: the list may move it, or start it anew, since. */
+    private record Sent(Server server, int zone, int cell, long at) { }
+
     final Request request;
     final ServiceClass type;
     final double worthShare;      // of its class's worth: less than 1 for a try that can only be late
@@ -18,8 +21,7 @@
     final List<Server> attempts = new ArrayList<>(2);
     int out;
     int cut;                      // attempts of which the last was given up as its server is silent
-    private Server firstMayHaveRun;
-    private long firstMayHaveRunAt;
+    private Sent firstMayHaveRun; // out counts as may have run, until its outcome proves that it did not
     long sentAt;
 
     Held(Request request, ServiceClass type, double worthShare, long usefulUntil, int sendCap) {
@@ -35,7 +37,7 @@
         if (!s.ready || attempts.size() >= sendCap || out > 0 && !limits.secondCopies()) {
             return false;
         }
-        Server ran = firstMayHaveRun;
+        Sent ran = firstMayHaveRun;
         return ran == null || switch (type.semantics()) {
             case RETRYABLE -> true;
             case FRAGILE -> false;
@@ -47,7 +49,7 @@
     /** Until when the first byte of its next attempt may go out: a repeat has to reach its server in the window. */
     long beginBy() {
         return firstMayHaveRun == null || type.semantics() == Semantics.RETRYABLE ? Long.MAX_VALUE
-                : firstMayHaveRunAt + type.windowUs() - WAY_US;
+                : firstMayHaveRun.at + type.windowUs() - WAY_US;
     }
 
     /** Whether the client may safely try again; of what may have run, only where running again does nothing. */
@@ -60,14 +62,13 @@
         out++;
         sentAt = now;
         if (firstMayHaveRun == null) {
-            firstMayHaveRun = s;      // out counts as may have run, until its outcome proves that it did not
-            firstMayHaveRunAt = now;
+            firstMayHaveRun = new Sent(s, s.zone, s.cell, now);
         }
     }
 
     void ended(boolean neverRan) {
         out--;
-        if (neverRan && firstMayHaveRun == last() && out == 0 && firstMayHaveRunAt == sentAt) {
+        if (neverRan && out == 0 && firstMayHaveRun.server == last() && firstMayHaveRun.at == sentAt) {
             firstMayHaveRun = null;
         }
     }
--- a/core/src/test/java/dapplequay/RulesTest.java
+++ b/core/src/test/java/dapplequay/RulesTest.java
@@ -19,6 +19,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** The four rules, one by one. */
 class RulesTest {
@@ -214,6 +215,34 @@
         }
     }
 
+    /** Who dropped the first attempt's key is where it went; the list may move that host, or start it anew, since. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void repeatOfKeyedWorkStaysWhereTheFirstAttemptWent(boolean startedAnew) {
+        for (int others = 0; others < 2; others++) {
+            for (int type : new int[] {Bench.KEYED_CELL, Bench.KEYED_ZONE}) {
+                Bench b = new Bench();
+                List<FleetEntry> all = new ArrayList<>(List.of(place("a0", 0, 5), place("b0", 1, 6)));
+                if (others == 1) {
+                    all.addAll(List.of(place("a1", 0, 5), place("b1", 1, 6)));
+                }
+                b.module.fleet(b.now, ListKind.RESTORED, all);
+                Done first = b.request(type);
+                assertTrue(first.host().startsWith("a"));
+                b.pass(1_000);
+                long started = startedAnew ? b.now : 0;
+                b.delta(new FleetEntry(first.host(), type == Bench.KEYED_ZONE ? 1 : 0, 6, HostState.READY, 1, started));
+                Done next = b.pass(1_000).outcome(first, Outcome.RESET);
+                assertEquals(others == 0 ? "fail" : "send", next.what());
+                assertTrue(others == 0 || next.host().startsWith("a") && !next.host().equals(first.host()));
+            }
+        }
+    }
+
+    private static FleetEntry place(String host, int zone, int cell) {
+        return new FleetEntry(host, zone, cell, HostState.READY, 1, 0);
+    }
+
     @Test
     void whatMayBeRepeatedAtAnyTimeMayBeginAtAnyTime() {
         Bench b = new Bench().fleet(4, 0);
