A list that is older than a zone's return warms none of its hosts

Seen: a zone that was lost answers, its hosts count as started at that moment (Balance.learn, Server.startedCold). The next list line with their boot time of before, in a whole list or for a change of something else, made them warm: all instances may then send at full pace to hosts that have just started.

At fault: BuddySet.note wrote the line's start over the known one whatever it was; only the news of a start asked which is later.

Changed: the later of the two holds. What is older is no change either, so that the set is not formed anew for it and turns go on. Ruled out: a start is never worked out from an age, so that it can't creep up from list to list.

What it costs: a zone that was only cut off and whose hosts ran on counts as cold for the whole of the settings' time, where a whole list used to end that sooner.

Test: ColdRampTest.anOlderListMakesNoHostWarmer (changes, whole list; a later start still counts). With the mend taken out both cases fail (start 0 for the moment of the return). RulesTest, MechanismTest, NoOtherZoneTest, ColdRampTest, FacadeTest and SourceLimitsTest pass.

--- a/core/src/main/java/dapplequay/BuddySet.java
+++ b/core/src/main/java/dapplequay/BuddySet.java
@@ -78,17 +78,17 @@
         Server s = servers.computeIfAbsent(e.host(), host -> new Server(host, settings.position(), this));
         boolean ready = e.state() == HostState.READY;
         double entrySize = Math.max(0.05, e.weight());
-        boolean changed = s.ready != ready || s.size != entrySize || s.startedUs != e.startedUs();
-        boolean anew = ready && e.startedUs() > s.startedUs;
+        boolean later = e.startedUs() > s.startedUs;    // an older line knows less than what was met there
+        boolean changed = s.ready != ready || s.size != entrySize || later;
         s.ready = ready;
         s.draining = e.state() == HostState.DRAINING;
         if (e.zone() >= 0) {
             s.zone = e.zone();
             s.cell = e.cell();
             s.size = entrySize;
-            s.startedUs = e.startedUs();
+            s.startedUs = Math.max(s.startedUs, e.startedUs());
         }
-        if (anew) {
+        if (ready && later) {
             s.restarted(now);
             zoneLoss.started(s.zone);
         }
--- a/core/src/test/java/dapplequay/ColdRampTest.java
+++ b/core/src/test/java/dapplequay/ColdRampTest.java
@@ -17,6 +17,7 @@
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.MethodSource;
 
 /**
@@ -192,6 +193,28 @@
         assertThat(Arrays.stream(open).max().orElseThrow()).isBetween(1, instances * 3 / 10);
     }
 
+    /** A list that was written before the zone came back, or does not know of it, took its hosts for warm again. */
+    @ParameterizedTest
+    @EnumSource(value = ListKind.class, names = {"DELTA", "FULL"})
+    void anOlderListMakesNoHostWarmer(ListKind kind) {
+        Bench b = anInstance(1).fleet(1, 2);
+        for (int i = 0; i < 4; i++) {
+            b.module.set.zoneLoss.ended(1, true);
+        }
+        b.pass(10_000).outcome(b.request(Bench.SAFE), Outcome.OK);
+        Server host = b.module.set.servers.get("b1");
+        long back = b.now;
+        assertThat(host.warmth(b.pass(2_000_000).now)).isLessThan(1);
+        long turnsFrom = host.turnsFrom;
+        for (long told : new long[] {0, 1, back - 500_000, back}) {
+            b.module.fleet(b.now, kind, List.of(Bench.host("a0", 0), Bench.host("b1", 1, HostState.READY, told)));
+            assertThat(host.startedUs).isEqualTo(back);
+            assertThat(host.turnsFrom).as("a turn is not begun anew").isEqualTo(turnsFrom);
+        }
+        b.module.fleet(b.now, kind, List.of(Bench.host("a0", 0), Bench.host("b1", 1, HostState.READY, b.now)));
+        assertThat(host.startedUs).as("a later start counts").isEqualTo(b.now);
+    }
+
     @Test
     void aColdHostThatDidNotServeMissesATurn() {
         Bench b = coldAlone(1);
