--- a/core/src/test/java/dapplequay/RulesTest.java
+++ b/core/src/test/java/dapplequay/RulesTest.java
@@ -19,6 +19,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** The four rules, one by one. */
 class RulesTest {
@@ -233,6 +234,34 @@
         }
     }
 
+    /** Who dropped the first attempt's key is where it went; the list may move that host, or start it anew, since. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void repeatOfKeyedWorkStaysWhereTheFirstAttemptWent(boolean startedAnew) {
+        for (int others = 0; others < 2; others++) {
+            for (int type : new int[] {Bench.KEYED_CELL, Bench.KEYED_ZONE}) {
+                Bench b = new Bench();
+                List<FleetEntry> all = new ArrayList<>(List.of(place("a0", 0, 5), place("b0", 1, 6)));
+                if (others == 1) {
+                    all.addAll(List.of(place("a1", 0, 5), place("b1", 1, 6)));
+                }
+                b.module.fleet(b.now, ListKind.RESTORED, all);
+                Done first = b.request(type);
+                assertTrue(first.host().startsWith("a"));
+                b.pass(1_000);
+                long started = startedAnew ? b.now : 0;
+                b.delta(new FleetEntry(first.host(), type == Bench.KEYED_ZONE ? 1 : 0, 6, HostState.READY, 1, started));
+                Done next = b.pass(1_000).outcome(first, Outcome.RESET);
+                assertEquals(others == 0 ? "fail" : "send", next.what());
+                assertTrue(others == 0 || next.host().startsWith("a") && !next.host().equals(first.host()));
+            }
+        }
+    }
+
+    private static FleetEntry place(String host, int zone, int cell) {
+        return new FleetEntry(host, zone, cell, HostState.READY, 1, 0);
+    }
+
     @Test
     void whatMayBeRepeatedAtAnyTimeMayBeginAtAnyTime() {
         Bench b = new Bench().fleet(4, 0);
@@ -356,10 +385,9 @@
         Bench b = new Bench().fleet(3, 0);
         String head = b.answered(Bench.SAFE, 0).host();
         b.delta(Bench.host(head, 0, HostState.READY, b.now));
-        b.pass(3_000_000);                // of many who hear of it at once, each begins at a moment of its own
-        int out = 0;
-        for (int i = 0; i < 50; i++) {
-            if (head.equals(b.request(Bench.SAFE).host())) {
+        int out = 0;                      // of many who hear of it at once, each begins at a moment of its own
+        for (int i = 0; i < 500; i++) {
+            if (head.equals(b.pass(10_000).request(Bench.SAFE).host())) {
                 out++;
             }
         }
