A long answer ends in time where its host stands still, and its client is looked for

Seen by tests on real connections: an answer of unknown length that began late and whose host then stood still was held for 10 s, far beyond its request's time, with its client's connection open; a client that left meanwhile was seen at the next write, as the reading side had been shut; and bytes behind the request made the close a reset, which took from the client what it had not read of a whole answer (LongAnswerTest without the mend: "Connection reset"). Where only the close ends the answer (HTTP/1.0, no length), the 10 s ended in a plain end, as if it were whole, by reading.

At fault: AcquirerConnection.relay (one bound, STALL_US, for both sides; close() before abort()) and handOver (shutdownInput ends the reading thread, and with it all looking and reading).

Ruled out: to watch by the timekeeper. A socket whose reading side was shut can't be read again, and available() tells no end of a stream; a thread that stays in its read for each transfer is what was measured as too much. To end everything that is silent past its time: above 64 KiB the first bytes are timed and peers take seconds over a piece, and cutting off what a host still gives loses the request.

Changed: LongAnswer passes the answer on. Its host's reads time out each 50 ms, with the bytes that are there always read first; then it looks for the client, throws away what that has sent, and at the time: with nothing from the host since the request's time (Authorisation.dueUs) ended, the answer ends 0.3 s after it. One that is over 64 KiB and has begun, or that has moved since, has 10 s of silence, as before. A client that reads slowly is never meant, as the time is looked at only in the host's silence. While an answer is due the reading thread looks up each 200 ms, and leaves once the reading was handed over (ClientInput); before that it sees the end itself. At the end of a whole answer the orderly close serves this one, too: the reading thread, if it is there still, else a new one until the client closes, throws away what comes. A close amid an answer that only the close ends is a reset, whoever closes.

Result: LongAnswerTest, 18 tests. With it all pass in 3.8 s. LongBodiesTest, ClientDepartureTest, OrderlyCloseTest, BrokenAnswersTest, WriteGuardTest, SidecarTest and UpgradeTest pass unchanged.

Not changed: a client that only ends its sending is not looked for while its host goes on sending.

--- a/sidecar/src/main/java/dapplequay/net/AcquirerConnection.java
+++ b/sidecar/src/main/java/dapplequay/net/AcquirerConnection.java
@@ -60,7 +60,6 @@
     private Deadlines.Deadline idleEnd;
     private volatile boolean lastRequest;
     private volatile boolean uploading;
-    private volatile boolean handedOver;
     private volatile boolean hasRoom;
     private volatile String version = "HTTP/1.1";
     private volatile ClientInput input;
@@ -88,16 +87,6 @@
         side.ended(this);
     }
 
-    /**
-     * The thread that carries a long answer takes the connection over, and the one that reads it ends: where a process
-     * is held to a share of a core each thread costs some of that share, and long answers come many at once. Nothing
-     * more is read, so that this answer is the connection's last.
-     */
-    private void handOver() throws IOException {
-        handedOver = true;
-        socket.shutdownInput();
-    }
-
     @Override
     public void run() {
         try {
@@ -115,7 +104,7 @@
                 side.conductor().clientLeft(current);
             }
             bodies.over();
-            if (!handedOver) {
+            if (input == null || !input.leave()) {
                 over();
             }
         }
@@ -170,6 +159,7 @@
             throw new EOFException("made room");
         }
         state = State.BUSY;
+        input.answerDue(true);
     }
 
     /** Ends the wait for the rest of a request; its thread finds the end of the stream and answers. */
@@ -334,6 +324,7 @@
             asked = true;
         }
         Authorisation authorisation = new Authorisation(side.nextId(), this, request, side.counts());
+        authorisation.dueBy(receivedUs + request.budgetUs());
         current = authorisation;
         if (side.isOver() && authorisation.claim()) {
             authorisation.ended(End.THROTTLED);         // it never ran, and there is no time for it to
@@ -374,6 +365,7 @@
 
     private synchronized void answered(boolean last) {
         state = last ? State.CLOSED : State.IDLE;
+        input.answerDue(false);
         if (!last) {
             idleEnd = side.deadlines().after(IDLE_US, () -> side.idleForLong(this));
         }
@@ -381,43 +373,53 @@
     }
 
     /**
-     * Passes a long answer on as it comes, no faster than the client takes it; {@code stop} ends the wait for a host,
-     * where nothing moves for too long. True if it was whole. Where it breaks, the client sees that: its length falls
-     * short, its last chunk is missing, or, where only the end of the connection ends it, that end is a reset.
+     * Passes a long answer on, by the caller's thread; its request's time ends at {@code dueUs}. True if it was whole.
+     * The thread that reads this connection ends meanwhile: where a process is held to a share of a core each thread
+     * costs some of that share, and long answers come many at once. This answer is the connection's last.
      */
-    boolean relay(Head upstream, Body body, byte[] start, Runnable stop) {
-        boolean chunked = Answers.isChunked(body, version);
+    boolean relay(Head upstream, Body body, byte[] start, long dueUs) {
         boolean whole = false;
-        byte[] piece = Pieces.take();
-        Progress.Moves moves = new Progress.Moves(side.deadlines(), STALL_US);
-        try (Progress stuck = new Progress(side.deadlines(), moves, () -> {
-            stop.run();
-            close();
-        })) {
-            handOver();
-            socket.getOutputStream().write(Answers.begun(upstream, body, start, version, connectionField(true)));
-            while (!body.isWhole()) {
-                int read = Math.max(0, body.read(piece, Chunks.ROOM, Pieces.SIZE));
-                moves.moved();
-                Chunks.Span out = Chunks.span(piece, read, chunked, body.isWhole());
-                socket.getOutputStream().write(piece, out.from(), out.length());
-                moves.moved();
-                Pieces.gather(read, body, side.pauseMs());
-            }
-            whole = true;
-        } catch (IOException e) {
-            LOG.log(Level.FINE, "long answer broke: {0}", e.toString());
-            ending.abort(body.length() < 0 && !chunked);
+        input.handOver();
+        try {
+            byte[] begun = Answers.begun(upstream, body, start, version, connectionField(true));
+            whole = new LongAnswer(socket, input, ending, side.deadlines(), side::pauseMs)
+                    .pass(begun, start.length, body, Answers.isChunked(body, version), dueUs);
         } finally {
-            Pieces.give(piece);
             answered(true);
-            if (handedOver) {
-                over();
-            }
+            endAfterLong(whole);
         }
         return whole;
     }
 
+    /** Ended by the reading thread where that is still there; else one takes its place until the client closes too. */
+    private void endAfterLong(boolean whole) {
+        if (whole) {
+            ending.begin(LINGER_US);
+        }
+        if (input.giveBack()) {
+            return;
+        }
+        if (!whole || input.isGone()) {
+            over();
+            return;
+        }
+        try {
+            new Thread(this::awaitClose, "acquirer").start();
+        } catch (OutOfMemoryError e) {
+            over();
+        }
+    }
+
+    private void awaitClose() {
+        try {
+            ending.throwAway(0);
+        } catch (IOException e) {
+            LOG.log(Level.FINE, "acquirer connection ended: {0}", e.toString());
+        } finally {
+            over();
+        }
+    }
+
     /**
      * Lets a connection between requests go; one on which something has come is served first. The client has {@code
      * lingerUs} to close too. True where the connection is ending, by this call or an earlier one.
--- a/sidecar/src/main/java/dapplequay/net/Authorisation.java
+++ b/sidecar/src/main/java/dapplequay/net/Authorisation.java
@@ -14,6 +14,7 @@
     private Leg leg;
     private boolean committed;
     private boolean taken;
+    private volatile long dueUs;
 
     /** Counts as taken from here on; a long one, once its last byte has come. */
     Authorisation(long id, AcquirerConnection from, AcquirerRequest request, Counts counts) {
@@ -34,6 +35,15 @@
         }
     }
 
+    /** When its time ends, us; told again where a long one has become whole. */
+    void dueBy(long us) {
+        dueUs = us;
+    }
+
+    long dueUs() {
+        return dueUs;
+    }
+
     /** Only who claimed it calls this, once. */
     void ended(Counts.End how) {
         taken();
--- a/sidecar/src/main/java/dapplequay/net/ClientInput.java
+++ b/sidecar/src/main/java/dapplequay/net/ClientInput.java
@@ -11,7 +11,8 @@
 /**
  * What a client sends, read by its connection's thread alone. A client that ends its sending has gone, whether it
  * closed or goes on reading: the two can't be told apart before something is written. The end of a stream shows only
- * behind the last byte, so that one who waits for another thing than the next byte has to look for it.
+ * behind the last byte, so that one who waits for another thing than the next byte has to look for it. Whoever passes a
+ * long answer on takes the reading over, once the reading thread has left.
  */
 final class ClientInput extends InputStream {
     /** A look waits for so long where nothing has come, ms; a socket knows no shorter time. */
@@ -22,6 +23,17 @@
     private static final int FLOOD = 2 << 20;
     private static final int FLOOD_AT_ONCE = 64 * 1024;
     private static final int PIECE = 8 * 1024;
+    /** While an answer is due, the reading thread asks so often, ms, whether the reading is still its own. */
+    private static final int OWN_MS = 200;
+
+    /** The reading is another thread's from here on. */
+    static final class HandedOver extends IOException {
+        private static final long serialVersionUID = 1L;
+
+        HandedOver() {
+            super("handed over");
+        }
+    }
 
     private final Socket socket;
     private final InputStream in;
@@ -29,6 +41,12 @@
     private long heardUs;
     private volatile long spiltBytes;
     private volatile boolean isInHand;
+    private volatile boolean answerDue;
+    private volatile boolean gone;
+    private boolean looks;
+    /** This and the next: under this object's own lock. */
+    private boolean handedOver;
+    private boolean left;
 
     /** {@code clock}: microseconds. */
     ClientInput(Socket socket, LongSupplier clock) throws IOException {
@@ -47,12 +65,79 @@
     @Override
     public int read(byte[] into, int from, int length) throws IOException {
         isInHand = false;
-        int count = in.read(into, from, length);
+        int count = looks ? receive(into, from, length) : await(into, from, length);
         isInHand = count > 0;
         heardUs = clock.getAsLong();
         return count;
     }
 
+    private int await(byte[] into, int from, int length) throws IOException {
+        while (true) {
+            checkOwn();
+            socket.setSoTimeout(answerDue ? OWN_MS : 0);
+            try {
+                return receive(into, from, length);
+            } catch (SocketTimeoutException e) {
+                // Nothing has come: whose the reading is may have changed.
+            }
+        }
+    }
+
+    private int receive(byte[] into, int from, int length) throws IOException {
+        try {
+            int count = in.read(into, from, length);
+            gone |= count < 0;
+            return count;
+        } catch (SocketTimeoutException e) {
+            throw e;
+        } catch (IOException e) {
+            gone = true;
+            throw e;
+        }
+    }
+
+    private synchronized void checkOwn() throws HandedOver {
+        if (handedOver) {
+            throw new HandedOver();
+        }
+    }
+
+    /** Whether an answer is due: the reading may be handed over then alone, and its thread waits accordingly. */
+    void answerDue(boolean so) {
+        answerDue = so;
+    }
+
+    /** The reading is the caller's, from the moment on at which the reading thread has left. */
+    synchronized void handOver() {
+        handedOver = true;
+    }
+
+    /** The reading thread leaves; whether the reading, and the connection, were handed over. */
+    synchronized boolean leave() {
+        left = true;
+        return handedOver;
+    }
+
+    /** Gives the reading back to its thread; false where that has left, and what is still to do is the caller's. */
+    synchronized boolean giveBack() {
+        handedOver &= left;
+        return !left;
+    }
+
+    private synchronized boolean hasLeft() {
+        return left;
+    }
+
+    /** Whether the end of the stream was seen, or a break; any thread may ask. */
+    boolean isGone() {
+        return gone;
+    }
+
+    /** For the thread that it was handed over to: whether the client is there. What has come is thrown away. */
+    boolean isThere() throws IOException {
+        return hasLeft() ? look(null, true) : !gone;
+    }
+
     /** When the client was last known to be there, microseconds. */
     long heardUs() {
         return heardUs;
@@ -74,6 +159,7 @@
      * with what is behind it.
      */
     void expect(MessageReader reader, boolean spills) throws IOException {
+        checkOwn();
         if (!look(reader, spills)) {
             throw new EOFException("the client has left");
         }
@@ -82,10 +168,11 @@
     private boolean look(MessageReader reader, boolean spills) throws IOException {
         byte[] spilt = null;
         int most = spiltBytes < FLOOD ? MOST_AT_ONCE : FLOOD_AT_ONCE;
+        looks = true;
         socket.setSoTimeout(LOOK_MS);
         try {
             for (int sum = 0, count; sum < most; sum += count) {
-                if (!reader.isFull()) {
+                if (reader != null && !reader.isFull()) {
                     count = reader.readAhead();
                 } else if (spills) {
                     spilt = spilt == null ? new byte[PIECE] : spilt;
@@ -101,8 +188,8 @@
         } catch (SocketTimeoutException e) {
             heardUs = clock.getAsLong();        // nothing more, and no end: it is there
         } finally {
-            isInHand = reader.hasBytes();
-            socket.setSoTimeout(0);
+            isInHand = reader != null && reader.hasBytes();
+            looks = false;
         }
         return true;
     }
--- a/sidecar/src/main/java/dapplequay/net/Conductor.java
+++ b/sidecar/src/main/java/dapplequay/net/Conductor.java
@@ -84,7 +84,7 @@
      * A long answer has begun: it is the client's from here on, and the module hears that it was served, as what is
      * left is to carry it. Whether all of it reached the client.
      */
-    boolean relay(Leg leg, HostLoad load, Head head, Body body, byte[] start, Runnable stop) {
+    boolean relay(Leg leg, HostLoad load, Head head, Body body, byte[] start) {
         Authorisation authorisation = leg.authorisation;
         out.remove(authorisation.id, leg);
         Upload upload = authorisation.legOver(leg);
@@ -96,7 +96,7 @@
         }
         boolean whole = false;
         try {
-            whole = authorisation.from.relay(head, body, start, stop);
+            whole = authorisation.from.relay(head, body, start, authorisation.dueUs());
         } finally {
             authorisation.ended(whole ? End.FULFILLED : End.FAULTED);
         }
@@ -109,6 +109,7 @@
             return false;
         }
         leg.authorisation.taken();
+        leg.authorisation.dueBy(leg.untilUs());
         facade.uploaded(leg.authorisation.id);
         return true;
     }
--- a/sidecar/src/main/java/dapplequay/net/IssuerConnection.java
+++ b/sidecar/src/main/java/dapplequay/net/IssuerConnection.java
@@ -294,16 +294,21 @@
             }
             byte[] start = end == LegEnd.SERVED && body.length() > MessageReader.MAX_BODY ? new byte[0] : start(body);
             HostLoad load = LoadText.read(head);
+            boolean isPassedOn = end == LegEnd.SERVED && !body.isWhole();
+            if (isPassedOn) {
+                socket.setSoTimeout(LongAnswer.LOOK_MS);
+            }
             if (!served.answered(end)) {
                 return false;       // cut while the answer came; the end of the connection reports it
             }
             boolean wasWriting = served.isWriting();
             release();
             side.answered(served);
-            if (end == LegEnd.SERVED && !body.isWhole()) {
-                boolean whole = side.relay(served, load, head, body, start, this::close);
+            if (isPassedOn) {
+                boolean whole = side.relay(served, load, head, body, start);
                 boolean open = whole && isOpenAfter(head, body, reader) && !wasWriting;
                 if (open) {
+                    socket.setSoTimeout(0);
                     rest();
                     side.free(this, served.order.host());
                 }
--- a/sidecar/src/main/java/dapplequay/net/IssuerSide.java
+++ b/sidecar/src/main/java/dapplequay/net/IssuerSide.java
@@ -234,8 +234,8 @@
     }
 
     /** A long answer is passed on; whether it was whole, and the client took all of it. */
-    boolean relay(Leg leg, HostLoad load, Head head, Body body, byte[] start, Runnable stop) {
-        return conductor.relay(leg, load, head, body, start, stop);
+    boolean relay(Leg leg, HostLoad load, Head head, Body body, byte[] start) {
+        return conductor.relay(leg, load, head, body, start);
     }
 
     /** The connection may be used again: before the client can send its next request, where the answer was short. */
--- a/sidecar/src/main/java/dapplequay/net/OrderlyClose.java
+++ b/sidecar/src/main/java/dapplequay/net/OrderlyClose.java
@@ -25,6 +25,7 @@
     private Deadlines.Deadline bound;
     private long boundUs = Long.MAX_VALUE;
     private boolean closed;
+    private boolean breaksOff;
 
     OrderlyClose(Socket socket, Deadlines deadlines) {
         this.socket = socket;
@@ -55,21 +56,21 @@
 
     /** At once. */
     synchronized void close() {
-        closed = true;
-        deadlines.cancel(bound);
-        Sockets.close(socket);
-    }
-
-    /** At once, as an answer broke; {@code withReset}: where a plain end would be taken for that of the answer. */
-    synchronized void abort(boolean withReset) {
         try {
-            if (withReset) {
+            if (breaksOff && !closed) {
                 socket.setSoLinger(true, 0);
             }
         } catch (IOException e) {
             LOG.log(Level.FINE, "no reset: {0}", e.toString());
         }
-        close();
+        closed = true;
+        deadlines.cancel(bound);
+        Sockets.close(socket);
+    }
+
+    /** Whether an answer is on its way that a plain end would be taken for the end of: a close is a reset then. */
+    synchronized void breaksOff(boolean so) {
+        breaksOff = so;
     }
 
     synchronized boolean isClosed() {
@@ -78,6 +79,7 @@
 
     /** Reads on until the client ends, or the time is over; {@code more}: bytes beyond what is usual. */
     void throwAway(int more) throws IOException {
+        socket.setSoTimeout(0);
         InputStream in = socket.getInputStream();
         byte[] unread = new byte[PIECE];
         int read = 0;
--- /dev/null
+++ b/sidecar/src/test/java/dapplequay/net/LongAnswerTest.java
@@ -0,0 +1,222 @@
+package dapplequay.net;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.catchThrowable;
+
+import dapplequay.http.Body;
+import dapplequay.http.Head;
+import dapplequay.http.MessageReader;
+import java.io.IOException;
+import java.net.SocketException;
+import java.net.SocketTimeoutException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/**
+ * A long answer whose host stands still, whose client leaves, or behind whose request more comes. The clock stands
+ * still where a test has not moved it: nothing ends by a time that the test has not set.
+ */
+@Timeout(90)
+class LongAnswerTest {
+    private static final int SOON_S = 6;
+    private static final int BUDGET_MS = 1_000;
+    private static final long GRACE_US = 400_000;
+    /** Real ms for several looks, where a test shows that these end nothing. */
+    private static final long LOOKS_MS = 6 * LongAnswer.LOOK_MS;
+    private static final int LENGTH = 100_000;
+
+    private final List<AutoCloseable> toClose = new ArrayList<>();
+    private final CountDownLatch goOn = new CountDownLatch(1);
+    private final CountDownLatch takenOver = new CountDownLatch(1);
+    private final CountDownLatch ends = new CountDownLatch(1);
+    private ClientRig rig;
+    private Host.Client client;
+    private MessageReader reader;
+
+    @AfterEach
+    void closeAll() throws Exception {
+        goOn.countDown();
+        for (AutoCloseable one : toClose) {
+            one.close();
+        }
+    }
+
+    private <T extends AutoCloseable> T open(T one) {
+        toClose.add(one);
+        return one;
+    }
+
+    private static void write(Host.Seen to, String text) throws IOException {
+        to.socket().getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+    }
+
+    private static String chunk(String text) {
+        return Integer.toHexString(text.length()) + "\r\n" + text + "\r\n";
+    }
+
+    /** How a host's answer begins: by its head alone, or with some of its body. */
+    private static String begun(String framing) {
+        String start = "HTTP/1.1 200 OK\r\n";
+        return switch (framing) {
+            case "head" -> start + "Content-Length: " + LENGTH + "\r\n\r\n";
+            case "length" -> begun("head") + "hello";
+            case "end" -> start + "\r\nhello";
+            case "much" -> begun("chunked") + chunk("x".repeat(70_000));
+            default -> start + "Transfer-Encoding: chunked\r\n\r\n" + chunk("hello");
+        };
+    }
+
+    /** One whose answer begins, and goes on with this once the test says so; null: never, but until it is given up. */
+    private Host host(String begun, String rest) throws IOException {
+        return open(new Host((head, seen) -> {
+            write(seen, begun);
+            if (rest == null) {
+                seen.socket().getInputStream().read();
+                return null;
+            }
+            goOn.await();
+            write(seen, rest);
+            seen.socket().close();
+            return null;
+        }));
+    }
+
+    /** A client that has asked, and the body that has begun to come. */
+    private Body asked(Host host, String version, int least) throws Exception {
+        rig = open(new ClientRig(new ClientRig.Hooks() {
+            @Override
+            void beforeRead() {
+                if (!Thread.currentThread().getName().equals("acquirer")) {
+                    takenOver.countDown();
+                }
+            }
+
+            @Override
+            void beforeEnd() {
+                ends.countDown();
+            }
+        }, 100, host.port()));
+        rig.stopClock(0);
+        client = rig.client();
+        client.send(ClientRig.pay("long", BUDGET_MS, 0).replace("HTTP/1.1", "HTTP/" + version));
+        reader = new MessageReader(client.socket.getInputStream(), MessageReader.LONGEST_BODY);
+        Head head = reader.response();
+        assertThat(head.start[1]).isEqualTo("200");
+        Body body = reader.bodyOf(head);
+        read(body, least);
+        return body;
+    }
+
+    /** The thread that had read the request is gone from then on. */
+    private void awaitTakenOver() throws InterruptedException {
+        assertThat(takenOver.await(SOON_S, TimeUnit.SECONDS)).as("somebody looks for the client").isTrue();
+    }
+
+    private static void read(Body body, int bytes) throws IOException {
+        byte[] piece = new byte[64 * 1024];
+        for (int sum = 0; sum < bytes; ) {
+            sum += body.read(piece, 0, Math.min(piece.length, bytes - sum));
+        }
+    }
+
+    private static int rest(Body body) throws IOException {
+        byte[] piece = new byte[64 * 1024];
+        int sum = 0;
+        for (int read = 0; read >= 0; read = body.read(piece, 0, piece.length)) {
+            sum += read;
+        }
+        return sum;
+    }
+
+    @ParameterizedTest
+    @CsvSource({"chunked,1.1", "chunked,1.0", "end,1.1", "end,1.0", "head,1.1"})
+    void answerWhoseHostStandsStillEndsInTimeAndShowsThatItIsNotWhole(String framing, String version) throws Exception {
+        Host host = host(begun(framing), null);
+        Body body = asked(host, version, framing.equals("head") ? 0 : 5);
+        rig.stopClock(BUDGET_MS * 1_000 + GRACE_US);
+        assertThat(catchThrowable(() -> rest(body))).isNotInstanceOf(SocketTimeoutException.class)
+                .isInstanceOf(version.equals("1.0") ? SocketException.class : IOException.class);
+        assertThat(host.closed.poll(SOON_S, TimeUnit.SECONDS)).as("given up").isTrue();
+    }
+
+    /** Of a long one the first bytes are timed; and what has moved since its time ended may go on. */
+    @ParameterizedTest
+    @CsvSource({"length,99995", "much,5", "moving,5"})
+    void answerThatMayStillGetThereIsWaitedForBeyondItsTime(String framing, int left) throws Exception {
+        String rest = "x".repeat(left);
+        Host host = host(begun(framing), framing.equals("length") ? rest : chunk(rest) + "0\r\n\r\n");
+        Body body = asked(host, "1.1", framing.equals("much") ? 70_005 : 5);
+        rig.stopClock(BUDGET_MS * 1_000 + 100_000);
+        if (framing.equals("moving")) {
+            write(host.next(), chunk("more"));
+            read(body, 4);
+        }
+        rig.stopClock(2 * GRACE_US);
+        Thread.sleep(LOOKS_MS);
+        goOn.countDown();
+        assertThat(rest(body)).isEqualTo(left);
+    }
+
+    @Test
+    void clientThatReadsSlowlyHasItsAnswerBeyondItsTime() throws Exception {
+        int length = 16 << 20;
+        Host host = open(new Host((head, seen) -> Host.ok("x".repeat(length))));
+        Body body = asked(host, "1.1", 1);
+        rig.stopClock(BUDGET_MS * 1_000 + GRACE_US);
+        Thread.sleep(LOOKS_MS);
+        assertThat(rest(body)).isEqualTo(length - 1);
+    }
+
+    /** Nobody read its connection, and nothing was written to it, while the host stood still. */
+    @ParameterizedTest
+    @CsvSource({"close,,false", "close,,true", "reset,,true", "half,,true", "close,behind,false", "close,behind,true",
+        "half,behind,true"})
+    void departureWhileTheHostStandsStillIsNoticed(String how, String behind, boolean late) throws Exception {
+        Host host = host(begun("length"), null);
+        asked(host, "1.1", 5);
+        if (late) {
+            awaitTakenOver();
+        }
+        client.send(behind == null ? "" : ClientRig.pay(behind));
+        if (how.equals("half")) {
+            client.socket.shutdownOutput();
+        } else {
+            client.socket.setSoLinger(how.equals("reset"), 0);
+            client.close();
+        }
+        assertThat(host.closed.poll(SOON_S, TimeUnit.SECONDS)).as("given up").isTrue();
+        assertThat(rig.accepted().isClosedInTime()).isTrue();
+        host.next();
+        assertThat(host.seen).as("served for nobody").isEmpty();
+    }
+
+    /** Its connection was closed over them, so that the reset took with it what the client had not read yet. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void bytesBehindTheRequestTakeNothingOfTheAnswer(boolean late) throws Exception {
+        Host host = host(begun("length"), "x".repeat(LENGTH - 5));
+        Body body = asked(host, "1.1", 5);
+        if (late) {
+            awaitTakenOver();
+        }
+        client.send(ClientRig.pay("behind", 900, 8_000));
+        goOn.countDown();
+        assertThat(ends.await(SOON_S, TimeUnit.SECONDS)).isTrue();
+        client.send("and more");
+        assertThat(rest(body)).isEqualTo(LENGTH - 5);
+        assertThat(reader.await()).as("more than the end, which is no reset").isFalse();
+        client.close();
+        assertThat(rig.accepted().isClosedInTime()).isTrue();
+        host.next();
+        assertThat(host.seen).as("served behind the last answer").isEmpty();
+    }
+}
