The ending's margins stand in one place, Ending

Seen by reading: what is left after the last moment for held requests was cut up in three places, Ending's MARGIN_US (250 ms) and LAST_FAILURES_US (150 ms) and Sidecar's ENDING_MARGIN_US (100 ms), one inside the other, and none said so of the others.

Changed: Ending has the three parts one behind the other (failures to reach their clients 100 ms, the steps behind them 50 ms, the exit 100 ms) and says when connections are closed (closedUs). AcquirerSide.awaitEmpty takes that moment. No time has moved.

EndingTest holds both moments, for all its cases; its earlier assertions are as they were.

--- a/core/src/main/java/dapplequay/lifecycle/Ending.java
+++ b/core/src/main/java/dapplequay/lifecycle/Ending.java
@@ -17,23 +17,31 @@
     private static final long LONGEST_COUNTED_US = 3_000_000;
     /** ... and this after the order. */
     private static final long FORCED_AFTER_US = 700_000;
-    /** For the last failures to reach their clients, and for the process to be gone. */
-    private static final long MARGIN_US = 250_000;
-    /** Of that margin: then the process goes whatever is not finished; its exit alone takes what is left. */
-    private static final long LAST_FAILURES_US = 150_000;
+    /** What is left then has three parts: for the last failures to reach their clients, ... */
+    private static final long LAST_FAILURES_US = 100_000;
+    /** ... for the steps behind them, whatever of these stands still, ... */
+    private static final long LAST_STEPS_US = 50_000;
+    /** ... and for the exit alone. */
+    private static final long EXIT_US = 100_000;
     /** Of the shortest aim: what the last requests have. Most are answered in less; whoever is not, fails. */
     private static final double LAST_SHARE = 0.5;
 
     /** {@code shortestAimUs}, {@code longestDeadlineUs}: of all classes. */
     public static Ending of(long shortestAimUs, long longestDeadlineUs) {
-        long heldUs = Math.min(longestDeadlineUs, LONGEST_COUNTED_US) + FORCED_AFTER_US - MARGIN_US;
+        long heldUs = Math.min(longestDeadlineUs, LONGEST_COUNTED_US) + FORCED_AFTER_US
+                - LAST_FAILURES_US - LAST_STEPS_US - EXIT_US;
         long serveUs = Math.max(LATE_CONNECTIONS_US, heldUs - (long) (LAST_SHARE * shortestAimUs));
         return new Ending(LATE_CONNECTIONS_US, serveUs, heldUs);
     }
 
+    /** Until then the failures of what was held may reach their clients; then connections are closed. */
+    public long closedUs() {
+        return heldUs + LAST_FAILURES_US;
+    }
+
     /** Whatever stands still then, the process has to go. */
     public long latestUs() {
-        return heldUs + LAST_FAILURES_US;
+        return closedUs() + LAST_STEPS_US;
     }
 
     /** The same where a successor has the clients already: nothing is waited for but what is held. */
--- a/core/src/test/java/dapplequay/lifecycle/EndingTest.java
+++ b/core/src/test/java/dapplequay/lifecycle/EndingTest.java
@@ -16,6 +16,8 @@
         assertThat(ending.heldUs()).isEqualTo(heldMs * 1_000);
         assertThat(ending.lateUs()).isGreaterThan(400_000).isLessThanOrEqualTo(ending.serveUs());
         assertThat(ending.heldUs()).isLessThan((Math.min(deadlineMs, 3_000) + 700) * 1_000 - 200_000);
+        assertThat(ending.closedUs()).isEqualTo((heldMs + 100) * 1_000);
+        assertThat(ending.latestUs()).isEqualTo((heldMs + 150) * 1_000);
         assertThat(ending.handingOver()).isEqualTo(new Ending(0, 0, ending.heldUs()));
     }
 }
--- a/sidecar/src/main/java/dapplequay/net/AcquirerSide.java
+++ b/sidecar/src/main/java/dapplequay/net/AcquirerSide.java
@@ -261,14 +261,14 @@
 
     /**
      * Waits until nothing is held any more and no new connection comes, from {@code lateUs} on, or until {@code
-     * untilUs}; what is held then fails, and has {@code marginUs} to reach its clients. Then the door is shut. One of
-     * this process alone stays open meanwhile, as what the system has accepted counts as taken.
+     * untilUs}; what is held then fails, and has until {@code closedUs} to reach its clients. Then the door is shut. One
+     * of this process alone stays open meanwhile, as what the system has accepted counts as taken.
      */
-    void awaitEmpty(long lateUs, long untilUs, long marginUs) throws InterruptedException {
+    void awaitEmpty(long lateUs, long untilUs, long closedUs) throws InterruptedException {
         if (!isEmptyBy(lateUs, untilUs)) {
             isOver = true;          // before those that are held are gone over: each is seen here or sees this
             left().forEach(AcquirerConnection::failHeld);
-            isEmptyBy(lateUs, untilUs + marginUs);
+            isEmptyBy(lateUs, closedUs);
         }
         door.shut();
         // The exit would close them in the same way, but only once threads that sit in their reads were waited for.
--- a/sidecar/src/main/java/dapplequay/net/Sidecar.java
+++ b/sidecar/src/main/java/dapplequay/net/Sidecar.java
@@ -44,8 +44,6 @@
     private static final long LOOK_US = 150_000;
     /** Turns between two looks at what the module passes over. */
     private static final int PASSED_OVER_TURNS = 10;
-    /** For what fails at the end of an ending to reach its clients. */
-    private static final long ENDING_MARGIN_US = 100_000;
 
     private final Deadlines deadlines;
     private final Facade facade;
@@ -347,7 +345,7 @@
             LOG.info(handsOver ? "ending: a successor takes the clients"
                     : "ending: who has a connection is still served");
             lifetime.end(ending.serveUs());
-            side.awaitEmpty(now + ending.lateUs(), now + ending.heldUs(), ENDING_MARGIN_US);
+            side.awaitEmpty(now + ending.lateUs(), now + ending.heldUs(), now + ending.closedUs());
         }
         // A process whose threads stay in their reads is gone only a third of a second later.
         watch.end();
