What an ending fails is written by a thread each: one client can't hold up the others

Seen by a test on real connections whose first client takes nothing: the others, held behind it, were told only once its write was given up, 10 s later, when the process has long gone.

At fault: AcquirerSide.awaitEmpty, which had the ending's own thread write the failures one after the other (failHeld, AcquirerConnection.answer, up to WRITE_US each).

Ruled out: a small pool, which as many such clients fill; writing by the connection's reading thread, which looks up each 200 ms only, twice what the failures have; a bound for each write, which adds up.

Changed: a thread for each request that is still held then (AcquirerSide.fail), bounded by these; idle connections cost none. Where no thread is to be had it is as before.

Result: LastFailuresTest fails without the mend (told after 10 s, when the stuck connection was closed) and passes in 0.2 s with it. LongAnswerTest also holds that an answer that the ending cuts short shows it (22 tests). LastMomentTest, OrderlyCloseTest, ClientDepartureTest and SidecarTest pass unchanged. The rig has a hook before a write, and the ending's last moment.

--- a/sidecar/src/main/java/dapplequay/net/AcquirerConnection.java
+++ b/sidecar/src/main/java/dapplequay/net/AcquirerConnection.java
@@ -196,7 +196,7 @@
                 throw e;
             }
             lastRequest = true;
-            answer(tooLate());
+            answer(Answers.tooLate());
             return;
         } finally {
             side.deadlines().cancel(whole);
@@ -238,10 +238,6 @@
         return hasRoom;
     }
 
-    private static Answers.Answer tooLate() {
-        return Answers.plain(408, "request did not come whole in time");
-    }
-
     /** Carries the rest of a long request to the leg that is out, until it is whole or the request is over. */
     private void carry(Authorisation authorisation, Body body) throws IOException {
         byte[] piece = Pieces.take();
@@ -294,7 +290,7 @@
                 side.conductor().clientLeft(authorisation);
                 throw e;
             }
-            side.conductor().spoilt(authorisation, tooLate());
+            side.conductor().spoilt(authorisation, Answers.tooLate());
         } catch (IOException e) {
             side.conductor().clientLeft(authorisation);
             throw e;
@@ -401,22 +397,8 @@
         }
         if (!whole || input.isGone()) {
             over();
-            return;
-        }
-        try {
-            new Thread(this::awaitClose, "acquirer").start();
-        } catch (OutOfMemoryError e) {
-            over();
-        }
-    }
-
-    private void awaitClose() {
-        try {
-            ending.throwAway(0);
-        } catch (IOException e) {
-            LOG.log(Level.FINE, "acquirer connection ended: {0}", e.toString());
-        } finally {
-            over();
+        } else {
+            ending.throwAwayApart(this::over);
         }
     }
 
@@ -457,6 +439,12 @@
         return state == State.CLOSED && !ending.isClosed();
     }
 
+    /** Whether a request is in hand whose answer nobody has taken on. */
+    boolean holds() {
+        Authorisation held = current;
+        return held != null && !held.isOver();
+    }
+
     /** There is no time left to wait for the answer to the request in hand: it fails, better told than cut off. */
     void failHeld() {
         Authorisation held = current;
--- a/sidecar/src/main/java/dapplequay/net/AcquirerSide.java
+++ b/sidecar/src/main/java/dapplequay/net/AcquirerSide.java
@@ -261,13 +261,13 @@
 
     /**
      * Waits until nothing is held any more and no new connection comes, from {@code lateUs} on, or until {@code
-     * untilUs}; what is held then fails, and has until {@code closedUs} to reach its clients. Then the door is shut. One
-     * of this process alone stays open meanwhile, as what the system has accepted counts as taken.
+     * untilUs}; what is held then fails, and that has until {@code closedUs} to reach its clients. Then the door is
+     * shut. One of this process alone stays open meanwhile, as what the system has accepted counts as taken.
      */
     void awaitEmpty(long lateUs, long untilUs, long closedUs) throws InterruptedException {
         if (!isEmptyBy(lateUs, untilUs)) {
             isOver = true;          // before those that are held are gone over: each is seen here or sees this
-            left().forEach(AcquirerConnection::failHeld);
+            left().stream().filter(AcquirerConnection::holds).forEach(AcquirerSide::fail);
             isEmptyBy(lateUs, closedUs);
         }
         door.shut();
@@ -275,6 +275,17 @@
         left().forEach(AcquirerConnection::close);
     }
 
+    /** By a thread of its own: a client that takes nothing must not keep the others from their answers. */
+    private static void fail(AcquirerConnection holding) {
+        Thread writer = new Thread(holding::failHeld, "last failure");
+        writer.setDaemon(true);
+        try {
+            writer.start();
+        } catch (OutOfMemoryError e) {
+            holding.failHeld();             // no thread to be had: better one after the other than not at all
+        }
+    }
+
     /** Whether what is held has failed for want of time: what becomes whole now could not be answered any more. */
     boolean isOver() {
         return isOver;
--- a/sidecar/src/main/java/dapplequay/net/Answers.java
+++ b/sidecar/src/main/java/dapplequay/net/Answers.java
@@ -58,6 +58,10 @@
         return body.length() < 0 && !version.equals("HTTP/1.0");
     }
 
+    static Answer tooLate() {
+        return plain(408, "request did not come whole in time");
+    }
+
     static Answer failure(int status) {
         return plain(status, status == 504 ? "no answer in time" : "failed");
     }
--- a/sidecar/src/main/java/dapplequay/net/OrderlyClose.java
+++ b/sidecar/src/main/java/dapplequay/net/OrderlyClose.java
@@ -77,6 +77,24 @@
         return closed;
     }
 
+    /** {@link #throwAway} by a thread of its own, where nobody else reads; {@code over} is called at the end. */
+    void throwAwayApart(Runnable over) {
+        Thread thread = new Thread(() -> {
+            try {
+                throwAway(0);
+            } catch (IOException e) {
+                LOG.log(Level.FINE, "acquirer connection ended: {0}", e.toString());
+            } finally {
+                over.run();
+            }
+        }, "acquirer");
+        try {
+            thread.start();
+        } catch (OutOfMemoryError e) {
+            over.run();
+        }
+    }
+
     /** Reads on until the client ends, or the time is over; {@code more}: bytes beyond what is usual. */
     void throwAway(int more) throws IOException {
         socket.setSoTimeout(0);
--- a/sidecar/src/test/java/dapplequay/net/ClientRig.java
+++ b/sidecar/src/test/java/dapplequay/net/ClientRig.java
@@ -9,8 +9,10 @@
 import dapplequay.time.Deadlines;
 import dapplequay.time.UnixClock;
 import java.io.FilterInputStream;
+import java.io.FilterOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
+import java.io.OutputStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -41,6 +43,8 @@
         void beforeRead() throws IOException { }
 
         void beforeEnd() throws IOException { }
+
+        void beforeWrite(Accepted to) throws IOException { }
     }
 
     /** An accepted connection, in the order in which they came. */
@@ -67,6 +71,17 @@
             };
         }
 
+        @Override
+        public OutputStream getOutputStream() throws IOException {
+            return new FilterOutputStream(super.getOutputStream()) {
+                @Override
+                public void write(byte[] from, int at, int length) throws IOException {
+                    hooks.beforeWrite(Accepted.this);
+                    out.write(from, at, length);
+                }
+            };
+        }
+
         private void ending() throws IOException {
             synchronized (hooks) {
                 if (ends) {
@@ -153,6 +168,7 @@
     final Lifetime lifetime;
     private final List<AutoCloseable> toClose = new ArrayList<>();
     private final AcquirerSide side;
+    private final Deadlines deadlines;
     private final UnixClock running = new UnixClock();
     private volatile long stoppedUs = -1;
     private volatile boolean tellsTurns = true;
@@ -160,7 +176,7 @@
 
     /** {@code most}: client connections at the bound; {@code ports}: the hosts. */
     ClientRig(Hooks hooks, int most, int... ports) throws IOException {
-        Deadlines deadlines = new Deadlines(() -> stoppedUs >= 0 ? stoppedUs : running.getAsLong());
+        deadlines = new Deadlines(() -> stoppedUs >= 0 ? stoppedUs : running.getAsLong());
         String text = Files.readString(Path.of("example/config.json"))
                 .replaceAll("\"connect_timeout_us\": \\d+", "\"connect_timeout_us\": 8000000")
                 .replaceAll("\"deadline_us\": \\d+", "\"deadline_us\": 20000000");
@@ -214,6 +230,11 @@
         stoppedUs = (stoppedUs >= 0 ? stoppedUs : running.getAsLong()) + laterUs;
     }
 
+    /** The last moment of an ending has come: what is held fails, and has so long to reach its clients, us. */
+    void lastMoment(long marginUs) throws InterruptedException {
+        side.awaitEmpty(0, 0, deadlines.now() + marginUs);
+    }
+
     Host.Client client() throws IOException {
         Host.Client client = new Host.Client(side.address());
         client.socket.setSendBufferSize(BUFFER);
--- /dev/null
+++ b/sidecar/src/test/java/dapplequay/net/LastFailuresTest.java
@@ -0,0 +1,56 @@
+package dapplequay.net;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** What is held when an ending's time is over fails, and each client is told. */
+@Timeout(60)
+class LastFailuresTest {
+    private static final long MARGIN_US = 30_000_000;
+
+    private final CountDownLatch stuck = new CountDownLatch(1);
+    private volatile ClientRig.Accepted full;
+
+    /** The failures were written one after the other, by the ending's thread. */
+    @Test
+    void clientsBehindOneWhoseWindowIsFullAreToldWhileItIsStuck() throws Exception {
+        ClientRig.Hooks hooks = new ClientRig.Hooks() {
+            @Override
+            void beforeWrite(ClientRig.Accepted to) throws IOException {
+                try {
+                    if (to == full) {
+                        stuck.countDown();
+                        to.closed.await();
+                    }
+                } catch (InterruptedException e) {
+                    throw new IOException(e);
+                }
+            }
+        };
+        List<Host.Client> clients = new ArrayList<>();
+        try (Host host = new Host((head, seen) -> {
+            seen.socket().getInputStream().read();
+            return null;
+        }); ClientRig rig = new ClientRig(hooks, 100, host.port())) {
+            for (int i = 0; i < 3; i++) {
+                clients.add(rig.client());
+                clients.get(i).send(ClientRig.pay("held"));
+                host.next();
+            }
+            full = rig.accepted();              // the first: all others were told behind it
+            Host.daemon(() -> rig.lastMoment(MARGIN_US));
+            stuck.await();
+            for (Host.Client other : clients.subList(1, clients.size())) {
+                assertThat(other.answer().status()).isEqualTo(504);
+            }
+            assertThat(full.closed.getCount()).as("still stuck").isEqualTo(1);
+            full.close();
+        }
+    }
+}
--- a/sidecar/src/test/java/dapplequay/net/LongAnswerTest.java
+++ b/sidecar/src/test/java/dapplequay/net/LongAnswerTest.java
@@ -148,6 +148,16 @@
         assertThat(host.closed.poll(SOON_S, TimeUnit.SECONDS)).as("given up").isTrue();
     }
 
+    /** Where only the end of the connection ends an answer, a plain one in the ending's last moment made it whole. */
+    @ParameterizedTest
+    @CsvSource({"chunked,1.0", "end,1.0", "end,1.1", "length,1.1"})
+    void answerThatAnEndingCutsShortShowsThatItIsNotWhole(String framing, String version) throws Exception {
+        Body body = asked(host(begun(framing), null), version, 5);
+        rig.lastMoment(0);
+        assertThat(catchThrowable(() -> rest(body))).isNotInstanceOf(SocketTimeoutException.class)
+                .isInstanceOf(version.equals("1.0") ? SocketException.class : IOException.class);
+    }
+
     /** Of a long one the first bytes are timed; and what has moved since its time ended may go on. */
     @ParameterizedTest
     @CsvSource({"length,99995", "much,5", "moving,5"})
