An ending shuts its door behind whom the system has let in, not by the clock

Seen by a test: with the accepting thread late, clients whom the system had accepted before SIGTERM, with their requests sent, were met with a reset: 0.55 s after it nobody was among the connections, and the door was shut on the backlog.

At fault: AcquirerSide.awaitEmpty, which took an empty set of connections, at a time, for nobody waiting.

Changed: Door.shutOnceEmpty. The process's own door accepts with a time-out of 0.1 s; told to be the last, it is shut by the accepting thread itself once it has found nobody after that. The ending waits until that thread has left, and then once more for what it has brought, by its old times. At the last moment of all the same is done, and whoever comes in then is refused at once; where the thread stands still the door is shut by the time as before. An ending with nobody left may take 0.1 s longer.

Not closed: who connects in the instant between the last look and the close is met with a reset; the system knows no step that does both.

Result: StartAndEndTest has a door whose thread accepts only once somebody shuts it: "Connection reset" without the mend, two answers with it. LastMomentTest, LastFailuresTest, SignalCrossingsTest, RestartTest, UpgradeTest, RollUnderLoadTest, ProgramTest, OrderlyCloseTest and ClientDepartureTest pass unchanged. The test rig's door is the process's own now, about its listener.

--- a/sidecar/src/main/java/dapplequay/net/AcquirerSide.java
+++ b/sidecar/src/main/java/dapplequay/net/AcquirerSide.java
@@ -261,14 +261,17 @@
 
     /**
      * Waits until nothing is held any more and no new connection comes, from {@code lateUs} on, or until {@code
-     * untilUs}; what is held then fails, and that has until {@code closedUs} to reach its clients. Then the door is
-     * shut. One of this process alone stays open meanwhile, as what the system has accepted counts as taken.
+     * untilUs}; what is held then fails, and that has until {@code closedUs} to reach its clients. A door of this
+     * process alone stays open meanwhile, as what the system has accepted counts as taken: it is shut once all of that
+     * is here, however late the accepting thread is, and at {@code closedUs} in any case.
      */
     void awaitEmpty(long lateUs, long untilUs, long closedUs) throws InterruptedException {
-        if (!isEmptyBy(lateUs, untilUs)) {
+        if (!isEmptyBy(lateUs, untilUs) || !hasLetInAll(untilUs) || !isEmptyBy(lateUs, untilUs)) {
             isOver = true;          // before those that are held are gone over: each is seen here or sees this
             left().stream().filter(AcquirerConnection::holds).forEach(AcquirerSide::fail);
-            isEmptyBy(lateUs, closedUs);
+            if (hasLetInAll(closedUs)) {
+                isEmptyBy(lateUs, closedUs);
+            }
         }
         door.shut();
         // The exit would close them in the same way, but only once threads that sit in their reads were waited for.
@@ -286,6 +289,12 @@
         }
     }
 
+    /** Has the door shut behind whoever waits there; true once all of these are among the connections. */
+    private boolean hasLetInAll(long untilUs) throws InterruptedException {
+        door.shutOnceEmpty();
+        return stopped.await(Math.max(0, untilUs - deadlines.now()), TimeUnit.MICROSECONDS);
+    }
+
     /** Whether what is held has failed for want of time: what becomes whole now could not be answered any more. */
     boolean isOver() {
         return isOver;
--- a/sidecar/src/main/java/dapplequay/net/Door.java
+++ b/sidecar/src/main/java/dapplequay/net/Door.java
@@ -5,6 +5,7 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.channels.Channel;
 import java.nio.channels.ClosedSelectorException;
 import java.nio.channels.SelectionKey;
@@ -30,6 +31,9 @@
     /** No connection is accepted any more; those that wait are left to whom else the door belongs. */
     void shut();
 
+    /** The same once nobody waits any more: who waits already is still accepted, one after the other. */
+    void shutOnceEmpty();
+
     /** True once it was shut. */
     boolean isShut();
 
@@ -37,12 +41,23 @@
     final class Own implements Door {
         private static final int BACKLOG = 1024;
 
-        private final ServerSocket listener = new ServerSocket();
+        /** So often, ms, a thread that waits looks whether the door is to be shut, and so long where it is. */
+        private static final int LOOK_MS = 100;
+        private static final int LAST_LOOK_MS = 1;
+
+        private final ServerSocket listener;
+        private volatile boolean isLast;
 
         Own(InetSocketAddress listen) throws IOException {
+            this(new ServerSocket());
             listener.bind(listen, BACKLOG);
         }
 
+        /** With a listener that is bound, or is going to be. */
+        Own(ServerSocket listener) {
+            this.listener = listener;
+        }
+
         @Override
         public InetSocketAddress address() {
             return (InetSocketAddress) listener.getLocalSocketAddress();
@@ -50,13 +65,22 @@
 
         @Override
         public Socket accept() throws IOException {
-            try {
-                return listener.accept();
-            } catch (IOException e) {
-                if (isShut()) {
-                    return null;
+            while (true) {
+                boolean last = isLast;      // asked first: only who came behind this moment may be left out
+                try {
+                    listener.setSoTimeout(last ? LAST_LOOK_MS : LOOK_MS);
+                    return listener.accept();
+                } catch (SocketTimeoutException e) {
+                    if (last) {
+                        shut();
+                        return null;
+                    }
+                } catch (IOException e) {
+                    if (isShut()) {
+                        return null;
+                    }
+                    throw e;
                 }
-                throw e;
             }
         }
 
@@ -70,6 +94,11 @@
             Sockets.close(listener);
         }
 
+        @Override
+        public void shutOnceEmpty() {
+            isLast = true;
+        }
+
         @Override
         public boolean isShut() {
             return listener.isClosed();
@@ -134,6 +163,12 @@
             selector.wakeup();
         }
 
+        /** Who waits is the others' to accept. */
+        @Override
+        public void shutOnceEmpty() {
+            shut();
+        }
+
         @Override
         public boolean isShut() {
             return shut;
--- a/sidecar/src/test/java/dapplequay/net/ClientRig.java
+++ b/sidecar/src/test/java/dapplequay/net/ClientRig.java
@@ -14,7 +14,6 @@
 import java.io.InputStream;
 import java.io.OutputStream;
 import java.net.InetAddress;
-import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
@@ -111,57 +110,18 @@
     }
 
     /** The process's own door, with hooks. */
-    private static final class HookedDoor implements Door {
-        private final ServerSocket listener;
-
-        HookedDoor(Hooks hooks, BlockingQueue<Accepted> accepted) throws IOException {
-            listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress()) {
-                @Override
-                public Socket accept() throws IOException {
-                    Accepted socket = new Accepted(hooks);
-                    implAccept(socket);
-                    accepted.add(socket);
-                    return socket;
-                }
-            };
-            listener.setReceiveBufferSize(BUFFER);
-        }
-
-        @Override
-        public InetSocketAddress address() {
-            return (InetSocketAddress) listener.getLocalSocketAddress();
-        }
-
-        @Override
-        public Socket accept() throws IOException {
-            try {
-                return listener.accept();
-            } catch (IOException e) {
-                if (isShut()) {
-                    return null;
-                }
-                throw e;
+    private static Door door(Hooks hooks, BlockingQueue<Accepted> accepted) throws IOException {
+        ServerSocket listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress()) {
+            @Override
+            public Socket accept() throws IOException {
+                Accepted socket = new Accepted(hooks);
+                implAccept(socket);
+                accepted.add(socket);
+                return socket;
             }
-        }
-
-        @Override
-        public boolean isShared() {
-            return false;
-        }
-
-        @Override
-        public void shut() {
-            try {
-                listener.close();
-            } catch (IOException e) {
-                throw new IllegalStateException(e);
-            }
-        }
-
-        @Override
-        public boolean isShut() {
-            return listener.isClosed();
-        }
+        };
+        listener.setReceiveBufferSize(BUFFER);
+        return new Door.Own(listener);
     }
 
     final BlockingQueue<Accepted> accepted = new LinkedBlockingQueue<>();
@@ -193,7 +153,7 @@
         IssuerSide issuers = new IssuerSide(table, deadlines, () -> setup, 100, counts);
         Conductor conductor = new Conductor(facade, issuers);
         issuers.conductor(conductor);
-        Door door = new HookedDoor(hooks, accepted);
+        Door door = door(hooks, accepted);
         side = new AcquirerSide(door, () -> setup, facade, conductor, deadlines, counts, lifetime, new Headroom(1),
                 most, 1_000, 10);
         Host.daemon(side::run);
--- a/sidecar/src/test/java/dapplequay/net/StartAndEndTest.java
+++ b/sidecar/src/test/java/dapplequay/net/StartAndEndTest.java
@@ -11,8 +11,10 @@
 import java.lang.management.ThreadInfo;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.Socket;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -107,6 +109,69 @@
         }
     }
 
+    /** A door whose accepting thread does not get to accept before somebody shuts the door, in whatever way. */
+    private static final class LateDoor implements Door {
+        private final Door own = new Door.Own(ANY);
+        private final CountDownLatch shut = new CountDownLatch(1);
+
+        LateDoor() throws IOException { }
+
+        @Override
+        public InetSocketAddress address() {
+            return own.address();
+        }
+
+        @Override
+        public Socket accept() throws IOException {
+            try {
+                shut.await();
+            } catch (InterruptedException e) {
+                throw new IOException(e);
+            }
+            return own.accept();
+        }
+
+        @Override
+        public boolean isShared() {
+            return false;
+        }
+
+        @Override
+        public void shut() {
+            own.shut();
+            shut.countDown();
+        }
+
+        @Override
+        public void shutOnceEmpty() {
+            own.shutOnceEmpty();
+            shut.countDown();
+        }
+
+        @Override
+        public boolean isShut() {
+            return own.isShut();
+        }
+    }
+
+    /** The door was shut by the clock, on whom the system had let in and the accepting thread had not come to yet. */
+    @Test
+    void whomTheSystemHasLetInIsAnsweredHoweverLateTheAcceptingThreadIs() throws Exception {
+        try (Host host = new Host((head, seen) -> Host.ok("done"))) {
+            Sidecar sidecar = new Sidecar(plan(host.port()), Sidecar.Memory.NONE, LateDoor::new);
+            sidecar.start();
+            try (Host.Client first = new Host.Client(sidecar.address());
+                    Host.Client second = new Host.Client(sidecar.address())) {
+                first.send(quote());
+                second.send(quote());
+                Host.daemon(() -> sidecar.end(ENDING));
+                for (Host.Client client : List.of(first, second)) {
+                    assertThat(client.answer().status()).isEqualTo(200);
+                }
+            }
+        }
+    }
+
     @Test
     void anEndingThatComesBeforeTheDoorIsOpenedKeepsItShut() throws Exception {
         AtomicBoolean opened = new AtomicBoolean();
