--- a/sidecar/src/test/java/dapplequay/net/ClientRig.java
+++ b/sidecar/src/test/java/dapplequay/net/ClientRig.java
@@ -9,10 +9,11 @@
 import dapplequay.time.Deadlines;
 import dapplequay.time.UnixClock;
 import java.io.FilterInputStream;
+import java.io.FilterOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
+import java.io.OutputStream;
 import java.net.InetAddress;
-import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
@@ -41,6 +42,8 @@
         void beforeRead() throws IOException { }
 
         void beforeEnd() throws IOException { }
+
+        void beforeWrite(Accepted to) throws IOException { }
     }
 
     /** An accepted connection, in the order in which they came. */
@@ -67,6 +70,17 @@
             };
         }
 
+        @Override
+        public OutputStream getOutputStream() throws IOException {
+            return new FilterOutputStream(super.getOutputStream()) {
+                @Override
+                public void write(byte[] from, int at, int length) throws IOException {
+                    hooks.beforeWrite(Accepted.this);
+                    out.write(from, at, length);
+                }
+            };
+        }
+
         private void ending() throws IOException {
             synchronized (hooks) {
                 if (ends) {
@@ -96,63 +110,25 @@
     }
 
     /** The process's own door, with hooks. */
-    private static final class HookedDoor implements Door {
-        private final ServerSocket listener;
-
-        HookedDoor(Hooks hooks, BlockingQueue<Accepted> accepted) throws IOException {
-            listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress()) {
-                @Override
-                public Socket accept() throws IOException {
-                    Accepted socket = new Accepted(hooks);
-                    implAccept(socket);
-                    accepted.add(socket);
-                    return socket;
-                }
-            };
-            listener.setReceiveBufferSize(BUFFER);
-        }
-
-        @Override
-        public InetSocketAddress address() {
-            return (InetSocketAddress) listener.getLocalSocketAddress();
-        }
-
-        @Override
-        public Socket accept() throws IOException {
-            try {
-                return listener.accept();
-            } catch (IOException e) {
-                if (isShut()) {
-                    return null;
-                }
-                throw e;
+    private static Door door(Hooks hooks, BlockingQueue<Accepted> accepted) throws IOException {
+        ServerSocket listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress()) {
+            @Override
+            public Socket accept() throws IOException {
+                Accepted socket = new Accepted(hooks);
+                implAccept(socket);
+                accepted.add(socket);
+                return socket;
             }
-        }
-
-        @Override
-        public boolean isShared() {
-            return false;
-        }
-
-        @Override
-        public void shut() {
-            try {
-                listener.close();
-            } catch (IOException e) {
-                throw new IllegalStateException(e);
-            }
-        }
-
-        @Override
-        public boolean isShut() {
-            return listener.isClosed();
-        }
+        };
+        listener.setReceiveBufferSize(BUFFER);
+        return new Door.Own(listener);
     }
 
     final BlockingQueue<Accepted> accepted = new LinkedBlockingQueue<>();
     final Lifetime lifetime;
     private final List<AutoCloseable> toClose = new ArrayList<>();
     private final AcquirerSide side;
+    private final Deadlines deadlines;
     private final UnixClock running = new UnixClock();
     private volatile long stoppedUs = -1;
     private volatile boolean tellsTurns = true;
@@ -160,7 +136,7 @@
 
     /** {@code most}: client connections at the bound; {@code ports}: the hosts. */
     ClientRig(Hooks hooks, int most, int... ports) throws IOException {
-        Deadlines deadlines = new Deadlines(() -> stoppedUs >= 0 ? stoppedUs : running.getAsLong());
+        deadlines = new Deadlines(() -> stoppedUs >= 0 ? stoppedUs : running.getAsLong());
         String text = Files.readString(Path.of("example/config.json"))
                 .replaceAll("\"connect_timeout_us\": \\d+", "\"connect_timeout_us\": 8000000")
                 .replaceAll("\"deadline_us\": \\d+", "\"deadline_us\": 20000000");
@@ -177,7 +153,7 @@
         IssuerSide issuers = new IssuerSide(table, deadlines, () -> setup, 100, counts);
         Conductor conductor = new Conductor(facade, issuers);
         issuers.conductor(conductor);
-        Door door = new HookedDoor(hooks, accepted);
+        Door door = door(hooks, accepted);
         side = new AcquirerSide(door, () -> setup, facade, conductor, deadlines, counts, lifetime, new Headroom(1),
                 most, 1_000, 10);
         Host.daemon(side::run);
@@ -214,6 +190,11 @@
         stoppedUs = (stoppedUs >= 0 ? stoppedUs : running.getAsLong()) + laterUs;
     }
 
+    /** The last moment of an ending has come: what is held fails, and has so long to reach its clients, us. */
+    void lastMoment(long marginUs) throws InterruptedException {
+        side.awaitEmpty(0, 0, deadlines.now() + marginUs);
+    }
+
     Host.Client client() throws IOException {
         Host.Client client = new Host.Client(side.address());
         client.socket.setSendBufferSize(BUFFER);
