--- a/core/src/main/java/dapplequay/BuddySet.java
+++ b/core/src/main/java/dapplequay/BuddySet.java
@@ -78,17 +78,17 @@
         Server s = servers.computeIfAbsent(e.host(), host -> new Server(host, settings.position(), this));
         boolean ready = e.state() == HostState.READY;
         double entrySize = Math.max(0.05, e.weight());
-        boolean changed = s.ready != ready || s.size != entrySize || s.startedUs != e.startedUs();
-        boolean anew = ready && e.startedUs() > s.startedUs;
+        boolean later = e.startedUs() > s.startedUs;    // an older line knows less than what was met there
+        boolean changed = s.ready != ready || s.size != entrySize || later;
         s.ready = ready;
         s.draining = e.state() == HostState.DRAINING;
         if (e.zone() >= 0) {
             s.zone = e.zone();
             s.cell = e.cell();
             s.size = entrySize;
-            s.startedUs = e.startedUs();
+            s.startedUs = Math.max(s.startedUs, e.startedUs());
         }
-        if (anew) {
+        if (ready && later) {
             s.restarted(now);
             zoneLoss.started(s.zone);
         }
@@ -110,11 +110,10 @@
         int reachable = (int) foreign.stream().filter(s -> !zoneLoss.isLost(s.zone)).count();
         Server head = headOf(local.isEmpty() ? foreign : local);
         foreign.subList(Math.min(foreign.size(), reachable + LOST), foreign.size()).clear();
-        List<Server> set = new ArrayList<>(head == null ? List.of() : List.of(head));
-        fill(set, local, size - Math.min(foreign.size(), FOREIGN));
-        fill(set, foreign, size);
-        buddies = set;
-        senders = Math.max(1, (double) settings.balancers() * set.size() / Math.max(1, ready.size()));
+        buddies = new ArrayList<>(head == null ? List.of() : List.of(head));
+        fill(buddies, local, size - Math.min(foreign.size(), FOREIGN));
+        fill(buddies, foreign, size);
+        senders = Math.max(1, (double) settings.balancers() * buddies.size() / Math.max(1, ready.size()));
     }
 
     private static void fill(List<Server> set, List<Server> from, int upTo) {
