--- /dev/null
+++ b/sidecar/src/test/java/dapplequay/cli/Hosts.java
@@ -0,0 +1,66 @@
+package dapplequay.cli;
+
+import dapplequay.http.Head;
+import dapplequay.http.MessageReader;
+import dapplequay.net.Host;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * Servers that answer as the test says, each answer in one write: head and body in two, with the second held back
+ * until the first is acknowledged, take 40 ms more on a connection that is used again.
+ */
+final class Hosts implements AutoCloseable {
+    /** The head's further lines, each with its end, to a request that has come whole at one of them. */
+    interface Script {
+        String fields(int host, Head head) throws Exception;
+    }
+
+    private static final String BODY = "done";
+    private static final int BACKLOG = 500;
+
+    private final List<ServerSocket> listeners = new ArrayList<>();
+
+    Hosts(int count, Script script) throws IOException {
+        for (int i = 0; i < count; i++) {
+            int host = i;
+            ServerSocket listener = new ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress());
+            listeners.add(listener);
+            Host.daemon(() -> {
+                while (true) {
+                    Socket socket = listener.accept();
+                    Host.daemon(() -> serve(socket, host, script));
+                }
+            });
+        }
+    }
+
+    private static void serve(Socket socket, int host, Script script) throws Exception {
+        try (socket) {
+            socket.setTcpNoDelay(true);
+            MessageReader reader = new MessageReader(socket.getInputStream());
+            while (reader.await()) {
+                Head head = reader.request();
+                reader.requestBody(head);
+                socket.getOutputStream().write(("HTTP/1.1 200 OK\r\n" + script.fields(host, head) + "Content-Length: "
+                        + BODY.length() + "\r\n\r\n" + BODY).getBytes(StandardCharsets.ISO_8859_1));
+            }
+        }
+    }
+
+    List<Integer> ports() {
+        return listeners.stream().map(ServerSocket::getLocalPort).toList();
+    }
+
+    @Override
+    public void close() throws IOException {
+        for (ServerSocket listener : listeners) {
+            listener.close();
+        }
+    }
+}
