Two processes at one door keep within the descriptors, each with half of what is left

Crossing looked at: idle clients fill the descriptors, discovery refuses, and a successor starts at the inherited socket while its predecessor serves. To limits both processes are one.

Seen, with 160 descriptors granted and 240 clients: the successor is ready in time and answers at its management address, the predecessor ends in time, but both together hold 176 descriptors, and 302 to 482 requests are refused for 477 to 540 served. The logs tell 417 and 1,479 times "no room for another connection to an issuer host", none without the crossing.

Lines at fault: Sidecar.Plan.mostAcquirers gave each process a third of all descriptors, as clients were thought to be spread over both; idle clients fill what each takes (2 x 40 and 2 x 30 or more of the processes' own). mostIssuers then halved what a third left of the room for two, (60 - 53) / 2, so each had the least, 4, for 40 clients. At 1,024 descriptors and 192 MB it was 254 for clients and 20 for hosts.

Ruled out: the watch and the management address (both answer), the start (ready within 10 s), the module (no refusal left with the mend under the same load).

Change: each process has half of what is left for two, split as that of a process alone; where that makes room for fewer clients than the quarter of the descriptors from which on there is a crowd, the crowd begins at three quarters of it. A process alone is as before. A process with a shared door may now hold 104 clients and 86 connections to hosts at 1,024 descriptors and 192 MB with a management address. Not taken: a small share for the first seconds of a process, as it can't know how long another is there; a file in TMPDIR that counts both, as a process that is killed leaves its count.

Result: DescriptorsTest, 139 to 143 descriptors for both, 0 unserved of 409 to 536 in six runs; in the second run on its own the forked JVM of the tests did not end for 30 s after the test had passed (once of 9, not traced). Without the mend it fails (three runs of three). UpgradeTest, SidecarTest, StartAndEndTest, SignalCrossingsTest, PlanTest pass.

--- a/sidecar/src/main/java/dapplequay/net/Sidecar.java
+++ b/sidecar/src/main/java/dapplequay/net/Sidecar.java
@@ -30,10 +30,12 @@
     private static final Logger LOG = Logger.getLogger(Sidecar.class.getName());
     /** Descriptors kept for the program itself, the listener and discovery; the JVM has two dozen open. */
     private static final int OWN_DESCRIPTORS = 32;
-    /** Of the others; of all of them clients hold up to a third, and strangers come on top. */
+    /** Clients' share of the others. */
     private static final double ACQUIRER_SHARE = 0.55;
-    /** Clients hold no more than a third of the descriptors; from this share on there is a crowd. */
+    /** Of all descriptors: once clients hold so many there is a crowd. */
     private static final double CROWD_SHARE = 0.25;
+    /** The same of the clients that there may be, for a process that may hold far fewer as it has half of all. */
+    private static final double CROWDED = 0.75;
     /** What the process takes without connections, and each of these with its thread and its buffer. */
     private static final double BASE_MB = 75;
     private static final double CONNECTION_MB = 0.11;
@@ -82,21 +84,26 @@
             return new Plan(listen, management, discovery, seed, cores, sockets, memoryMb, list, setup, inherits);
         }
 
-        /** Connections of both sides together that the limits allow. */
+        /**
+         * Connections of both sides together that the limits allow this process. Where it shares its door, it has half
+         * of what is left for two: neither knows of the other, and idle clients fill what each takes.
+         */
         int mostConnections() {
-            return most(1);
-        }
-
-        private int most(int processes) {
+            int processes = inherits ? 2 : 1;
             double byMemory = (memoryMb - processes * BASE_MB) / CONNECTION_MB;
             int own = OWN_DESCRIPTORS + (management == null ? 0 : ManagementSide.DESCRIPTORS);
-            return (int) Math.max(FEWEST, Math.min(sockets - processes * own, byMemory));
+            return (int) Math.max(FEWEST, Math.min(sockets - processes * own, byMemory) / processes);
         }
 
-        /** Of clients. These are spread over both processes while one replaces the other. */
+        /** Of clients. */
         int mostAcquirers() {
-            return inherits ? Math.max(FEWEST, Math.min(sockets / 3, most(2) * 2 / 3))
-                    : (int) (mostConnections() * ACQUIRER_SHARE);
+            return (int) (mostConnections() * ACQUIRER_SHARE);
+        }
+
+        /** From so many clients on there is a crowd. */
+        int crowd() {
+            int crowd = (int) (sockets * CROWD_SHARE);
+            return inherits ? Math.min(crowd, (int) (mostAcquirers() * CROWDED)) : crowd;
         }
 
         /**
@@ -107,9 +114,9 @@
             return Math.max(FEWEST, (int) (cores * UPLOADS_PER_CORE));
         }
 
-        /** To issuer hosts, by this process alone: its successor, or predecessor, may have as many. */
+        /** To issuer hosts. */
         int mostIssuers() {
-            return inherits ? Math.max(FEWEST, (most(2) - sockets / 3) / 2) : mostConnections() - mostAcquirers();
+            return mostConnections() - mostAcquirers();
         }
     }
 
@@ -203,7 +210,7 @@
                 return;
             }
             acquirers = new AcquirerSide(opener.open(), () -> setup, facade, conductor, deadlines, counts, lifetime,
-                    headroom, plan.mostAcquirers(), (int) (plan.sockets() * CROWD_SHARE), plan.mostUploads());
+                    headroom, plan.mostAcquirers(), plan.crowd(), plan.mostUploads());
             daemon(watch, "watch");
             new Thread(acquirers, "listener").start();
             lifetime.listening();
--- a/sidecar/src/test/java/dapplequay/cli/DescriptorsTest.java
+++ b/sidecar/src/test/java/dapplequay/cli/DescriptorsTest.java
@@ -5,6 +5,7 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.channels.ServerSocketChannel;
 import java.nio.charset.StandardCharsets;
@@ -23,6 +24,7 @@
 import java.util.function.Supplier;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -45,6 +47,9 @@
     private static final long BOUND_MS = 6_000 + 250;
     private static final long WATCHED_MS = 1_000;
     private static final long REFUSED_MS = 3_000;
+    private static final long OVERLAP_MS = 3_000;
+    /** From SIGTERM to SIGKILL: the longest deadline, and 0.7 s. */
+    private static final long KILLED_MS = 2_000 + 700;
 
     @TempDir
     private Path folder;
@@ -273,4 +278,34 @@
         program.awaitLog("read again");
         comeBack();
     }
+
+    /** To limits both processes are one. */
+    @Test
+    void aSuccessorFindsWhatItNeedsThoughClientsHoldAllElseOfBoth() throws Exception {
+        load = Load.RESTING;
+        try (ServerSocketChannel door = Program.platformSocket()) {
+            listen = ((InetSocketAddress) door.getLocalAddress()).getPort();
+            configure();
+            Program old = start(door);
+            fill(DESCRIPTORS * 3 / 8);      // of its half
+            discovery.refuse();
+            int servedBefore = served.get();
+            long begunNs = System.nanoTime();
+            start(door);
+            assertThat((System.nanoTime() - begunNs) / MS).as("ready, ms after its start").isLessThan(10_000);
+            assertThat(old.call("GET /-/ready")).isEqualTo(200);
+            look(System.nanoTime() + OVERLAP_MS * MS);
+            assertThat(shown("/-/metrics")).isEqualTo(200);
+            assertThat(served.get() - servedBefore).as("served with both").isGreaterThan(100);
+            old.signal("TERM");
+            long toldNs = System.nanoTime();
+            while (old.process.isAlive()) {
+                look(System.nanoTime() + 10 * MS);
+                assertThat((System.nanoTime() - toldNs) / MS).as("still there, ms after SIGTERM").isLessThan(KILLED_MS);
+            }
+            look(toldNs + REFUSED_MS * MS);
+            comeBack();
+            assertThat(program.ask("GET /-/metrics")).containsPattern("svc_relayed_total [1-9]");
+        }
+    }
 }
