An attempt waits for a connection to have rested 20 ms, where it opened a new one after 3 ms

Seen: an upstream's second answer may come some milliseconds late. With a rest of 3 ms the next attempt may have written its first byte by then, and is served with it: what no upstream made for it. Lines at fault: IssuerSide.REST_US, and takeIdle, which passed over resting connections.

Change: the rest is 20 ms. An attempt that finds no connection of its host that has rested is promised the first that will have, and waits; each is promised to one at a time, is not evicted meanwhile and stays among the idle ones. A new one is opened where none is left to wait for, where idle ones of that age break too often (IdleRisk), or where the rest outlasts the window or the time. The promised connection's end wakes the waiter, who looks anew; so does a cut, which leaves the connection to others.

Weighed: the caller can't wait, as it is the client's thread, which has to see it leave, or a connection's, which has to read. Reading on with a time-out of 20 ms would wake each connection's thread once more for each answer. So a thread of a pool waits (kept 1 s, no more than connections that rest), writes, and holds no lock while it waits; the timekeeper writes nothing. The attempt's time counts from the end of the wait, also where it ends in a failed connect; its bound does not move. One that was cut while it waited ended as a failed connect, which is held against its host: it is NOT_SENT now, or GIVEN_UP.

Tests: the restored one (19.999 ms: not written; 20 ms: written, on the same connection), promised to one, the connection ends (close, reset, a second answer), cuts, and all of WriteGuardTest's changes.

The rig's new waits fail with the test's time.

--- a/sidecar/src/main/java/dapplequay/net/Conductor.java
+++ b/sidecar/src/main/java/dapplequay/net/Conductor.java
@@ -59,7 +59,7 @@
         out.remove(authorisation.id, leg);
         Upload upload = authorisation.legOver(leg);
         if (LOG.isLoggable(Level.FINE)) {       // once a leg: nothing is put together for nobody
-            LOG.fine("leg " + leg.order.host() + ' ' + end + ' ' + (issuers.now() - leg.startUs) + ' ' + leg.idleUs()
+            LOG.fine("leg " + leg.order.host() + ' ' + end + ' ' + (issuers.now() - leg.startUs()) + ' ' + leg.idleUs()
                     + ' ' + authorisation.id);
         }
         guarded(authorisation, () -> {
--- a/sidecar/src/main/java/dapplequay/net/IssuerConnection.java
+++ b/sidecar/src/main/java/dapplequay/net/IssuerConnection.java
@@ -43,6 +43,8 @@
     private boolean unfit;
     private Deadlines.Deadline idleEnd;
     private long idleSinceUs;
+    /** Under the side's lock. */
+    private Leg promisedTo;
 
     /** One that takes a long request is served by its client's thread until that is whole. */
     IssuerConnection(IssuerSide side, RoutingTable.Route route, Leg first) {
@@ -67,6 +69,15 @@
         return idleSinceUs;
     }
 
+    /** Nobody else may take it while it rests; null: anybody may, once it has rested. */
+    void promise(Leg next) {
+        promisedTo = next;
+    }
+
+    Leg promisedTo() {
+        return promisedTo;
+    }
+
     Deadlines.Deadline idleEnd() {
         return idleEnd;
     }
--- a/sidecar/src/main/java/dapplequay/net/IssuerSide.java
+++ b/sidecar/src/main/java/dapplequay/net/IssuerSide.java
@@ -15,6 +15,10 @@
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.Executor;
+import java.util.concurrent.SynchronousQueue;
+import java.util.concurrent.ThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import java.util.logging.Level;
 import java.util.logging.Logger;
@@ -25,10 +29,12 @@
     /** A host closes at the full time; what is written to a connection from then on ends as a reset. */
     private static final double IDLE_SHARE = 0.7;
     /**
-     * A connection rests so long after an answer: what a host sends or closes right behind it shows by then,
-     * and is not taken for the answer to the next leg, or that leg for one that may have run.
+     * A connection rests so long after an answer: what a host sends or closes behind it, be it some milliseconds late,
+     * shows by then, and is not taken for the answer to the next leg, or that leg for one that may have run.
      */
-    private static final long REST_US = 3_000;
+    static final long REST_US = 20_000;
+    /** How long a thread that has waited for a connection stays for the next such wait, ms. */
+    private static final long WAITER_MS = 1_000;
 
     /**
      * A spare connection, one beside another idle one, is kept so long. Hosts hold a bounded number for all instances
@@ -37,6 +43,8 @@
      */
     static final long SPARE_US = 500_000;
 
+    private static final Deque<IssuerConnection> NONE = new ArrayDeque<>();
+
     private final RoutingTable table;
     private final Deadlines deadlines;
     private final Supplier<Setup> setup;
@@ -44,6 +52,9 @@
     private final Map<RoutingTable.Route, Deque<IssuerConnection>> idle = new HashMap<>();
     private final IdleRisk risk;
     private final Counts counts;
+    /** They wait for connections to have rested: no more at once than there are such connections. */
+    private final Executor waiters = new ThreadPoolExecutor(0, Integer.MAX_VALUE, WAITER_MS, TimeUnit.MILLISECONDS,
+            new SynchronousQueue<>(), IssuerSide::waiter);
     private int open;
     private Conductor conductor;
 
@@ -88,27 +99,61 @@
         // The time of a long request begins with its last byte.
         leg.endsWith(leg.isUploading() ? null
                 : deadlines.after(leg.untilUs() - now(), () -> leg.cut(LegEnd.TIMED_OUT)));
-        IssuerConnection.Begin begin = reuse(route, leg);
+        goOut(route, leg);
+    }
+
+    private static Thread waiter(Runnable work) {
+        Thread thread = new Thread(work, "waits for an issuer connection");
+        thread.setDaemon(true);
+        return thread;
+    }
+
+    /**
+     * Writes the leg to a connection that has rested, passing over those that prove unfit, has it wait for one that
+     * rests, or opens one, in this order: a new one is work for the host, and may be slow to come up.
+     */
+    private void goOut(RoutingTable.Route route, Leg leg) {
+        IssuerConnection.Begin begin = IssuerConnection.Begin.UNFIT;
+        while (begin == IssuerConnection.Begin.UNFIT) {
+            Found found = find(route, leg);
+            if (found == null) {
+                open(route, leg);
+                return;
+            }
+            if (found.restUs() > 0) {
+                waitFor(route, leg, now() + found.restUs());
+                return;
+            }
+            begin = found.connection().write(leg);
+            if (begin != IssuerConnection.Begin.TAKEN) {
+                found.connection().close();
+            }
+        }
         if (begin == IssuerConnection.Begin.STOPPED) {
             neverSent(leg);
-        } else if (begin == IssuerConnection.Begin.UNFIT) {
-            open(route, leg);
         }
     }
 
-    /** Writes the leg to an idle connection, passing over those that prove unfit; UNFIT: there is none for it. */
-    private IssuerConnection.Begin reuse(RoutingTable.Route route, Leg leg) {
-        IssuerConnection.Begin begin = IssuerConnection.Begin.UNFIT;
-        IssuerConnection connection = takeIdle(route, leg);
-        while (connection != null) {
-            begin = connection.write(leg);
-            if (begin == IssuerConnection.Begin.TAKEN) {
-                return begin;
-            }
-            connection.close();
-            connection = begin == IssuerConnection.Begin.STOPPED ? null : takeIdle(route, leg);
+    /** A thread of its own waits: the caller's has a client to listen to, or a connection. */
+    private void waitFor(RoutingTable.Route route, Leg leg, long untilUs) {
+        try {
+            waiters.execute(() -> afterRest(route, leg, untilUs));
+        } catch (OutOfMemoryError e) {
+            LOG.log(Level.SEVERE, "no thread to wait for a connection", e);
+            release(route, leg);
+            neverSent(leg);
+        }
+    }
+
+    /** Where it may still begin, it finds the connection that it was promised, or, that being lost, what there is. */
+    private void afterRest(RoutingTable.Route route, Leg leg, long untilUs) {
+        leg.rest(untilUs, deadlines::now);
+        if (mayBegin(leg, route)) {
+            goOut(route, leg);
+        } else {
+            release(route, leg);
+            neverSent(leg);
         }
-        return begin;
     }
 
     /** Opens a connection for the leg, in the place of an idle one where there are as many as there may be. */
@@ -147,8 +192,8 @@
      */
     boolean mayBegin(Leg leg, RoutingTable.Route route) {
         long now = now();
-        boolean may = !leg.isCut() && !leg.authorisation.isOver() && now < leg.order.beginByUs()
-                && (leg.isUploading() || now < leg.untilUs()) && route.equals(table.routeOf(leg.order.host()));
+        boolean may = !leg.isCut() && !leg.authorisation.isOver() && leg.mayBeginAt(now)
+                && route.equals(table.routeOf(leg.order.host()));
         if (!may) {
             leg.answered(LegEnd.NOT_SENT);      // unless it has ended otherwise
         }
@@ -157,10 +202,9 @@
 
     /** Nothing of the leg went out, and no connection has it. */
     private void neverSent(Leg leg) {
-        leg.answered(LegEnd.NOT_SENT);          // unless it has ended otherwise
         leg.writeEnded(false, now());
         deadlines.cancel(leg.deadline());
-        conductor.legEnded(leg, leg.broken(), null, null, null);
+        conductor.legEnded(leg, leg.neverSent(), null, null, null);
     }
 
     /** Gives a connection its own thread. */
@@ -179,7 +223,12 @@
         }
     }
 
-    private synchronized IssuerConnection takeIdle(RoutingTable.Route route, Leg leg) {
+    /** A connection for a leg: its own from now on, or, with a rest left, promised to it alone, microseconds. */
+    private record Found(IssuerConnection connection, long restUs) { }
+
+    /** The last used of those that have rested; else the first to have rested; null: there is none for it. */
+    private synchronized Found find(RoutingTable.Route route, Leg leg) {
+        release(route, leg);
         Deque<IssuerConnection> ready = idle.get(route);
         if (ready == null) {
             return null;
@@ -188,25 +237,46 @@
         for (Iterator<IssuerConnection> last = ready.descendingIterator(); last.hasNext(); ) {
             IssuerConnection connection = last.next();
             long idleUs = now - connection.idleSinceUs();
-            if (idleUs >= REST_US) {
+            if (idleUs >= REST_US && connection.promisedTo() == null) {
                 if (!risk.isAccepted(idleUs)) {
-                    return null;            // and the others have been idle for longer
+                    break;                  // and the others have been idle for longer
                 }
                 last.remove();
                 deadlines.cancel(connection.idleEnd());
                 connection.assign(leg);
                 leg.on(connection, idleUs);
-                return connection;
+                return new Found(connection, 0);
             }
         }
-        return null;
+        IssuerConnection first = ready.stream().filter(c -> now - c.idleSinceUs() < REST_US && c.promisedTo() == null)
+                .findFirst().orElse(null);
+        if (first == null || !risk.isAccepted(REST_US) || !leg.mayBeginAt(first.idleSinceUs() + REST_US)) {
+            return null;
+        }
+        first.promise(leg);
+        return new Found(first, first.idleSinceUs() + REST_US - now);
     }
 
+    /** The leg does not wait for a connection any more. */
+    private synchronized void release(RoutingTable.Route route, Leg leg) {
+        idle.getOrDefault(route, NONE).stream().filter(c -> c.promisedTo() == leg).forEach(c -> c.promise(null));
+    }
+
+    /** It can't be waited for any more, and has left the idle ones; under the lock. */
+    private static void gone(IssuerConnection connection) {
+        if (connection.promisedTo() != null) {
+            connection.promisedTo().stopResting();
+        }
+    }
+
+    /** One that nobody waits for. */
     private IssuerConnection evict() {
         for (Deque<IssuerConnection> ready : idle.values()) {
-            IssuerConnection connection = ready.pollFirst();
-            if (connection != null) {
-                return connection;
+            for (IssuerConnection connection : ready) {
+                if (connection.promisedTo() == null) {
+                    ready.remove(connection);
+                    return connection;
+                }
             }
         }
         return null;
@@ -267,6 +337,9 @@
     private synchronized boolean removeIdle(IssuerConnection connection) {
         Deque<IssuerConnection> ready = idle.get(connection.route);
         boolean removed = ready != null && ready.remove(connection);
+        if (removed) {
+            gone(connection);
+        }
         if (removed && ready.isEmpty()) {
             idle.remove(connection.route);      // hosts come under new ids for good
         }
@@ -279,6 +352,9 @@
             Deque<IssuerConnection> ready;
             synchronized (this) {
                 ready = idle.remove(route);
+                if (ready != null) {
+                    ready.forEach(IssuerSide::gone);
+                }
             }
             if (ready != null) {
                 ready.forEach(IssuerConnection::close);
--- a/sidecar/src/main/java/dapplequay/net/Leg.java
+++ b/sidecar/src/main/java/dapplequay/net/Leg.java
@@ -3,16 +3,20 @@
 import dapplequay.facade.Decision;
 import dapplequay.facade.LegEnd;
 import dapplequay.time.Deadlines;
+import java.io.InterruptedIOException;
+import java.util.function.LongSupplier;
 
 /** One attempt at an issuer host. It ends once: the first counts of an answer, a cut and a break. */
 final class Leg {
     final Authorisation authorisation;
     final Decision.Send order;
-    final long startUs;
+    private long startUs;
     private long untilUs;
     /** Of a long request: its last piece has not been announced, so that it can't have run. */
     private boolean uploading;
     private boolean open;
+    /** What it rested for is lost. */
+    private boolean restEnded;
     private long idleUs = -1;
     private LegEnd end;
     private boolean writing = true;      // until told otherwise: what is not known is not "never ran"
@@ -29,6 +33,37 @@
         uploading = authorisation.request.isLong();
     }
 
+    /** When it was decided on, or, where it had to wait for a connection to have rested, when that was over. */
+    synchronized long startUs() {
+        return startUs;
+    }
+
+    /** Whether its first byte may go out at that time, microseconds. */
+    synchronized boolean mayBeginAt(long timeUs) {
+        return timeUs < order.beginByUs() && (uploading || timeUs < untilUs);
+    }
+
+    /**
+     * Waits until then, microseconds, or until it is cut or {@link #stopResting} says that it waits in vain. The wait
+     * is this side's own doing: the leg's time is counted from its end, and what it may take at most is not.
+     */
+    synchronized void rest(long overUs, LongSupplier clock) {
+        try {
+            for (long now = clock.getAsLong(); now < overUs && end == null && !restEnded; now = clock.getAsLong()) {
+                Waits.atMost(this, (overUs - now + 999) / 1000);
+            }
+        } catch (InterruptedIOException e) {
+            // It looks anew what there is for it.
+        }
+        restEnded = false;
+        startUs = clock.getAsLong();
+    }
+
+    synchronized void stopResting() {
+        restEnded = true;
+        notifyAll();
+    }
+
     synchronized long untilUs() {
         return untilUs;
     }
@@ -102,6 +137,7 @@
             }
             end = why;
             toClose = connection;
+            notifyAll();
         }
         if (toClose != null) {
             toClose.close();
@@ -148,6 +184,12 @@
         return true;
     }
 
+    /** How it ended, as nothing of it went out, for no fault of its host's. */
+    synchronized LegEnd neverSent() {
+        end = end == LegEnd.GIVEN_UP ? end : LegEnd.NOT_SENT;
+        return end;
+    }
+
     /**
      * How the leg ended, its connection being broken. What was not written whole never ran; while another
      * thread still writes it, that is not known yet, and taking it for not run could run it twice.
--- a/sidecar/src/test/java/dapplequay/net/ClientDepartureTest.java
+++ b/sidecar/src/test/java/dapplequay/net/ClientDepartureTest.java
@@ -155,7 +155,7 @@
         connections.set(1);
         other.send(ClientRig.pay("before"));
         assertThat(other.answer().status()).isEqualTo(200);
-        Thread.sleep(20);           // the host's connection has rested, so that the next is written at once
+        Thread.sleep(30);           // the host's connection has rested, so that the next is written at once
         rig.comesLate();
         connections.set(2);
         Host.Client stale = rig.client();
--- a/sidecar/src/test/java/dapplequay/net/IssuerRig.java
+++ b/sidecar/src/test/java/dapplequay/net/IssuerRig.java
@@ -12,16 +12,19 @@
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
 
@@ -31,6 +34,7 @@
  */
 final class IssuerRig {
     static final long TIME_US = 10_000_000;
+    private static final Predicate<Thread> WAITER = t -> t.getName().startsWith("waits");
 
     /** One leg's end, in the order told. */
     record Ended(Leg leg, LegEnd end, String body) { }
@@ -44,7 +48,7 @@
     long bootMs;
     private final Set<Integer> listed = ConcurrentHashMap.newKeySet();
     private final AtomicReference<Runnable> atLook = new AtomicReference<>();
-    private volatile Thread looker;
+    private volatile Predicate<Thread> looks = t -> false;
     private long ids;
 
     IssuerRig(int most) {
@@ -62,8 +66,7 @@
 
     private long look() {
         long time = now.get();
-        boolean his = looker == null ? Thread.currentThread().getName().startsWith("issuer")
-                : Thread.currentThread() == looker;
+        boolean his = looks.test(Thread.currentThread());
         Runnable action = his ? atLook.getAndSet(null) : null;
         if (action != null) {
             action.run();
@@ -73,7 +76,11 @@
 
     /** To be done at the next look at the clock by this thread, or, null, by one that serves a connection. */
     void atLook(Thread by, Runnable action) {
-        looker = by;
+        atLook(by == null ? t -> t.getName().startsWith("issuer") : t -> t == by, action);
+    }
+
+    private void atLook(Predicate<Thread> by, Runnable action) {
+        looks = by;
         atLook.set(action);
     }
 
@@ -140,6 +147,35 @@
                 && listed.contains(Integer.parseInt(t.getName().substring(t.getName().lastIndexOf(':') + 1))));
     }
 
+    /** Waits until that many legs wait for a connection to have rested, each since it last looked at the clock. */
+    void awaitResting(int many) {
+        while (Thread.getAllStackTraces().entrySet().stream().filter(e -> WAITER.test(e.getKey())
+                && e.getKey().getState() == Thread.State.TIMED_WAITING && Arrays.stream(e.getValue()).anyMatch(
+                        f -> f.getClassName().equals(Leg.class.getName()))).count() != many) {
+            if (!ends.isEmpty() || Thread.interrupted()) {      // interrupted: the test's time is over
+                throw new AssertionError("did not wait: " + ends);
+            }
+            Thread.onSpinWait();
+        }
+    }
+
+    /** The clock goes on; who waits for a connection to have rested has looked at it and waits on. */
+    void passWithNobodyRested(long us) {
+        CountDownLatch looks = new CountDownLatch(2);
+        atLook(WAITER, looks::countDown);
+        now.addAndGet(us);
+        while (looks.getCount() > 0) {
+            if (!ends.isEmpty() || Thread.interrupted()) {      // interrupted: the test's time is over
+                throw new AssertionError("did not wait: " + ends);
+            }
+            if (atLook.get() == null) {
+                atLook(WAITER, looks::countDown);       // and has not gone on after the first look
+            }
+            Thread.onSpinWait();
+        }
+        awaitResting(1);
+    }
+
     /** Waits until a connection's thread stands before the side's lock, which the caller holds. */
     void awaitBlocked() {
         while (threads().noneMatch(t -> t.getState() == Thread.State.BLOCKED)) {
--- a/sidecar/src/test/java/dapplequay/net/IssuerSideTest.java
+++ b/sidecar/src/test/java/dapplequay/net/IssuerSideTest.java
@@ -17,7 +17,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import org.junit.jupiter.api.Test;
@@ -51,24 +53,27 @@
         return new Leg(new Authorisation(1, null, request, new Counts()), new Decision.Send(0, "s1", 10_000_000), side.now());
     }
 
-    /** What a host sends right behind an answer would else be taken for the next one. */
+    /** What a host sends behind an answer would else be taken for the next one; a new connection costs the host. */
     @Test
     void connectionRestsAfterAnAnswerBeforeItIsUsedAgain() throws Exception {
         RoutingTable table = new RoutingTable();
         BlockingQueue<LegEnd> ends = new LinkedBlockingQueue<>();
-        AtomicLong now = new AtomicLong(1_000_000);
-        try (Host host = new Host((head, seen) -> Host.ok("done"))) {
+        List<Long> cameUs = new CopyOnWriteArrayList<>();
+        try (Host host = new Host((head, seen) -> {
+            cameUs.add(System.nanoTime() / 1000);
+            return Host.ok("done");
+        })) {
             list(table, host.port(), "SERVING");
-            IssuerSide side = side(table, new Deadlines(now::get), ends);
+            IssuerSide side = side(table, new Deadlines(() -> System.nanoTime() / 1000), ends);
             List<Socket> used = new ArrayList<>();
-            for (long pauseUs : new long[] {0, 0, 1_000_000}) {
-                now.addAndGet(pauseUs);
+            for (int i = 0; i < 3; i++) {
                 side.send(leg(side));
                 assertThat(ends.poll(Host.PATIENCE_S, TimeUnit.SECONDS)).isEqualTo(LegEnd.SERVED);
                 used.add(host.next().socket());
             }
-            assertThat(used.get(1)).isNotSameAs(used.get(0));
-            assertThat(used.get(2)).isIn(used.get(0), used.get(1));
+            assertThat(cameUs.get(1) - cameUs.get(0)).isGreaterThanOrEqualTo(IssuerSide.REST_US);
+            assertThat(cameUs.get(2) - cameUs.get(1)).isGreaterThanOrEqualTo(IssuerSide.REST_US);
+            assertThat(used).containsOnly(used.get(0));
         }
     }
 
@@ -79,19 +84,29 @@
         BlockingQueue<LegEnd> ends = new LinkedBlockingQueue<>();
         AtomicLong now = new AtomicLong(1_000_000);
         Deadlines deadlines = new Deadlines(now::get);
-        try (Host host = new Host((head, seen) -> Host.ok("done"))) {
+        Semaphore answers = new Semaphore(0);
+        try (Host host = new Host((head, seen) -> {
+            answers.acquire();
+            return Host.ok("done");
+        })) {
             list(table, host.port(), "SERVING");
             IssuerSide side = side(table, deadlines, ends);
             List<Socket> used = new ArrayList<>();
-            for (long pauseUs : new long[] {0, 0, IssuerSide.SPARE_US + 1, 0}) {
+            for (long pauseUs : new long[] {0, IssuerSide.SPARE_US + 1}) {
                 now.addAndGet(pauseUs);
                 deadlines.sweep();
-                side.send(leg(side));
-                assertThat(ends.poll(Host.PATIENCE_S, TimeUnit.SECONDS)).isEqualTo(LegEnd.SERVED);
-                used.add(host.next().socket());
+                for (int i = 0; i < 2; i++) {           // two at once
+                    side.send(leg(side));
+                    used.add(host.next().socket());
+                }
+                answers.release(2);
+                for (int i = 0; i < 2; i++) {
+                    assertThat(ends.poll(Host.PATIENCE_S, TimeUnit.SECONDS)).isEqualTo(LegEnd.SERVED);
+                }
             }
+            assertThat(used.get(1)).isNotSameAs(used.get(0));
             assertThat(used.get(2)).isIn(used.get(0), used.get(1));
-            assertThat(used.get(3)).as("the spare one is gone, the other rests").isNotIn(used.get(0), used.get(1));
+            assertThat(used.get(3)).as("the spare one is gone").isNotIn(used.get(0), used.get(1));
         }
     }
 
--- a/sidecar/src/test/java/dapplequay/net/SidecarTest.java
+++ b/sidecar/src/test/java/dapplequay/net/SidecarTest.java
@@ -206,11 +206,13 @@
         for (int i = 1; i <= 3; i++) {
             assertThat(client.answer().body()).isEqualTo("k" + i);
         }
-        Set<Socket> used = new HashSet<>(Set.of(host.next().socket(), host.next().socket()));
-        do {                        // each rests a little after an answer
-            client.send(pay(4, 900, ""));
-            assertThat(client.answer().status()).isEqualTo(200);
-        } while (used.add(host.next().socket()));
+        client.send(pay(4, 900, ""));
+        assertThat(client.answer().status()).isEqualTo(200);
+        Set<Socket> used = new HashSet<>();
+        for (int i = 1; i <= 4; i++) {
+            used.add(host.next().socket());
+        }
+        assertThat(used).as("it rests a little after each answer, and is waited for").hasSize(1);
     }
 
     @Test
--- a/sidecar/src/test/java/dapplequay/net/StrayBytesTest.java
+++ b/sidecar/src/test/java/dapplequay/net/StrayBytesTest.java
@@ -56,6 +56,17 @@
         }
     }
 
+    private static void end(Socket socket, Does what, String stray) throws IOException {
+        switch (what) {
+            case SENDS -> write(socket, stray);
+            case RESETS -> {
+                socket.setSoLinger(true, 0);
+                socket.close();
+            }
+            default -> socket.close();
+        }
+    }
+
     private static void await(CountDownLatch gate) {
         try {
             gate.await();
@@ -76,14 +87,7 @@
             Socket first = rig.served("s0", host).socket();
             Leg leg = rig.leg("s0", Long.MAX_VALUE);
             synchronized (rig.side) {
-                switch (what) {
-                    case SENDS -> write(first, "HTTP/1.1 2");
-                    case RESETS -> {
-                        first.setSoLinger(true, 0);
-                        first.close();
-                    }
-                    default -> first.close();
-                }
+                end(first, what, "HTTP/1.1 2");
                 rig.awaitBlocked();
                 rig.side.send(leg);
             }
@@ -94,6 +98,101 @@
         }
     }
 
+    /** A second answer may come some milliseconds late: a leg on that connection would be served with it. */
+    @Test
+    void aConnectionIsNotUsedAgainWithinTheMillisecondsThatASecondAnswerMayBeLate() throws Exception {
+        try (Host host = new Host((head, seen) -> Host.ok("done"))) {
+            rig.list("SERVING", host.port());
+            Socket first = rig.served("s0", host).socket();
+            rig.side.send(rig.leg("s0", Long.MAX_VALUE));
+            assertThat(rig.next().end()).isEqualTo(LegEnd.SERVED);
+            assertThat(host.next().socket()).as("it has rested").isSameAs(first);
+            rig.now.addAndGet(15_000);
+            rig.side.send(rig.leg("s0", Long.MAX_VALUE));
+            rig.awaitResting(1);
+            rig.passWithNobodyRested(4_999);
+            assertThat(host.seen).as("19.999 ms after its last answer").isEmpty();
+            rig.now.addAndGet(1);
+            assertThat(rig.next().end()).isEqualTo(LegEnd.SERVED);
+            assertThat(host.next().socket()).as("20 ms after it, and no new one").isSameAs(first);
+        }
+    }
+
+    /** The first to have rested is waited for by one; the next waits for the other, and only the third opens one. */
+    @Test
+    void aRestingConnectionIsPromisedToOneLeg() throws Exception {
+        CountDownLatch go = new CountDownLatch(1);
+        try (Host host = new Host((head, seen) -> {
+            await(go);
+            return Host.ok("done");
+        })) {
+            rig.list("SERVING", host.port());
+            rig.side.send(rig.leg("s0", Long.MAX_VALUE));
+            rig.side.send(rig.leg("s0", Long.MAX_VALUE));
+            List<Socket> used = List.of(host.next().socket(), host.next().socket());
+            go.countDown();
+            rig.next();
+            rig.next();
+            rig.side.send(rig.leg("s0", Long.MAX_VALUE));
+            rig.side.send(rig.leg("s0", Long.MAX_VALUE));
+            rig.awaitResting(2);
+            rig.now.addAndGet(5_000);
+            Leg third = rig.leg("s0", Long.MAX_VALUE);
+            rig.side.send(third);
+            assertThat(rig.next()).isEqualTo(new IssuerRig.Ended(third, LegEnd.SERVED, "done"));
+            assertThat(host.next().socket()).isNotIn(used);
+            rig.now.addAndGet(IssuerSide.REST_US - 5_000);
+            rig.next();
+            rig.next();
+            assertThat(List.of(host.next().socket(), host.next().socket())).containsExactlyInAnyOrderElementsOf(used);
+        }
+    }
+
+    /** The second answer comes while a leg waits, or the end: it goes out on a new one, and its time begins there. */
+    @ParameterizedTest
+    @EnumSource(Does.class)
+    void aConnectionThatEndsWhileALegWaitsForItIsNotUsed(Does what) throws Exception {
+        try (Host host = new Host((head, seen) -> Host.ok("done"))) {
+            rig.list("SERVING", host.port());
+            rig.side.send(rig.leg("s0", Long.MAX_VALUE));
+            rig.next();
+            Socket first = host.next().socket();
+            rig.now.addAndGet(5_000);
+            Leg leg = rig.leg("s0", Long.MAX_VALUE);
+            rig.side.send(leg);
+            rig.awaitResting(1);
+            rig.passWithNobodyRested(10_000);
+            end(first, what, STRAY);
+            assertThat(rig.next()).as("before the rest is over").isEqualTo(
+                    new IssuerRig.Ended(leg, LegEnd.SERVED, "done"));
+            assertThat(host.next().socket()).isNotSameAs(first);
+            assertThat(leg.tookUs(LegEnd.NOT_CONNECTED, rig.now.get())).as("what a failed connect would say").isZero();
+            assertThat(rig.ends).as("told once").isEmpty();
+        }
+    }
+
+    /** A cut while the leg waits ends the wait; its host is not held against, and the connection is the next one's. */
+    @ParameterizedTest
+    @EnumSource(value = LegEnd.class, names = {"GIVEN_UP", "TIMED_OUT", "SILENT"})
+    void aLegThatIsCutWhileItWaitsNeverRan(LegEnd why) throws Exception {
+        try (Host host = new Host((head, seen) -> Host.ok("done"))) {
+            rig.list("SERVING", host.port());
+            rig.side.send(rig.leg("s0", Long.MAX_VALUE));
+            rig.next();
+            Socket first = host.next().socket();
+            Leg leg = rig.leg("s0", Long.MAX_VALUE);
+            rig.side.send(leg);
+            rig.awaitResting(1);
+            leg.cut(why);
+            LegEnd told = why == LegEnd.GIVEN_UP ? why : LegEnd.NOT_SENT;
+            assertThat(rig.next()).isEqualTo(new IssuerRig.Ended(leg, told, null));
+            rig.now.addAndGet(IssuerSide.REST_US);
+            rig.side.send(rig.leg("s0", Long.MAX_VALUE));
+            assertThat(rig.next().end()).isEqualTo(LegEnd.SERVED);
+            assertThat(host.next().socket()).as("and nothing came before").isSameAs(first);
+        }
+    }
+
     /** The news of a drain come between the answer and the return of its connection to the idle ones. */
     @Test
     void aConnectionThatIsBeingFreedWhileItsHostBeginsToDrainIsClosed() throws Exception {
--- a/sidecar/src/test/java/dapplequay/net/WriteGuardTest.java
+++ b/sidecar/src/test/java/dapplequay/net/WriteGuardTest.java
@@ -82,6 +82,29 @@
         }
     }
 
+    /** It happens while the leg waits for the one connection to have rested; that connection stays. */
+    @ParameterizedTest
+    @EnumSource(Meanwhile.class)
+    void aLegThatWaitedForARestingConnection(Meanwhile what) throws Exception {
+        try (Host host = new Host((head, seen) -> Host.ok("done"))) {
+            rig.list("SERVING", host.port());
+            rig.side.send(rig.leg("s0", Long.MAX_VALUE));
+            rig.next();
+            Socket used = host.next().socket();
+            Leg leg = rig.leg("s0", rig.now.get() + WINDOW_US);
+            rig.side.send(leg);
+            rig.awaitResting(1);
+            happen(what, leg, host.port());
+            rig.now.addAndGet(IssuerSide.REST_US);
+            assertStopped(what, leg);
+            if (what == Meanwhile.NOTHING) {
+                assertThat(host.next().socket()).isSameAs(used);
+            }
+            assertThat(host.seen).isEmpty();
+            assertThat(host.closed).isEmpty();
+        }
+    }
+
     /** Its client's thread connects for it; its time begins only with its last byte. */
     @ParameterizedTest
     @EnumSource(value = Meanwhile.class, names = {"CLIENT_GONE", "WINDOW_OVER", "HOST_DRAINS", "HOST_RESTARTED"})
