Test: the kinds of clients in the crowd come in turn, and not by their place in a list

DescriptorsTest gave a client that came again the kind of its place in the list, the last one where one at a time came: at times nearly all asked, at times nearly none, and the same load had 565 served with 3 refused and 1,408 with 151. Now each thread counts who comes.

--- a/sidecar/src/test/java/dapplequay/cli/DescriptorsTest.java
+++ b/sidecar/src/test/java/dapplequay/cli/DescriptorsTest.java
@@ -119,11 +119,12 @@
     private Void crowd(int share, IntSupplier port, List<Supplier<String>> texts) throws Exception {
         List<Socket> mine = new ArrayList<>();
         byte[] answer = new byte[4096];
+        int came = 0;
         while (!stopped) {
             for (int i = 0; i < share && !stopped; i++) {
                 try {
                     if (i >= mine.size()) {
-                        Socket socket = connected(port.getAsInt(), texts.get(i % texts.size()).get());
+                        Socket socket = connected(port.getAsInt(), texts.get(came++ % texts.size()).get());
                         mine.add(socket);
                         crowd.add(socket);
                         continue;
