An answer without a length counts only where its request was written whole; cuts of blocked writes tested

Seen, by a test that holds the threads in this order: a host sends "200", no length, half a body, and resets the connection while the request is still being written. The system tells the reset to one call; where that is the write, the read behind it finds a plain end, until the writer has closed the connection. The client was served "half". Lines at fault: IssuerConnection.serve, which took the end of Body.Framing.TO_END for the answer's whatever the write did. Ruled out: a request that was written whole before the reset (nobody else takes the error, the read gets it), bodies with a length or chunks (an early end is an error there), long requests (read only once the last piece is written).

Change: a served answer that only its connection's end ends waits for the write to end (a cut closes the connection and so ends it), and breaks where that was not whole: it never ran then, as a host begins with the last byte.

BlockedWriteTest, five: this one, and for "a write blocks, or an answer comes, and its time ends": the cut in a blocked write, in the moment in which the write is whole, while the answer is read, and after it. All pass, five runs in a row. On a copy with one thing taken out: the wait for the write: served "half"; the close in Leg.cut: no end told; the first of end and cut counts: two fail; what was whole may have run: one fails. BrokenAnswersTest 8, StrayBytesTest 16, WriteGuardTest 23, LongBodiesTest 34 pass.

--- a/sidecar/src/main/java/dapplequay/net/IssuerConnection.java
+++ b/sidecar/src/main/java/dapplequay/net/IssuerConnection.java
@@ -9,6 +9,7 @@
 import dapplequay.http.Sockets;
 import dapplequay.time.Deadlines;
 import java.io.ByteArrayOutputStream;
+import java.io.EOFException;
 import java.io.FilterInputStream;
 import java.io.IOException;
 import java.io.InputStream;
@@ -304,6 +305,9 @@
                 throw new BadMessage(502, "served before it had the request");
             }
             byte[] start = end == LegEnd.SERVED && body.length() > MessageReader.MAX_BODY ? new byte[0] : start(body);
+            if (end == LegEnd.SERVED && body.framing() == Body.Framing.TO_END && !served.awaitWritten()) {
+                throw new EOFException("ended under its request");
+            }
             HostLoad load = LoadText.read(head);
             if (!served.answered(end)) {
                 return false;       // cut while the answer came; the end of the connection reports it
--- a/sidecar/src/main/java/dapplequay/net/Leg.java
+++ b/sidecar/src/main/java/dapplequay/net/Leg.java
@@ -125,6 +125,15 @@
         notifyAll();
     }
 
+    /**
+     * Waits until its write has ended, by itself or by a cut; whether it was whole. Of a reset, the system tells one
+     * call: where that was the write, a read finds a plain end.
+     */
+    synchronized boolean awaitWritten() {
+        Waits.whileTrue(this, () -> writing);
+        return isWritten();
+    }
+
     /**
      * Ends the wait from outside by closing the connection, so that a late answer reaches nobody. The
      * connection's own thread reports the leg.
--- /dev/null
+++ b/sidecar/src/test/java/dapplequay/net/BlockedWriteTest.java
@@ -0,0 +1,158 @@
+package dapplequay.net;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import dapplequay.facade.LegEnd;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** A leg is being written to a used connection, whose host does not read on, when something else happens. */
+@Timeout(60)
+class BlockedWriteTest {
+    private final IssuerRig rig = new IssuerRig(10);
+    private final CountDownLatch go = new CountDownLatch(1);
+    private final ServerSocket listener = new ServerSocket();
+    private Socket host;
+    private Leg leg;
+    private Thread writer;
+
+    BlockedWriteTest() throws IOException { }
+
+    private static void write(Socket socket, String text) throws IOException {
+        socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+    }
+
+    private static void await(CountDownLatch gate) {
+        try {
+            gate.await();
+        } catch (InterruptedException e) {
+            throw new AssertionError(e);
+        }
+    }
+
+    /** Returns once the leg's first bytes have come: its writer is in the write, and comes out by what a test does. */
+    @BeforeEach
+    void begin() throws Exception {
+        listener.setReceiveBufferSize(4_096);
+        listener.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+        rig.list("SERVING", listener.getLocalPort());
+        rig.side.send(rig.leg("s0", Long.MAX_VALUE));
+        host = listener.accept();
+        host.getInputStream().read(new byte[4_096]);
+        write(host, Host.ok("first"));
+        assertThat(rig.next().body()).isEqualTo("first");
+        rig.now.addAndGet(400_000);
+        leg = rig.largeLeg("s0");
+        writer = new Thread(() -> rig.side.send(leg));
+        writer.setDaemon(true);
+        writer.start();
+        assertThat(host.getInputStream().read(new byte[100])).isPositive();
+    }
+
+    @AfterEach
+    void end() throws IOException {
+        go.countDown();
+        host.close();
+        listener.close();
+    }
+
+    private void assertEnded(LegEnd how) throws Exception {
+        assertThat(rig.next()).isEqualTo(new IssuerRig.Ended(leg, how, null));
+        writer.join(TimeUnit.SECONDS.toMillis(Host.PATIENCE_S));
+        assertThat(writer.isAlive()).as("it comes back").isFalse();
+        rig.awaitThreads(0);
+        assertThat(rig.ends).as("told once").isEmpty();
+    }
+
+    /**
+     * The reading thread has the head of an answer without a length, the host resets the connection, and the write is
+     * told of it: the read behind it finds a plain end, before the writer has closed the connection.
+     */
+    @Test
+    void anAnswerThatBreaksUnderItsRequestIsNotWhole() throws Exception {
+        CountDownLatch met = new CountDownLatch(1);
+        rig.atLook(null, () -> {
+            rig.atLook(writer, () -> {
+                met.countDown();
+                await(go);
+            });
+            try {
+                host.setSoLinger(true, 0);
+                host.close();
+            } catch (IOException e) {
+                throw new AssertionError(e);
+            }
+            while (met.getCount() > 0) {
+                Thread.onSpinWait();
+            }
+        });
+        write(host, "HTTP/1.1 200 OK\r\n\r\nhalf");
+        await(met);
+        rig.awaitEndOrWaiting();
+        go.countDown();
+        assertEnded(LegEnd.NOT_CONNECTED);
+    }
+
+    /** It never ran, as it was not whole. */
+    @Test
+    void itsTimeEnds() throws Exception {
+        rig.now.addAndGet(IssuerRig.TIME_US);
+        rig.deadlines.sweep();
+        assertEnded(LegEnd.NOT_CONNECTED);
+    }
+
+    /** The write has just become whole, and its thread has not said so: it may have run. */
+    @Test
+    void itsTimeEndsInTheMomentInWhichItIsWhole() throws Exception {
+        rig.atLook(writer, () -> {
+            rig.now.addAndGet(IssuerRig.TIME_US);
+            rig.deadlines.sweep();
+        });
+        Host.daemon(() -> host.getInputStream().transferTo(OutputStream.nullOutputStream()));
+        assertEnded(LegEnd.TIMED_OUT);
+    }
+
+    /** The head of its answer is here, and then its time is over: the cut counts, and the answer reaches nobody. */
+    @Test
+    void itsTimeEndsWhileItsAnswerIsRead() throws Exception {
+        rig.atLook(null, () -> {
+            rig.now.addAndGet(IssuerRig.TIME_US);
+            rig.deadlines.sweep();
+        });
+        Host.daemon(() -> host.getInputStream().transferTo(OutputStream.nullOutputStream()));
+        writer.join();
+        write(host, Host.ok("late"));
+        assertEnded(LegEnd.TIMED_OUT);
+    }
+
+    /** The answer is here and told, and then its time is over: the answer counts, and its connection stays. */
+    @Test
+    void itsTimeEndsWhenItIsAnswered() throws Exception {
+        rig.atEnd = ended -> {
+            rig.atEnd = next -> { };
+            rig.now.addAndGet(IssuerRig.TIME_US);
+            rig.deadlines.sweep();
+            leg.cut(LegEnd.TIMED_OUT);
+            go.countDown();
+        };
+        Host.daemon(() -> host.getInputStream().transferTo(OutputStream.nullOutputStream()));
+        writer.join();
+        write(host, Host.ok("in time"));
+        assertThat(rig.next()).isEqualTo(new IssuerRig.Ended(leg, LegEnd.SERVED, "in time"));
+        await(go);
+        rig.side.send(rig.leg("s0", Long.MAX_VALUE));
+        write(host, Host.ok("next"));
+        assertThat(rig.next().body()).as("on the same connection").isEqualTo("next");
+    }
+}
--- a/sidecar/src/test/java/dapplequay/net/IssuerRig.java
+++ b/sidecar/src/test/java/dapplequay/net/IssuerRig.java
@@ -34,6 +34,8 @@
  */
 final class IssuerRig {
     static final long TIME_US = 10_000_000;
+    /** Far more than sockets hold, bytes. */
+    private static final int LARGE = 16 << 20;
     private static final Predicate<Thread> WAITER = t -> t.getName().startsWith("waits");
 
     /** One leg's end, in the order told. */
@@ -42,6 +44,7 @@
     final AtomicLong now = new AtomicLong(1_000_000_000);
     final RoutingTable table = new RoutingTable();
     final BlockingQueue<Ended> ends = new LinkedBlockingQueue<>();
+    final Deadlines deadlines = new Deadlines(this::look);
     final IssuerSide side;
     volatile Consumer<Ended> atEnd = ended -> { };
     /** When the listed hosts started, as the next list says. */
@@ -53,7 +56,7 @@
 
     IssuerRig(int most) {
         SettingsReader.Setup setup = new SettingsReader.Setup(null, Map.of(), Map.of(), TIME_US, 3 * TIME_US);
-        side = new IssuerSide(table, new Deadlines(this::look), () -> setup, most, new Counts());
+        side = new IssuerSide(table, deadlines, () -> setup, most, new Counts());
         side.conductor(new Conductor(null, side) {
             @Override
             void legEnded(Leg leg, LegEnd end, HostLoad load, Head head, byte[] body) {
@@ -101,19 +104,24 @@
     }
 
     Leg leg(String host, long beginByUs) {
-        return leg(host, beginByUs, "POST /pay HTTP/1.1", false);
+        return leg(host, beginByUs, "POST /pay HTTP/1.1", false, 0);
+    }
+
+    /** One that is held whole, and whose write waits until the host reads. */
+    Leg largeLeg(String host) {
+        return leg(host, Long.MAX_VALUE, "POST /pay HTTP/1.1", false, LARGE);
     }
 
     /** One whose body is still to come from its client. */
     Leg longLeg(String host, long beginByUs) {
-        return leg(host, beginByUs, "POST /pay HTTP/1.1\r\nContent-Length: 100000", true);
+        return leg(host, beginByUs, "POST /pay HTTP/1.1\r\nContent-Length: 100000", true, 0);
     }
 
-    private Leg leg(String host, long beginByUs, String head, boolean isLong) {
+    private Leg leg(String host, long beginByUs, String head, boolean isLong, int held) {
         try {
             Head read = Head.request(head.getBytes(StandardCharsets.US_ASCII));
             MessageReader reader = new MessageReader(new ByteArrayInputStream(new byte[0]), MessageReader.LONGEST_BODY);
-            AcquirerRequest request = new AcquirerRequest(read, new byte[0], isLong ? reader.body(read) : null, "pay",
+            AcquirerRequest request = new AcquirerRequest(read, new byte[held], isLong ? reader.body(read) : null, "pay",
                     null, null, TIME_US);
             return new Leg(new Authorisation(++ids, null, request, new Counts()),
                     new Decision.Send(0, host, TIME_US, beginByUs), now.get());
@@ -183,6 +191,13 @@
         }
     }
 
+    /** Waits until a leg has ended, or a connection's thread waits for another one. */
+    void awaitEndOrWaiting() {
+        while (ends.isEmpty() && threads().noneMatch(t -> t.getState() == Thread.State.WAITING)) {
+            Thread.onSpinWait();
+        }
+    }
+
     /** Waits until no more than so many threads serve connections. */
     void awaitThreads(int most) {
         while (threads().count() > most) {
