--- a/sidecar/src/main/java/dapplequay/net/AcquirerSide.java
+++ b/sidecar/src/main/java/dapplequay/net/AcquirerSide.java
@@ -245,6 +245,7 @@
      */
     boolean handsOver() throws InterruptedException {
         if (!door.isShared()) {
+            door.endsSoon();
             return false;
         }
         door.shut();
--- a/sidecar/src/main/java/dapplequay/net/Door.java
+++ b/sidecar/src/main/java/dapplequay/net/Door.java
@@ -31,7 +31,10 @@
     /** No connection is accepted any more; those that wait are left to whom else the door belongs. */
     void shut();
 
-    /** The same once nobody waits any more: who waits already is still accepted, one after the other. */
+    /** An end has been ordered: whoever waits at the door looks more often whether it is to be shut. */
+    void endsSoon();
+
+    /** The same as {@link #shut} once nobody waits any more: who waits already is still accepted, one after the other. */
     void shutOnceEmpty();
 
     /** True once it was shut. */
@@ -43,9 +46,11 @@
 
         /** So often, ms, a thread that waits looks whether the door is to be shut, and so long where it is. */
         private static final int LOOK_MS = 100;
+        private static final int ENDING_LOOK_MS = 20;
         private static final int LAST_LOOK_MS = 1;
 
         private final ServerSocket listener;
+        private volatile int lookMs = LOOK_MS;
         private volatile boolean isLast;
 
         Own(InetSocketAddress listen) throws IOException {
@@ -68,7 +73,7 @@
             while (true) {
                 boolean last = isLast;      // asked first: only who came behind this moment may be left out
                 try {
-                    listener.setSoTimeout(last ? LAST_LOOK_MS : LOOK_MS);
+                    listener.setSoTimeout(last ? LAST_LOOK_MS : lookMs);
                     return listener.accept();
                 } catch (SocketTimeoutException e) {
                     if (last) {
@@ -94,6 +99,11 @@
             Sockets.close(listener);
         }
 
+        @Override
+        public void endsSoon() {
+            lookMs = ENDING_LOOK_MS;
+        }
+
         @Override
         public void shutOnceEmpty() {
             isLast = true;
@@ -163,6 +173,9 @@
             selector.wakeup();
         }
 
+        @Override
+        public void endsSoon() { }
+
         /** Who waits is the others' to accept. */
         @Override
         public void shutOnceEmpty() {
--- a/sidecar/src/test/java/dapplequay/net/StartAndEndTest.java
+++ b/sidecar/src/test/java/dapplequay/net/StartAndEndTest.java
@@ -142,6 +142,11 @@
             shut.countDown();
         }
 
+        @Override
+        public void endsSoon() {
+            own.endsSoon();
+        }
+
         @Override
         public void shutOnceEmpty() {
             own.shutOnceEmpty();
