--- a/sidecar/src/main/java/dapplequay/net/Door.java
+++ b/sidecar/src/main/java/dapplequay/net/Door.java
@@ -34,7 +34,7 @@
     /** An end has been ordered: whoever waits at the door looks more often whether it is to be shut. */
     void endsSoon();
 
-    /** The same as {@link #shut} once nobody waits any more: who waits already is still accepted, one after the other. */
+    /** {@link #shut}, but only once nobody waits any more: who waits already is still accepted, one after the other. */
     void shutOnceEmpty();
 
     /** True once it was shut. */
