--- a/sidecar/src/main/java/dapplequay/net/Answers.java
+++ b/sidecar/src/main/java/dapplequay/net/Answers.java
@@ -25,7 +25,7 @@
         /** {@code connection}: what is said of the connection, with its line's end, or nothing. */
         byte[] bytes(String connection) {
             head.append("Content-Length: ").append(body.length).append("\r\n").append(connection);
-            return AcquirerRequest.message(head, body);
+            return ClientRequest.message(head, body);
         }
     }
 
@@ -49,7 +49,7 @@
         } else if (!version.equals("HTTP/1.0")) {
             head.append("Transfer-Encoding: chunked\r\n");
         }
-        return AcquirerRequest.message(head.append(connection), isChunked(body, version)
+        return ClientRequest.message(head.append(connection), isChunked(body, version)
                 ? Chunks.of(start) : start);
     }
 
--- a/sidecar/src/main/java/dapplequay/net/Authorisation.java
+++ b/sidecar/src/main/java/dapplequay/net/Authorisation.java
@@ -3,11 +3,11 @@
 import dapplequay.facade.Upload;
 import dapplequay.management.Counts;
 
-/** One request of the acquirer's, until its one answer. Whoever claims it first answers it, or drops it. */
+/** One request of the client's, until its one answer. Whoever claims it first answers it, or drops it. */
 final class Authorisation {
     final long id;
-    final AcquirerConnection from;
-    final AcquirerRequest request;
+    final ClientConnection from;
+    final ClientRequest request;
     private final Counts counts;
     private boolean over;
     private boolean timedOut;
@@ -17,7 +17,7 @@
     private volatile long dueUs;
 
     /** Counts as taken from here on; a long one, once its last byte has come. */
-    Authorisation(long id, AcquirerConnection from, AcquirerRequest request, Counts counts) {
+    Authorisation(long id, ClientConnection from, ClientRequest request, Counts counts) {
         this.id = id;
         this.from = from;
         this.request = request;
--- a/sidecar/src/main/java/dapplequay/net/AcquirerConnection.java
+++ b/sidecar/src/main/java/dapplequay/net/ClientConnection.java
@@ -15,11 +15,11 @@
 import java.util.logging.Logger;
 
 /**
- * One connection of the acquirer's, with the thread that reads it. The thread goes on reading while a leg is
+ * One connection of the client's, with the thread that reads it. The thread goes on reading while a leg is
  * out, and so sees a client that leaves; whoever has the answer writes it.
  */
-final class AcquirerConnection implements Runnable {
-    private static final Logger LOG = Logger.getLogger(AcquirerConnection.class.getName());
+final class ClientConnection implements Runnable {
+    private static final Logger LOG = Logger.getLogger(ClientConnection.class.getName());
     /** An idle connection is closed after this: some clients ask once and never again, nor ever close. */
     private static final long IDLE_US = 2_100_000;
     /** A stranger, one that has not asked for anything yet, has at least so long before it makes room. */
@@ -49,7 +49,7 @@
     /** READING: a request has begun to come; BUSY: it is whole and its answer is due. */
     private enum State { IDLE, READING, BUSY, CLOSED }
 
-    private final AcquirerSide side;
+    private final ClientSide side;
     private final Socket socket;
     private final OrderlyClose ending;
     private final BodyReader bodies;
@@ -66,7 +66,7 @@
     private MessageReader reader;
     private volatile Authorisation current;
 
-    AcquirerConnection(AcquirerSide side, Socket socket) {
+    ClientConnection(ClientSide side, Socket socket) {
         this.side = side;
         this.socket = socket;
         ending = new OrderlyClose(socket, side.deadlines());
@@ -98,7 +98,7 @@
             }
             ending.throwAway(uploading ? LONG_DRAINED : 0);
         } catch (IOException e) {
-            LOG.log(Level.FINE, "acquirer connection ended: {0}", e.toString());
+            LOG.log(Level.FINE, "client connection ended: {0}", e.toString());
         } finally {
             if (current != null) {
                 side.conductor().clientLeft(current);
@@ -309,7 +309,7 @@
             answer(head.start[0].equals("GET") ? side.health() : Answers.plain(405, "only GET"));
             return;
         }
-        AcquirerRequest request = AcquirerRequest.check(head, held, rest, side.setup());
+        ClientRequest request = ClientRequest.check(head, held, rest, side.setup());
         if (rest == null) {
             expectClient(receivedUs, true);
         }
--- a/sidecar/src/main/java/dapplequay/net/AcquirerRequest.java
+++ b/sidecar/src/main/java/dapplequay/net/ClientRequest.java
@@ -13,17 +13,17 @@
 import java.util.List;
 
 /**
- * A request of the acquirer's, checked against the settings: what is wrong with it, no issuer host sees. {@code body}:
+ * A request of the client's, checked against the settings: what is wrong with it, no issuer host sees. {@code body}:
  * all of a short one's; of a long one the part that is held, and {@code rest} is what is still to come (else null).
  * {@code about}: the key that hosts may remember, or null.
  */
-record AcquirerRequest(Head head, byte[] body, Body rest, String className, String tenant, String about,
+record ClientRequest(Head head, byte[] body, Body rest, String className, String tenant, String about,
                        long budgetUs) {
     private static final List<String> REPLACED = List.of("host", "x-budget-ms");
     private static final String ABOUT = "obj=";
     private static final int LONGEST_ABOUT = 1_024;
 
-    static AcquirerRequest check(Head head, byte[] body, Body rest, Setup setup) throws BadMessage {
+    static ClientRequest check(Head head, byte[] body, Body rest, Setup setup) throws BadMessage {
         String[] target = head.start[1].split("\\?", 2);
         String className = target[0].substring(1).split("/", 2)[0];
         Integer serviceClass = setup.classes().get(className);
@@ -52,7 +52,7 @@
         // No client waits for longer than its class grants: a greater figure would hold a leg for good, and
         // make all others look like later tries to the module.
         long longestUs = setup.settings().classes().get(serviceClass).deadlineUs();
-        return new AcquirerRequest(head, body, rest, className, tenant(head, setup), about(target),
+        return new ClientRequest(head, body, rest, className, tenant(head, setup), about(target),
                 Math.min(Long.parseLong(budget) * 1000, longestUs));
     }
 
--- a/sidecar/src/main/java/dapplequay/net/AcquirerSide.java
+++ b/sidecar/src/main/java/dapplequay/net/ClientSide.java
@@ -19,9 +19,9 @@
 import java.util.logging.Level;
 import java.util.logging.Logger;
 
-/** The listener, and the acquirer's connections. */
-final class AcquirerSide implements Runnable {
-    private static final Logger LOG = Logger.getLogger(AcquirerSide.class.getName());
+/** The listener, and the client's connections. */
+final class ClientSide implements Runnable {
+    private static final Logger LOG = Logger.getLogger(ClientSide.class.getName());
     private static final long PAUSE_MS = 20;
     /** The accepting thread leaves a door that was shut at once; were it stuck, the ending must not be. */
     private static final long STOP_MS = 500;
@@ -40,7 +40,7 @@
     private final int mostUploads;
     private final AtomicInteger uploads = new AtomicInteger();
     private final Door door;
-    private final Set<AcquirerConnection> connections = new LinkedHashSet<>();
+    private final Set<ClientConnection> connections = new LinkedHashSet<>();
     private final CountDownLatch stopped = new CountDownLatch(1);
     private final CallIds callIds = new CallIds();
     private final Counts counts;
@@ -49,7 +49,7 @@
     private final Headroom headroom;
     private final Punctuality punctuality;
 
-    AcquirerSide(Door door, Supplier<Setup> setup, Facade facade, Conductor conductor,
+    ClientSide(Door door, Supplier<Setup> setup, Facade facade, Conductor conductor,
                  Deadlines deadlines, Counts counts, Lifetime lifetime, Headroom headroom, int most,
                  int crowd, int mostUploads) {
         this.mostUploads = mostUploads;
@@ -151,7 +151,7 @@
                 if (socket == null) {
                     return;
                 }
-                AcquirerConnection connection = new AcquirerConnection(this, socket);
+                ClientConnection connection = new ClientConnection(this, socket);
                 synchronized (this) {
                     connections.add(connection);
                 }
@@ -169,9 +169,9 @@
         }
     }
 
-    private void start(AcquirerConnection connection) {
+    private void start(ClientConnection connection) {
         try {
-            new Thread(connection, "acquirer").start();
+            new Thread(connection, "client").start();
         } catch (OutOfMemoryError e) {
             ended(connection);
             throw e;
@@ -194,7 +194,7 @@
         long sinceUs = deadlines.now();
         while (connections.size() >= most && !door.isShut()) {
             boolean someAreEnding = false;
-            for (AcquirerConnection connection : connections) {
+            for (ClientConnection connection : connections) {
                 someAreEnding |= connection.hurry(SHORT_LINGER_US);
             }
             if (!someAreEnding) {
@@ -212,13 +212,13 @@
      * hold up the others.
      */
     private void makeRoom() {
-        boolean flood = connections.stream().filter(AcquirerConnection::isStranger).count() >= most * FLOOD;
+        boolean flood = connections.stream().filter(ClientConnection::isStranger).count() >= most * FLOOD;
         if (connections.stream().noneMatch(c -> c.closeIfStranger(flood)) && !flood) {
             connections.stream().anyMatch(c -> c.closeIfIdle(SHORT_LINGER_US));
         }
     }
 
-    synchronized void ended(AcquirerConnection connection) {
+    synchronized void ended(ClientConnection connection) {
         connections.remove(connection);
         notifyAll();
     }
@@ -229,13 +229,13 @@
         if (!lifetime.empties()) {
             return;
         }
-        List<AcquirerConnection> left = left();
+        List<ClientConnection> left = left();
         left.forEach(connection -> connection.closeToEmpty(LINGER_US));
         lifetime.holds(left.size());
     }
 
     /** The connections of the moment, to be called without the lock. */
-    private synchronized List<AcquirerConnection> left() {
+    private synchronized List<ClientConnection> left() {
         return new ArrayList<>(connections);
     }
 
@@ -254,7 +254,7 @@
     }
 
     /** The connection has been idle for too long; in an ending it stays, as its client can't open another any more. */
-    void idleForLong(AcquirerConnection connection) {
+    void idleForLong(ClientConnection connection) {
         if (!lifetime.isEnding()) {
             connection.restedTooLong(LINGER_US);
         }
@@ -269,18 +269,18 @@
     void awaitEmpty(long lateUs, long untilUs, long closedUs) throws InterruptedException {
         if (!isEmptyBy(lateUs, untilUs) || !hasLetInAll(untilUs) || !isEmptyBy(lateUs, untilUs)) {
             isOver = true;          // before those that are held are gone over: each is seen here or sees this
-            left().stream().filter(AcquirerConnection::holds).forEach(AcquirerSide::fail);
+            left().stream().filter(ClientConnection::holds).forEach(ClientSide::fail);
             if (hasLetInAll(closedUs)) {
                 isEmptyBy(lateUs, closedUs);
             }
         }
         door.shut();
         // The exit would close them in the same way, but only once threads that sit in their reads were waited for.
-        left().forEach(AcquirerConnection::close);
+        left().forEach(ClientConnection::close);
     }
 
     /** By a thread of its own: a client that takes nothing must not keep the others from their answers. */
-    private static void fail(AcquirerConnection holding) {
+    private static void fail(ClientConnection holding) {
         Thread writer = new Thread(holding::failHeld, "last failure");
         writer.setDaemon(true);
         try {
--- a/sidecar/src/main/java/dapplequay/net/Conductor.java
+++ b/sidecar/src/main/java/dapplequay/net/Conductor.java
@@ -15,7 +15,7 @@
 import java.util.logging.Level;
 import java.util.logging.Logger;
 
-/** Carries out what the facade decides: legs to the issuer side, answers to the acquirer side. */
+/** Carries out what the facade decides: legs to the issuer side, answers to the client side. */
 class Conductor {
     private static final Logger LOG = Logger.getLogger(Conductor.class.getName());
 
--- a/sidecar/src/main/java/dapplequay/net/IssuerConnection.java
+++ b/sidecar/src/main/java/dapplequay/net/IssuerConnection.java
@@ -99,7 +99,7 @@
 
     /** Writes the leg, or the beginning of a long one, where it may still go out and the connection is fit for it. */
     Begin write(Leg now) {
-        AcquirerRequest request = now.authorisation.request;
+        ClientRequest request = now.authorisation.request;
         byte[] message = request.bytesFor(route.endpoint(), now.untilUs() - side.now());
         if (!side.mayBegin(now, route)) {
             return Begin.STOPPED;
--- a/sidecar/src/main/java/dapplequay/net/OrderlyClose.java
+++ b/sidecar/src/main/java/dapplequay/net/OrderlyClose.java
@@ -83,11 +83,11 @@
             try {
                 throwAway(0);
             } catch (IOException e) {
-                LOG.log(Level.FINE, "acquirer connection ended: {0}", e.toString());
+                LOG.log(Level.FINE, "client connection ended: {0}", e.toString());
             } finally {
                 over.run();
             }
-        }, "acquirer");
+        }, "client");
         try {
             thread.start();
         } catch (OutOfMemoryError e) {
--- a/sidecar/src/main/java/dapplequay/net/Sidecar.java
+++ b/sidecar/src/main/java/dapplequay/net/Sidecar.java
@@ -31,7 +31,7 @@
     /** Descriptors kept for the program itself, the listener and discovery; the JVM has two dozen open. */
     private static final int OWN_DESCRIPTORS = 32;
     /** Clients' share of the others. */
-    private static final double ACQUIRER_SHARE = 0.55;
+    private static final double CLIENT_SHARE = 0.55;
     /** Of all descriptors: once clients hold so many there is a crowd. */
     private static final double CROWD_SHARE = 0.25;
     /** The same of the clients that there may be, for a process that may hold far fewer as it has half of all. */
@@ -63,7 +63,7 @@
     private final AtomicLong cfgInvalid = new AtomicLong();
     private volatile Setup setup;
     private volatile int passedOver;
-    private volatile AcquirerSide acquirers;
+    private volatile ClientSide clients;
     private volatile ManagementSide management;
     private final Door.Opener opener;
     /** Held while the door is opened, and while an ending begins: one of the two comes first. */
@@ -94,14 +94,14 @@
         }
 
         /** Of clients. */
-        int mostAcquirers() {
-            return (int) (mostConnections() * ACQUIRER_SHARE);
+        int mostClients() {
+            return (int) (mostConnections() * CLIENT_SHARE);
         }
 
         /** From so many clients on there is a crowd. */
         int crowd() {
             int crowd = (int) (sockets * CROWD_SHARE);
-            return inherits ? Math.min(crowd, (int) (mostAcquirers() * CROWDED)) : crowd;
+            return inherits ? Math.min(crowd, (int) (mostClients() * CROWDED)) : crowd;
         }
 
         /**
@@ -114,7 +114,7 @@
 
         /** To issuer hosts. */
         int mostIssuers() {
-            return mostConnections() - mostAcquirers();
+            return mostConnections() - mostClients();
         }
     }
 
@@ -182,7 +182,7 @@
     }
 
     public InetSocketAddress address() {
-        return acquirers.address();
+        return clients.address();
     }
 
     /** The second address, or null. */
@@ -207,10 +207,10 @@
                 LOG.info("told to end before it served");
                 return;
             }
-            acquirers = new AcquirerSide(opener.open(), () -> setup, facade, conductor, deadlines, counts, lifetime,
-                    headroom, plan.mostAcquirers(), plan.crowd(), plan.mostUploads());
+            clients = new ClientSide(opener.open(), () -> setup, facade, conductor, deadlines, counts, lifetime,
+                    headroom, plan.mostClients(), plan.crowd(), plan.mostUploads());
             daemon(watch, "watch");
-            new Thread(acquirers, "listener").start();
+            new Thread(clients, "listener").start();
             lifetime.listening();
         }
         LOG.log(Level.INFO, "serving on {0}", Sockets.text(address()));
@@ -286,7 +286,7 @@
                 if (management != null && turn % PASSED_OVER_TURNS == 0) {
                     passedOver = facade.passedOver();
                 }
-                AcquirerSide side = acquirers;
+                ClientSide side = clients;
                 if (side != null) {
                     side.turn();
                 }
@@ -340,11 +340,11 @@
 
     void end(Ending ordered) throws InterruptedException {
         long now = deadlines.now();
-        AcquirerSide side;
+        ClientSide side;
         synchronized (opening) {
             endingSinceUs = endingSinceUs == 0 ? now : endingSinceUs;
             now = endingSinceUs;
-            side = acquirers;
+            side = clients;
         }
         if (side != null) {
             boolean handsOver = side.handsOver();
--- a/sidecar/src/main/java/dapplequay/net/WarmUp.java
+++ b/sidecar/src/main/java/dapplequay/net/WarmUp.java
@@ -69,7 +69,7 @@
         MessageReader in = reader(requestText(number));
         in.await();
         Head head = in.request();
-        AcquirerRequest request = AcquirerRequest.check(head, in.requestBody(head), null, setup);
+        ClientRequest request = ClientRequest.check(head, in.requestBody(head), null, setup);
         long id = facade.nextId();
         Decision decision = facade.pick(id, request.call(request.budgetUs()));
         if (decision instanceof Decision.Send send) {
--- a/sidecar/src/test/java/dapplequay/net/ClientRig.java
+++ b/sidecar/src/test/java/dapplequay/net/ClientRig.java
@@ -127,7 +127,7 @@
     final BlockingQueue<Accepted> accepted = new LinkedBlockingQueue<>();
     final Lifetime lifetime;
     private final List<AutoCloseable> toClose = new ArrayList<>();
-    private final AcquirerSide side;
+    private final ClientSide side;
     private final Deadlines deadlines;
     private final UnixClock running = new UnixClock();
     private volatile long stoppedUs = -1;
@@ -154,7 +154,7 @@
         Conductor conductor = new Conductor(facade, issuers);
         issuers.conductor(conductor);
         Door door = door(hooks, accepted);
-        side = new AcquirerSide(door, () -> setup, facade, conductor, deadlines, counts, lifetime, new Headroom(1),
+        side = new ClientSide(door, () -> setup, facade, conductor, deadlines, counts, lifetime, new Headroom(1),
                 most, 1_000, 10);
         Host.daemon(side::run);
         lifetime.listening();
--- a/sidecar/src/test/java/dapplequay/net/IssuerRig.java
+++ b/sidecar/src/test/java/dapplequay/net/IssuerRig.java
@@ -121,7 +121,7 @@
         try {
             Head read = Head.request(head.getBytes(StandardCharsets.US_ASCII));
             MessageReader reader = new MessageReader(new ByteArrayInputStream(new byte[0]), MessageReader.LONGEST_BODY);
-            AcquirerRequest request = new AcquirerRequest(read, new byte[held], isLong ? reader.body(read) : null,
+            ClientRequest request = new ClientRequest(read, new byte[held], isLong ? reader.body(read) : null,
                     "pay", null, null, TIME_US);
             return new Leg(new Authorisation(++ids, null, request, new Counts()),
                     new Decision.Send(0, host, TIME_US, beginByUs), now.get());
--- a/sidecar/src/test/java/dapplequay/net/IssuerSideTest.java
+++ b/sidecar/src/test/java/dapplequay/net/IssuerSideTest.java
@@ -49,7 +49,7 @@
 
     private static Leg leg(IssuerSide side) throws IOException {
         Head head = Head.request("POST /pay HTTP/1.1".getBytes(StandardCharsets.US_ASCII));
-        AcquirerRequest request = new AcquirerRequest(head, new byte[0], null, "pay", null, null, 10_000_000);
+        ClientRequest request = new ClientRequest(head, new byte[0], null, "pay", null, null, 10_000_000);
         return new Leg(new Authorisation(1, null, request, new Counts()), new Decision.Send(0, "s1", 10_000_000), side.now());
     }
 
--- a/sidecar/src/test/java/dapplequay/net/LongAnswerTest.java
+++ b/sidecar/src/test/java/dapplequay/net/LongAnswerTest.java
@@ -95,7 +95,7 @@
         rig = open(new ClientRig(new ClientRig.Hooks() {
             @Override
             void beforeRead() {
-                if (!Thread.currentThread().getName().equals("acquirer")) {
+                if (!Thread.currentThread().getName().equals("client")) {
                     takenOver.countDown();
                 }
             }
