--- a/sidecar/src/main/java/dapplequay/management/Counts.java
+++ b/sidecar/src/main/java/dapplequay/management/Counts.java
@@ -40,7 +40,7 @@
         open--;
     }
 
-    /** An attempt was written whole to an issuer host. */
+    /** An attempt was written whole to an upstream. */
     public synchronized void relayed() {
         relayed++;
     }
--- a/sidecar/src/main/java/dapplequay/net/Authorisation.java
+++ b/sidecar/src/main/java/dapplequay/net/Authorisation.java
@@ -101,7 +101,7 @@
         return leg;
     }
 
-    /** What a failed answer says: that time ran out, or that the issuer hosts failed. */
+    /** What a failed answer says: that time ran out, or that the upstreams failed. */
     synchronized void lastLegTimedOut(boolean so) {
         timedOut = so;
     }
--- a/sidecar/src/main/java/dapplequay/net/ClientRequest.java
+++ b/sidecar/src/main/java/dapplequay/net/ClientRequest.java
@@ -13,7 +13,7 @@
 import java.util.List;
 
 /**
- * A request of the client's, checked against the settings: what is wrong with it, no issuer host sees. {@code body}:
+ * A request of the client's, checked against the settings: what is wrong with it, no upstream sees. {@code body}:
  * all of a short one's; of a long one the part that is held, and {@code rest} is what is still to come (else null).
  * {@code about}: the key that hosts may remember, or null.
  */
@@ -105,13 +105,13 @@
         return rest != null;
     }
 
-    /** Whether the issuer host gets its body in chunks, as nobody knows yet how long it is. */
+    /** Whether the upstream gets its body in chunks, as nobody knows yet how long it is. */
     boolean isChunked() {
         return rest != null && rest.length() < 0;
     }
 
     /**
-     * The bytes for the issuer host: as the client sent it, but for what concerns one connection alone. Of a long
+     * The bytes for the upstream: as the client sent it, but for what concerns one connection alone. Of a long
      * request this is the beginning.
      */
     byte[] bytesFor(InetSocketAddress endpoint, long leftUs) {
--- a/sidecar/src/main/java/dapplequay/net/Conductor.java
+++ b/sidecar/src/main/java/dapplequay/net/Conductor.java
@@ -15,18 +15,18 @@
 import java.util.logging.Level;
 import java.util.logging.Logger;
 
-/** Carries out what the facade decides: legs to the issuer side, answers to the client side. */
+/** Carries out what the facade decides: legs to the upstream side, answers to the client side. */
 class Conductor {
     private static final Logger LOG = Logger.getLogger(Conductor.class.getName());
 
     private final Facade facade;
-    private final IssuerSide issuers;
+    private final UpstreamSide upstreams;
     /** The legs that are out, by their authorisation's number. */
     private final Map<Long, Leg> out = new ConcurrentHashMap<>();
 
-    Conductor(Facade facade, IssuerSide issuers) {
+    Conductor(Facade facade, UpstreamSide upstreams) {
         this.facade = facade;
-        this.issuers = issuers;
+        this.upstreams = upstreams;
     }
 
     void begin(Authorisation authorisation, Call call) {
@@ -35,9 +35,9 @@
 
     private void carryOut(Authorisation authorisation, Decision decision) {
         if (decision instanceof Decision.Send send) {
-            Leg leg = new Leg(authorisation, send, issuers.now());
+            Leg leg = new Leg(authorisation, send, upstreams.now());
             out.put(authorisation.id, leg);
-            issuers.send(leg);
+            upstreams.send(leg);
         } else if (decision instanceof Decision.Refuse refuse && authorisation.claim()) {
             LOG.fine(() -> "refused " + authorisation.id);
             finish(authorisation, End.THROTTLED, Answers.refusal(refuse.pauseUs()));
@@ -59,7 +59,7 @@
         out.remove(authorisation.id, leg);
         Upload upload = authorisation.legOver(leg);
         if (LOG.isLoggable(Level.FINE)) {       // once a leg: nothing is put together for nobody
-            LOG.fine("leg " + leg.order.host() + ' ' + end + ' ' + (issuers.now() - leg.startUs()) + ' ' + leg.idleUs()
+            LOG.fine("leg " + leg.order.host() + ' ' + end + ' ' + (upstreams.now() - leg.startUs()) + ' ' + leg.idleUs()
                     + ' ' + authorisation.id);
         }
         guarded(authorisation, () -> {
@@ -67,7 +67,7 @@
             boolean serves = (end == LegEnd.SERVED || end == LegEnd.NOT_ACCEPTED) && authorisation.claim();
             authorisation.lastLegTimedOut(end == LegEnd.TIMED_OUT);
             Decision next = facade.report(authorisation.id, leg.order.leg(), leg.order.host(), end,
-                    leg.tookUs(end, issuers.now()), authorisation.isOver(), load, upload);
+                    leg.tookUs(end, upstreams.now()), authorisation.isOver(), load, upload);
             if (serves) {
                 if (end == LegEnd.SERVED) {
                     finish(authorisation, End.FULFILLED, Answers.served(head, body));
@@ -90,7 +90,7 @@
         Upload upload = authorisation.legOver(leg);
         boolean goesOn = authorisation.claim();
         facade.report(authorisation.id, leg.order.leg(), leg.order.host(), LegEnd.SERVED,
-                leg.tookUs(LegEnd.SERVED, issuers.now()), true, load, upload);
+                leg.tookUs(LegEnd.SERVED, upstreams.now()), true, load, upload);
         if (!goesOn) {
             return false;
         }
@@ -105,7 +105,7 @@
 
     /** The last byte of a long request has come and is about to go out: its time begins. False: its leg has ended. */
     boolean lastPiece(Leg leg) {
-        if (!issuers.lastPiece(leg, leg.authorisation.request.budgetUs())) {
+        if (!upstreams.lastPiece(leg, leg.authorisation.request.budgetUs())) {
             return false;
         }
         leg.authorisation.taken();
--- a/sidecar/src/main/java/dapplequay/net/Leg.java
+++ b/sidecar/src/main/java/dapplequay/net/Leg.java
@@ -6,7 +6,7 @@
 import java.io.InterruptedIOException;
 import java.util.function.LongSupplier;
 
-/** One attempt at an issuer host. It ends once: the first counts of an answer, a cut and a break. */
+/** One attempt at an upstream. It ends once: the first counts of an answer, a cut and a break. */
 final class Leg {
     final Authorisation authorisation;
     final Decision.Send order;
@@ -22,7 +22,7 @@
     private boolean writing = true;      // until told otherwise: what is not known is not "never ran"
     private long headUs;
     private long writtenAtUs = -1;       // -1: not written whole
-    private IssuerConnection connection;
+    private UpstreamConnection connection;
     private Deadlines.Deadline deadline;
 
     Leg(Authorisation authorisation, Decision.Send order, long startUs) {
@@ -80,7 +80,7 @@
         return open;
     }
 
-    synchronized IssuerConnection connection() {
+    synchronized UpstreamConnection connection() {
         return connection;
     }
 
@@ -104,7 +104,7 @@
     }
 
     /** Its connection from now on, which was idle for so long before; -1: it is new. */
-    synchronized void on(IssuerConnection itsConnection, long itsIdleUs) {
+    synchronized void on(UpstreamConnection itsConnection, long itsIdleUs) {
         connection = itsConnection;
         idleUs = itsIdleUs;
     }
@@ -139,7 +139,7 @@
      * connection's own thread reports the leg.
      */
     void cut(LegEnd why) {
-        IssuerConnection toClose;
+        UpstreamConnection toClose;
         synchronized (this) {
             if (end != null) {
                 return;
--- a/sidecar/src/main/java/dapplequay/net/Sidecar.java
+++ b/sidecar/src/main/java/dapplequay/net/Sidecar.java
@@ -53,7 +53,7 @@
     private final Conductor conductor;
     private final RoutingTable table;
     private final Watch watch;
-    private final IssuerSide issuers;
+    private final UpstreamSide upstreams;
     private final Counts counts = new Counts();
     private final Lifetime lifetime;
     private final Headroom headroom;
@@ -112,8 +112,8 @@
             return Math.max(FEWEST, (int) (cores * UPLOADS_PER_CORE));
         }
 
-        /** To issuer hosts. */
-        int mostIssuers() {
+        /** To upstreams. */
+        int mostUpstreams() {
             return mostConnections() - mostClients();
         }
     }
@@ -153,11 +153,11 @@
         headroom = new Headroom(plan.cores());
         counts.know(setup.classes().keySet());
         table = restored(plan, facade);
-        issuers = new IssuerSide(table, deadlines, () -> setup, plan.mostIssuers(), counts);
-        conductor = new Conductor(facade, issuers);
-        issuers.conductor(conductor);
+        upstreams = new UpstreamSide(table, deadlines, () -> setup, plan.mostUpstreams(), counts);
+        conductor = new Conductor(facade, upstreams);
+        upstreams.conductor(conductor);
         ListClock listClock = new ListClock(() -> setup.settings().discovery(), new SplittableRandom(plan.seed()));
-        watch = new Watch(plan.discovery(), table, facade, issuers, memory, listClock, clock);
+        watch = new Watch(plan.discovery(), table, facade, upstreams, memory, listClock, clock);
     }
 
     private static void tell(String line) {
@@ -356,7 +356,7 @@
         }
         // A process whose threads stay in their reads is gone only a third of a second later.
         watch.end();
-        issuers.closeAllIdle();
+        upstreams.closeAllIdle();
         if (management != null) {
             management.close();
         }
--- a/sidecar/src/main/java/dapplequay/net/IssuerConnection.java
+++ b/sidecar/src/main/java/dapplequay/net/UpstreamConnection.java
@@ -19,18 +19,18 @@
 import java.util.logging.Logger;
 
 /**
- * One connection to an issuer host, with the thread that reads it. One leg at a time; between legs the thread
+ * One connection to an upstream, with the thread that reads it. One leg at a time; between legs the thread
  * stays in its read, and so sees at once when the host closes.
  */
-final class IssuerConnection implements Runnable {
-    private static final Logger LOG = Logger.getLogger(IssuerConnection.class.getName());
+final class UpstreamConnection implements Runnable {
+    private static final Logger LOG = Logger.getLogger(UpstreamConnection.class.getName());
 
     private static final int PIECE = 8 * 1024;
     /** So long an answer of unknown length may take before it is passed on as it comes. */
     private static final long HELD_US = 100_000;
 
     final RoutingTable.Route route;
-    private final IssuerSide side;
+    private final UpstreamSide side;
     private final Socket socket = new Socket();
     private volatile Drive drive;
     private volatile boolean isConnected;
@@ -48,7 +48,7 @@
     private Leg promisedTo;
 
     /** One that takes a long request is served by its client's thread until that is whole. */
-    IssuerConnection(IssuerSide side, RoutingTable.Route route, Leg first) {
+    UpstreamConnection(UpstreamSide side, RoutingTable.Route route, Leg first) {
         drive = first.isUploading() ? Drive.CLIENT : Drive.OWN;
         this.side = side;
         this.route = route;
--- a/sidecar/src/main/java/dapplequay/net/IssuerSide.java
+++ b/sidecar/src/main/java/dapplequay/net/UpstreamSide.java
@@ -23,9 +23,9 @@
 import java.util.logging.Level;
 import java.util.logging.Logger;
 
-/** The connections to issuer hosts: idle ones are used again, the last used first, and others opened. */
-final class IssuerSide {
-    private static final Logger LOG = Logger.getLogger(IssuerSide.class.getName());
+/** The connections to upstreams: idle ones are used again, the last used first, and others opened. */
+final class UpstreamSide {
+    private static final Logger LOG = Logger.getLogger(UpstreamSide.class.getName());
     /** A host closes at the full time; what is written to a connection from then on ends as a reset. */
     private static final double IDLE_SHARE = 0.7;
     /**
@@ -43,22 +43,22 @@
      */
     static final long SPARE_US = 500_000;
 
-    private static final Deque<IssuerConnection> NONE = new ArrayDeque<>();
+    private static final Deque<UpstreamConnection> NONE = new ArrayDeque<>();
 
     private final RoutingTable table;
     private final Deadlines deadlines;
     private final Supplier<Setup> setup;
     private final int most;
-    private final Map<RoutingTable.Route, Deque<IssuerConnection>> idle = new HashMap<>();
+    private final Map<RoutingTable.Route, Deque<UpstreamConnection>> idle = new HashMap<>();
     private final IdleRisk risk;
     private final Counts counts;
     /** They wait for connections to have rested: no more at once than there are such connections. */
     private final Executor waiters = new ThreadPoolExecutor(0, Integer.MAX_VALUE, WAITER_MS, TimeUnit.MILLISECONDS,
-            new SynchronousQueue<>(), IssuerSide::waiter);
+            new SynchronousQueue<>(), UpstreamSide::waiter);
     private int open;
     private Conductor conductor;
 
-    IssuerSide(RoutingTable table, Deadlines deadlines, Supplier<Setup> setup, int most,
+    UpstreamSide(RoutingTable table, Deadlines deadlines, Supplier<Setup> setup, int most,
                Counts counts) {
         this.table = table;
         this.deadlines = deadlines;
@@ -103,7 +103,7 @@
     }
 
     private static Thread waiter(Runnable work) {
-        Thread thread = new Thread(work, "waits for an issuer connection");
+        Thread thread = new Thread(work, "waits for an upstream connection");
         thread.setDaemon(true);
         return thread;
     }
@@ -113,8 +113,8 @@
      * rests, or opens one, in this order: a new one is work for the host, and may be slow to come up.
      */
     private void goOut(RoutingTable.Route route, Leg leg) {
-        IssuerConnection.Begin begin = IssuerConnection.Begin.UNFIT;
-        while (begin == IssuerConnection.Begin.UNFIT) {
+        UpstreamConnection.Begin begin = UpstreamConnection.Begin.UNFIT;
+        while (begin == UpstreamConnection.Begin.UNFIT) {
             Found found = find(route, leg);
             if (found == null) {
                 open(route, leg);
@@ -125,11 +125,11 @@
                 return;
             }
             begin = found.connection().write(leg);
-            if (begin != IssuerConnection.Begin.TAKEN) {
+            if (begin != UpstreamConnection.Begin.TAKEN) {
                 found.connection().close();
             }
         }
-        if (begin == IssuerConnection.Begin.STOPPED) {
+        if (begin == UpstreamConnection.Begin.STOPPED) {
             neverSent(leg);
         }
     }
@@ -158,14 +158,14 @@
 
     /** Opens a connection for the leg, in the place of an idle one where there are as many as there may be. */
     private void open(RoutingTable.Route route, Leg leg) {
-        IssuerConnection connection = null;
-        IssuerConnection evicted = null;
+        UpstreamConnection connection = null;
+        UpstreamConnection evicted = null;
         synchronized (this) {
             if (open >= most) {
                 evicted = evict();
             }
             if (open < most || evicted != null) {
-                connection = new IssuerConnection(this, route, leg);
+                connection = new UpstreamConnection(this, route, leg);
                 open++;
             }
         }
@@ -173,7 +173,7 @@
             evicted.close();
         }
         if (connection == null) {
-            LOG.warning("no room for another connection to an issuer host");
+            LOG.warning("no room for another connection to an upstream");
             neverSent(leg);
             return;
         }
@@ -208,9 +208,9 @@
     }
 
     /** Gives a connection its own thread. */
-    void start(IssuerConnection connection) {
+    void start(UpstreamConnection connection) {
         try {
-            new Thread(connection, "issuer " + Sockets.text(connection.route.endpoint())).start();
+            new Thread(connection, "upstream " + Sockets.text(connection.route.endpoint())).start();
         } catch (OutOfMemoryError e) {
             // No thread to be had: what was not written never ran, and the module decides what to do instead.
             LOG.log(Level.SEVERE, "no thread for a connection", e);
@@ -224,18 +224,18 @@
     }
 
     /** A connection for a leg: its own from now on, or, with a rest left, promised to it alone, microseconds. */
-    private record Found(IssuerConnection connection, long restUs) { }
+    private record Found(UpstreamConnection connection, long restUs) { }
 
     /** The last used of those that have rested; else the first to have rested; null: there is none for it. */
     private synchronized Found find(RoutingTable.Route route, Leg leg) {
         release(route, leg);
-        Deque<IssuerConnection> ready = idle.get(route);
+        Deque<UpstreamConnection> ready = idle.get(route);
         if (ready == null) {
             return null;
         }
         long now = now();
-        for (Iterator<IssuerConnection> last = ready.descendingIterator(); last.hasNext(); ) {
-            IssuerConnection connection = last.next();
+        for (Iterator<UpstreamConnection> last = ready.descendingIterator(); last.hasNext(); ) {
+            UpstreamConnection connection = last.next();
             long idleUs = now - connection.idleSinceUs();
             if (idleUs >= REST_US && connection.promisedTo() == null) {
                 if (!risk.isAccepted(idleUs)) {
@@ -248,7 +248,7 @@
                 return new Found(connection, 0);
             }
         }
-        IssuerConnection first = ready.stream().filter(c -> now - c.idleSinceUs() < REST_US && c.promisedTo() == null)
+        UpstreamConnection first = ready.stream().filter(c -> now - c.idleSinceUs() < REST_US && c.promisedTo() == null)
                 .findFirst().orElse(null);
         if (first == null || !risk.isAccepted(REST_US) || !leg.mayBeginAt(first.idleSinceUs() + REST_US)) {
             return null;
@@ -263,16 +263,16 @@
     }
 
     /** It can't be waited for any more, and has left the idle ones; under the lock. */
-    private static void gone(IssuerConnection connection) {
+    private static void gone(UpstreamConnection connection) {
         if (connection.promisedTo() != null) {
             connection.promisedTo().stopResting();
         }
     }
 
     /** One that nobody waits for. */
-    private IssuerConnection evict() {
-        for (Deque<IssuerConnection> ready : idle.values()) {
-            for (IssuerConnection connection : ready) {
+    private UpstreamConnection evict() {
+        for (Deque<UpstreamConnection> ready : idle.values()) {
+            for (UpstreamConnection connection : ready) {
                 if (connection.promisedTo() == null) {
                     ready.remove(connection);
                     return connection;
@@ -309,14 +309,14 @@
     }
 
     /** The connection may be used again: before the client can send its next request, where the answer was short. */
-    void free(IssuerConnection connection, String host) {
+    void free(UpstreamConnection connection, String host) {
         boolean stays;
         synchronized (this) {
             // Where the list has changed meanwhile, the next leg goes to another process. Asked under the lock: the
             // news are in the table before the idle connections on the routes that are gone are closed.
             stays = connection.route.equals(table.routeOf(host));
             if (stays) {
-                Deque<IssuerConnection> ready = idle.computeIfAbsent(connection.route, e -> new ArrayDeque<>());
+                Deque<UpstreamConnection> ready = idle.computeIfAbsent(connection.route, e -> new ArrayDeque<>());
                 long idleUs = (long) (setup.get().connIdleUs() * IDLE_SHARE);
                 long stayUs = ready.isEmpty() ? idleUs : Math.min(idleUs, SPARE_US);
                 connection.idle(now(), deadlines.after(stayUs, () -> retire(connection)));
@@ -328,14 +328,14 @@
         }
     }
 
-    private void retire(IssuerConnection connection) {
+    private void retire(UpstreamConnection connection) {
         if (removeIdle(connection)) {
             connection.close();
         }
     }
 
-    private synchronized boolean removeIdle(IssuerConnection connection) {
-        Deque<IssuerConnection> ready = idle.get(connection.route);
+    private synchronized boolean removeIdle(UpstreamConnection connection) {
+        Deque<UpstreamConnection> ready = idle.get(connection.route);
         boolean removed = ready != null && ready.remove(connection);
         if (removed) {
             gone(connection);
@@ -349,15 +349,15 @@
     /** Closes the idle connections on routes that take no more work. */
     void closeIdle(Collection<RoutingTable.Route> routes) {
         for (RoutingTable.Route route : routes) {
-            Deque<IssuerConnection> ready;
+            Deque<UpstreamConnection> ready;
             synchronized (this) {
                 ready = idle.remove(route);
                 if (ready != null) {
-                    ready.forEach(IssuerSide::gone);
+                    ready.forEach(UpstreamSide::gone);
                 }
             }
             if (ready != null) {
-                ready.forEach(IssuerConnection::close);
+                ready.forEach(UpstreamConnection::close);
             }
         }
     }
@@ -372,7 +372,7 @@
     }
 
     /** A connection's thread is done with it; a leg that it still owed is reported. */
-    void ended(IssuerConnection connection) {
+    void ended(UpstreamConnection connection) {
         synchronized (this) {
             open--;
             removeIdle(connection);
--- a/sidecar/src/main/java/dapplequay/net/Watch.java
+++ b/sidecar/src/main/java/dapplequay/net/Watch.java
@@ -38,7 +38,7 @@
 
     private final RoutingTable table;
     private final Facade facade;
-    private final IssuerSide issuers;
+    private final UpstreamSide upstreams;
     private InetSocketAddress discovery;
     private int moves;
     /** The open connection and whom it leads to; all change under the lock, as {@link #moveTo} closes it. */
@@ -63,7 +63,7 @@
     private volatile boolean isEnded;
 
     /** {@code now}: microseconds, never backwards. */
-    Watch(InetSocketAddress discovery, RoutingTable table, Facade facade, IssuerSide issuers, Sidecar.Memory memory,
+    Watch(InetSocketAddress discovery, RoutingTable table, Facade facade, UpstreamSide upstreams, Sidecar.Memory memory,
             ListClock clock, LongSupplier now) {
         this.discovery = discovery;
         this.memory = memory;
@@ -72,7 +72,7 @@
         anyVersion = !memory.binds();
         this.table = table;
         this.facade = facade;
-        this.issuers = issuers;
+        this.upstreams = upstreams;
     }
 
     @Override
@@ -307,7 +307,7 @@
             whole = true;           // the table has what the module does not: both need all of it
             throw e;
         }
-        issuers.closeIdle(drained);
+        upstreams.closeIdle(drained);
         memory.keep().accept(() -> Json.text(table.tree()));
     }
 
--- a/sidecar/src/test/java/dapplequay/net/BlockedWriteTest.java
+++ b/sidecar/src/test/java/dapplequay/net/BlockedWriteTest.java
@@ -20,7 +20,7 @@
 /** A leg is being written to a used connection, whose host does not read on, when something else happens. */
 @Timeout(60)
 class BlockedWriteTest {
-    private final IssuerRig rig = new IssuerRig(10);
+    private final UpstreamRig rig = new UpstreamRig(10);
     private final CountDownLatch go = new CountDownLatch(1);
     private final ServerSocket listener = new ServerSocket();
     private Socket host;
@@ -68,7 +68,7 @@
     }
 
     private void assertEnded(LegEnd how) throws Exception {
-        assertThat(rig.next()).isEqualTo(new IssuerRig.Ended(leg, how, null));
+        assertThat(rig.next()).isEqualTo(new UpstreamRig.Ended(leg, how, null));
         writer.join(TimeUnit.SECONDS.toMillis(Host.PATIENCE_S));
         assertThat(writer.isAlive()).as("it comes back").isFalse();
         rig.awaitThreads(0);
@@ -107,7 +107,7 @@
     /** It never ran, as it was not whole. */
     @Test
     void itsTimeEnds() throws Exception {
-        rig.now.addAndGet(IssuerRig.TIME_US);
+        rig.now.addAndGet(UpstreamRig.TIME_US);
         rig.deadlines.sweep();
         assertEnded(LegEnd.NOT_CONNECTED);
     }
@@ -116,7 +116,7 @@
     @Test
     void itsTimeEndsInTheMomentInWhichItIsWhole() throws Exception {
         rig.atLook(writer, () -> {
-            rig.now.addAndGet(IssuerRig.TIME_US);
+            rig.now.addAndGet(UpstreamRig.TIME_US);
             rig.deadlines.sweep();
         });
         Host.daemon(() -> host.getInputStream().transferTo(OutputStream.nullOutputStream()));
@@ -127,7 +127,7 @@
     @Test
     void itsTimeEndsWhileItsAnswerIsRead() throws Exception {
         rig.atLook(null, () -> {
-            rig.now.addAndGet(IssuerRig.TIME_US);
+            rig.now.addAndGet(UpstreamRig.TIME_US);
             rig.deadlines.sweep();
         });
         Host.daemon(() -> host.getInputStream().transferTo(OutputStream.nullOutputStream()));
@@ -141,7 +141,7 @@
     void itsTimeEndsWhenItIsAnswered() throws Exception {
         rig.atEnd = ended -> {
             rig.atEnd = next -> { };
-            rig.now.addAndGet(IssuerRig.TIME_US);
+            rig.now.addAndGet(UpstreamRig.TIME_US);
             rig.deadlines.sweep();
             leg.cut(LegEnd.TIMED_OUT);
             go.countDown();
@@ -149,7 +149,7 @@
         Host.daemon(() -> host.getInputStream().transferTo(OutputStream.nullOutputStream()));
         writer.join();
         write(host, Host.ok("in time"));
-        assertThat(rig.next()).isEqualTo(new IssuerRig.Ended(leg, LegEnd.SERVED, "in time"));
+        assertThat(rig.next()).isEqualTo(new UpstreamRig.Ended(leg, LegEnd.SERVED, "in time"));
         await(go);
         rig.side.send(rig.leg("s0", Long.MAX_VALUE));
         write(host, Host.ok("next"));
--- a/sidecar/src/test/java/dapplequay/net/ClientRig.java
+++ b/sidecar/src/test/java/dapplequay/net/ClientRig.java
@@ -150,9 +150,9 @@
         Counts counts = new Counts();
         counts.know(setup.classes().keySet());
         lifetime = new Lifetime(deadlines::now);
-        IssuerSide issuers = new IssuerSide(table, deadlines, () -> setup, 100, counts);
-        Conductor conductor = new Conductor(facade, issuers);
-        issuers.conductor(conductor);
+        UpstreamSide upstreams = new UpstreamSide(table, deadlines, () -> setup, 100, counts);
+        Conductor conductor = new Conductor(facade, upstreams);
+        upstreams.conductor(conductor);
         Door door = door(hooks, accepted);
         side = new ClientSide(door, () -> setup, facade, conductor, deadlines, counts, lifetime, new Headroom(1),
                 most, 1_000, 10);
--- a/sidecar/src/test/java/dapplequay/net/OrderlyCloseTest.java
+++ b/sidecar/src/test/java/dapplequay/net/OrderlyCloseTest.java
@@ -141,7 +141,7 @@
         for (int i = 0; i < most - 1; i++) {
             resting.add(asked(rig));
             rig.accepted();
-            rig.stopClock(IssuerSide.REST_US);      // else the next one waits for the host's connection
+            rig.stopClock(UpstreamSide.REST_US);      // else the next one waits for the host's connection
         }
         Host.Client half = rig.client();
         String request = ClientRig.pay("half");
@@ -157,7 +157,7 @@
         assertThat(resting.get(1).atEnd()).isTrue();
         next.send(ClientRig.pay("next"));
         assertThat(next.answer().status()).isEqualTo(200);
-        rig.stopClock(IssuerSide.REST_US);
+        rig.stopClock(UpstreamSide.REST_US);
         half.send(request.substring(40));
         assertThat(half.answer().status()).isEqualTo(200);
     }
--- a/sidecar/src/test/java/dapplequay/net/PlanTest.java
+++ b/sidecar/src/test/java/dapplequay/net/PlanTest.java
@@ -12,7 +12,7 @@
     void twoProcessesAtOneDoorFitTheLimitsTogether(int sockets, int memoryMb) {
         Sidecar.Plan each = new Sidecar.Plan(null, null, null, 0, 1, sockets, memoryMb, null, null, true);
         Sidecar.Plan alone = new Sidecar.Plan(null, null, null, 0, 1, sockets, memoryMb, null, null, false);
-        assertThat(each.mostClients() + each.mostIssuers()).isEqualTo(each.mostConnections());
+        assertThat(each.mostClients() + each.mostUpstreams()).isEqualTo(each.mostConnections());
         assertThat(2 * (32 + each.mostConnections())).isLessThanOrEqualTo(sockets);
         assertThat(2 * (75 + 0.11 * each.mostConnections())).isLessThanOrEqualTo(memoryMb);
         assertThat(each.crowd()).isLessThan(each.mostClients()).isLessThanOrEqualTo(alone.crowd());
--- a/sidecar/src/test/java/dapplequay/net/StrayBytesTest.java
+++ b/sidecar/src/test/java/dapplequay/net/StrayBytesTest.java
@@ -24,7 +24,7 @@
 
     private static final String STRAY = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstray";
 
-    private final IssuerRig rig = new IssuerRig(10);
+    private final UpstreamRig rig = new UpstreamRig(10);
 
     private static void write(Socket socket, String text) throws IOException {
         socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
@@ -49,7 +49,7 @@
             Leg leg = rig.leg("s0", Long.MAX_VALUE);
             rig.side.send(leg);
             go.countDown();
-            assertThat(rig.next()).isEqualTo(new IssuerRig.Ended(leg, LegEnd.SERVED, "done"));
+            assertThat(rig.next()).isEqualTo(new UpstreamRig.Ended(leg, LegEnd.SERVED, "done"));
             assertThat(host.next().socket()).isNotSameAs(first);
             assertThat(host.closed.poll(Host.PATIENCE_S, TimeUnit.SECONDS)).as("the first one is closed").isTrue();
             assertThat(rig.ends).isEmpty();
@@ -91,7 +91,7 @@
                 rig.awaitBlocked();
                 rig.side.send(leg);
             }
-            assertThat(rig.next()).isEqualTo(new IssuerRig.Ended(leg, LegEnd.SERVED, "done"));
+            assertThat(rig.next()).isEqualTo(new UpstreamRig.Ended(leg, LegEnd.SERVED, "done"));
             assertThat(host.next().socket()).isNotSameAs(first);
             rig.awaitThreads(1);
             assertThat(rig.ends).as("told once").isEmpty();
@@ -139,9 +139,9 @@
             rig.now.addAndGet(5_000);
             Leg third = rig.leg("s0", Long.MAX_VALUE);
             rig.side.send(third);
-            assertThat(rig.next()).isEqualTo(new IssuerRig.Ended(third, LegEnd.SERVED, "done"));
+            assertThat(rig.next()).isEqualTo(new UpstreamRig.Ended(third, LegEnd.SERVED, "done"));
             assertThat(host.next().socket()).isNotIn(used);
-            rig.now.addAndGet(IssuerSide.REST_US - 5_000);
+            rig.now.addAndGet(UpstreamSide.REST_US - 5_000);
             rig.next();
             rig.next();
             assertThat(List.of(host.next().socket(), host.next().socket())).containsExactlyInAnyOrderElementsOf(used);
@@ -164,7 +164,7 @@
             rig.passWithNobodyRested(10_000);
             end(first, what, STRAY);
             assertThat(rig.next()).as("before the rest is over").isEqualTo(
-                    new IssuerRig.Ended(leg, LegEnd.SERVED, "done"));
+                    new UpstreamRig.Ended(leg, LegEnd.SERVED, "done"));
             assertThat(host.next().socket()).isNotSameAs(first);
             assertThat(leg.tookUs(LegEnd.NOT_CONNECTED, rig.now.get())).as("what a failed connect would say").isZero();
             assertThat(rig.ends).as("told once").isEmpty();
@@ -185,8 +185,8 @@
             rig.awaitResting(1);
             leg.cut(why);
             LegEnd told = why == LegEnd.GIVEN_UP ? why : LegEnd.NOT_SENT;
-            assertThat(rig.next()).isEqualTo(new IssuerRig.Ended(leg, told, null));
-            rig.now.addAndGet(IssuerSide.REST_US);
+            assertThat(rig.next()).isEqualTo(new UpstreamRig.Ended(leg, told, null));
+            rig.now.addAndGet(UpstreamSide.REST_US);
             rig.side.send(rig.leg("s0", Long.MAX_VALUE));
             assertThat(rig.next().end()).isEqualTo(LegEnd.SERVED);
             assertThat(host.next().socket()).as("and nothing came before").isSameAs(first);
@@ -213,7 +213,7 @@
     /** At a bound of one: each leg evicts the other host's connection; none is used after that, nor counted twice. */
     @Test
     void evictedConnectionsAreCountedOnceAndNotUsedAgain() throws Exception {
-        IssuerRig one = new IssuerRig(1);
+        UpstreamRig one = new UpstreamRig(1);
         CountDownLatch go = new CountDownLatch(1);
         try (Host a = new Host((head, seen) -> Host.ok("a")); Host b = new Host((head, seen) -> Host.ok("b"));
              Host silent = new Host((head, seen) -> {
--- a/sidecar/src/test/java/dapplequay/net/IssuerRig.java
+++ b/sidecar/src/test/java/dapplequay/net/UpstreamRig.java
@@ -29,10 +29,10 @@
 import java.util.stream.Stream;
 
 /**
- * The issuer side alone before real hosts. Its clock stands still but for the test, which may do something at a
+ * The upstream side alone before real hosts. Its clock stands still but for the test, which may do something at a
  * thread's next look at it; where legs end, a thread may be held.
  */
-final class IssuerRig {
+final class UpstreamRig {
     static final long TIME_US = 10_000_000;
     /** Far more than sockets hold, bytes. */
     private static final int LARGE = 16 << 20;
@@ -45,7 +45,7 @@
     final RoutingTable table = new RoutingTable();
     final BlockingQueue<Ended> ends = new LinkedBlockingQueue<>();
     final Deadlines deadlines = new Deadlines(this::look);
-    final IssuerSide side;
+    final UpstreamSide side;
     volatile Consumer<Ended> atEnd = ended -> { };
     /** When the listed hosts started, as the next list says. */
     long bootMs;
@@ -54,9 +54,9 @@
     private volatile Predicate<Thread> looks = t -> false;
     private long ids;
 
-    IssuerRig(int most) {
+    UpstreamRig(int most) {
         SettingsReader.Setup setup = new SettingsReader.Setup(null, Map.of(), Map.of(), TIME_US, 3 * TIME_US);
-        side = new IssuerSide(table, deadlines, () -> setup, most, new Counts());
+        side = new UpstreamSide(table, deadlines, () -> setup, most, new Counts());
         side.conductor(new Conductor(null, side) {
             @Override
             void legEnded(Leg leg, LegEnd end, HostLoad load, Head head, byte[] body) {
@@ -79,7 +79,7 @@
 
     /** To be done at the next look at the clock by this thread, or, null, by one that serves a connection. */
     void atLook(Thread by, Runnable action) {
-        atLook(by == null ? t -> t.getName().startsWith("issuer") : t -> t == by, action);
+        atLook(by == null ? t -> t.getName().startsWith("upstream") : t -> t == by, action);
     }
 
     private void atLook(Predicate<Thread> by, Runnable action) {
@@ -151,7 +151,7 @@
 
     /** The threads that serve connections to hosts that were listed here. */
     private Stream<Thread> threads() {
-        return Thread.getAllStackTraces().keySet().stream().filter(t -> t.getName().startsWith("issuer")
+        return Thread.getAllStackTraces().keySet().stream().filter(t -> t.getName().startsWith("upstream")
                 && listed.contains(Integer.parseInt(t.getName().substring(t.getName().lastIndexOf(':') + 1))));
     }
 
--- a/sidecar/src/test/java/dapplequay/net/IssuerSideTest.java
+++ b/sidecar/src/test/java/dapplequay/net/UpstreamSideTest.java
@@ -24,7 +24,7 @@
 import java.util.concurrent.atomic.AtomicLong;
 import org.junit.jupiter.api.Test;
 
-class IssuerSideTest {
+class UpstreamSideTest {
     private static final SettingsReader.Setup SETUP = new SettingsReader.Setup(null, Map.of(), Map.of(), 10_000_000, 30_000_000);
 
     private static void list(RoutingTable table, int port, String state) {
@@ -36,8 +36,8 @@
         }
     }
 
-    private static IssuerSide side(RoutingTable table, Deadlines deadlines, BlockingQueue<LegEnd> ends) {
-        IssuerSide side = new IssuerSide(table, deadlines, () -> SETUP, 10, new Counts());
+    private static UpstreamSide side(RoutingTable table, Deadlines deadlines, BlockingQueue<LegEnd> ends) {
+        UpstreamSide side = new UpstreamSide(table, deadlines, () -> SETUP, 10, new Counts());
         side.conductor(new Conductor(null, side) {
             @Override
             void legEnded(Leg leg, LegEnd end, HostLoad load, Head head, byte[] body) {
@@ -47,7 +47,7 @@
         return side;
     }
 
-    private static Leg leg(IssuerSide side) throws IOException {
+    private static Leg leg(UpstreamSide side) throws IOException {
         Head head = Head.request("POST /pay HTTP/1.1".getBytes(StandardCharsets.US_ASCII));
         ClientRequest request = new ClientRequest(head, new byte[0], null, "pay", null, null, 10_000_000);
         return new Leg(new Authorisation(1, null, request, new Counts()), new Decision.Send(0, "s1", 10_000_000), side.now());
@@ -64,15 +64,15 @@
             return Host.ok("done");
         })) {
             list(table, host.port(), "SERVING");
-            IssuerSide side = side(table, new Deadlines(() -> System.nanoTime() / 1000), ends);
+            UpstreamSide side = side(table, new Deadlines(() -> System.nanoTime() / 1000), ends);
             List<Socket> used = new ArrayList<>();
             for (int i = 0; i < 3; i++) {
                 side.send(leg(side));
                 assertThat(ends.poll(Host.PATIENCE_S, TimeUnit.SECONDS)).isEqualTo(LegEnd.SERVED);
                 used.add(host.next().socket());
             }
-            assertThat(cameUs.get(1) - cameUs.get(0)).isGreaterThanOrEqualTo(IssuerSide.REST_US);
-            assertThat(cameUs.get(2) - cameUs.get(1)).isGreaterThanOrEqualTo(IssuerSide.REST_US);
+            assertThat(cameUs.get(1) - cameUs.get(0)).isGreaterThanOrEqualTo(UpstreamSide.REST_US);
+            assertThat(cameUs.get(2) - cameUs.get(1)).isGreaterThanOrEqualTo(UpstreamSide.REST_US);
             assertThat(used).containsOnly(used.get(0));
         }
     }
@@ -90,9 +90,9 @@
             return Host.ok("done");
         })) {
             list(table, host.port(), "SERVING");
-            IssuerSide side = side(table, deadlines, ends);
+            UpstreamSide side = side(table, deadlines, ends);
             List<Socket> used = new ArrayList<>();
-            for (long pauseUs : new long[] {0, IssuerSide.SPARE_US + 1}) {
+            for (long pauseUs : new long[] {0, UpstreamSide.SPARE_US + 1}) {
                 now.addAndGet(pauseUs);
                 deadlines.sweep();
                 for (int i = 0; i < 2; i++) {           // two at once
@@ -118,12 +118,12 @@
         try (Host host = new Host((head, seen) -> Host.ok("done"))) {
             list(table, host.port(), "SERVING");
             Deadlines deadlines = new Deadlines(() -> {
-                if (Thread.currentThread().getName().startsWith("issuer")) {
+                if (Thread.currentThread().getName().startsWith("upstream")) {
                     list(table, host.port(), "DRAINING");
                 }
                 return System.nanoTime() / 1000;
             });
-            IssuerSide side = side(table, deadlines, ends);
+            UpstreamSide side = side(table, deadlines, ends);
             side.send(leg(side));
             assertThat(ends.poll(Host.PATIENCE_S, TimeUnit.SECONDS)).isEqualTo(LegEnd.NOT_SENT);
             assertThat(host.closed.poll(Host.PATIENCE_S, TimeUnit.SECONDS)).isTrue();
--- a/sidecar/src/test/java/dapplequay/net/WatchTest.java
+++ b/sidecar/src/test/java/dapplequay/net/WatchTest.java
@@ -129,9 +129,9 @@
         table.take(known);
         facade.news(new ListNews(ListNews.Kind.RESTORED, known.news().lines()));
         facade.watchAnew();
-        IssuerSide issuers = new IssuerSide(table, new Deadlines(clock::get), () -> setup, 4, new Counts());
+        UpstreamSide upstreams = new UpstreamSide(table, new Deadlines(clock::get), () -> setup, 4, new Counts());
         ListClock listClock = new ListClock(() -> setup.settings().discovery(), new SplittableRandom(7));
-        watch = new Watch(at(first), table, facade, issuers, new Sidecar.Memory(true, list -> { }), listClock, () -> {
+        watch = new Watch(at(first), table, facade, upstreams, new Sidecar.Memory(true, list -> { }), listClock, () -> {
             atClock.run();
             return clock.get();
         });
--- a/sidecar/src/test/java/dapplequay/net/WriteGuardTest.java
+++ b/sidecar/src/test/java/dapplequay/net/WriteGuardTest.java
@@ -23,13 +23,13 @@
     /** What happens meanwhile; NOTHING: the leg is served, so that it is the change that stops it. */
     enum Meanwhile { NOTHING, CLIENT_GONE, WINDOW_OVER, TIME_OVER, HOST_DRAINS, HOST_RESTARTED }
 
-    private final IssuerRig rig = new IssuerRig(10);
+    private final UpstreamRig rig = new UpstreamRig(10);
 
     private void happen(Meanwhile what, Leg leg, int port) {
         switch (what) {
             case CLIENT_GONE -> leg.authorisation.claim();      // and its leg has not been cut yet
             case WINDOW_OVER -> rig.now.addAndGet(WINDOW_US);
-            case TIME_OVER -> rig.now.addAndGet(IssuerRig.TIME_US);
+            case TIME_OVER -> rig.now.addAndGet(UpstreamRig.TIME_US);
             case HOST_DRAINS -> rig.list("DRAINING", port);
             case HOST_RESTARTED -> {
                 rig.bootMs++;
@@ -40,7 +40,7 @@
     }
 
     private void assertStopped(Meanwhile what, Leg leg) throws InterruptedException {
-        assertThat(rig.next()).isEqualTo(new IssuerRig.Ended(leg, what == Meanwhile.NOTHING ? LegEnd.SERVED
+        assertThat(rig.next()).isEqualTo(new UpstreamRig.Ended(leg, what == Meanwhile.NOTHING ? LegEnd.SERVED
                 : LegEnd.NOT_SENT, what == Meanwhile.NOTHING ? "done" : null));
         assertThat(rig.ends).as("told once").isEmpty();
     }
@@ -95,7 +95,7 @@
             rig.side.send(leg);
             rig.awaitResting(1);
             happen(what, leg, host.port());
-            rig.now.addAndGet(IssuerSide.REST_US);
+            rig.now.addAndGet(UpstreamSide.REST_US);
             assertStopped(what, leg);
             if (what == Meanwhile.NOTHING) {
                 assertThat(host.next().socket()).isSameAs(used);
@@ -112,7 +112,7 @@
         try (ServerSocket host = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             rig.list("SERVING", host.getLocalPort());
             Leg leg = rig.longLeg("s0", rig.now.get() + WINDOW_US);
-            IssuerConnection connection = new IssuerConnection(rig.side, rig.table.routeOf("s0"), leg);
+            UpstreamConnection connection = new UpstreamConnection(rig.side, rig.table.routeOf("s0"), leg);
             leg.on(connection, -1);
             rig.atLook(Thread.currentThread(), () -> happen(what, leg, host.getLocalPort()));
             assertThat(connection.beginFor()).isFalse();
