--- a/core/src/main/java/dapplequay/Balance.java
+++ b/core/src/main/java/dapplequay/Balance.java
@@ -19,7 +19,7 @@
     private static final long MIN_ATTEMPT_US = 2_000;
     /** A connect that failed after a greater share of the aim than this may be this process's own lateness. */
     private static final double LATE_SHARE = 0.5;
-    /** A server is silent once its legs have been waited for so many times as long as answers usually take. */
+    /** A server is silent once its attempts have been waited for so many times as long as answers usually take. */
     private static final double SILENT_TIMES = 16;
     /** How often that is looked at, as a share of the aim. */
     private static final double WATCH_SHARE = 0.1;
@@ -141,7 +141,7 @@
     }
 
     private void learn(long now, Server s, Outcome outcome, long tookUs, LoadReport report) {
-        // No answer at all since the leg began: the machine is gone, which tells nothing of queues.
+        // No answer at all since the attempt began: the machine is gone, which tells nothing of queues.
         boolean silent = outcome == Outcome.TIMEOUT && s.answeredAt <= now - tookUs && (s.own > 0 || s.trial);
         boolean answered = outcome == Outcome.OK || outcome == Outcome.ERROR || outcome == Outcome.REFUSED;
         s.answeredAt = answered ? now : s.answeredAt;
@@ -163,7 +163,7 @@
         }
     }
 
-    /** Gives up the legs at servers that have fallen silent, where others may still serve the requests. */
+    /** Gives up the attempts at servers that have fallen silent, where others may still serve the requests. */
     @Override
     public void timer(long now, long token) {
         set.servers.values().forEach(s -> s.awaited = 0);
--- a/core/src/main/java/dapplequay/Server.java
+++ b/core/src/main/java/dapplequay/Server.java
@@ -48,7 +48,7 @@
     double keyPlace;              // in the order of the key in hand
     int own;                      // own attempts out
     long answeredAt;              // the last answer of any kind
-    double awaited;               // by the legs that are out, in times that their answers usually take
+    double awaited;               // by the attempts that are out, in times that their answers usually take
     long silentSince;             // while any is out: the last outcome, or the send that ended its idleness
     double reported = Double.NaN;
     private double others;        // held for others, as told, running mean
--- a/core/src/main/java/dapplequay/facade/LegEnd.java
+++ b/core/src/main/java/dapplequay/facade/AttemptEnd.java
@@ -2,8 +2,8 @@
 
 import dapplequay.BalancerApi.Outcome;
 
-/** How one leg ended. The rules on repeats hang on which of these say that the request never ran. */
-public enum LegEnd {
+/** How one attempt ended. The rules on repeats hang on which of these say that the request never ran. */
+public enum AttemptEnd {
     SERVED(Outcome.OK),
     /** The host answered that it failed. */
     ERROR(Outcome.ERROR),
@@ -25,7 +25,7 @@
 
     final Outcome outcome;
 
-    LegEnd(Outcome outcome) {
+    AttemptEnd(Outcome outcome) {
         this.outcome = outcome;
     }
 }
--- a/core/src/main/java/dapplequay/facade/Decision.java
+++ b/core/src/main/java/dapplequay/facade/Decision.java
@@ -3,14 +3,14 @@
 /** What is to be done now for one request. */
 public sealed interface Decision {
     /**
-     * Send a leg to this host and wait for it no longer than the time-out; legs are numbered from 0. Its first byte has
-     * to go out before {@code beginByUs}, by the facade's clock (Long.MAX_VALUE: whenever): where it can't any more,
-     * nothing of the leg goes out, and it ends as {@link LegEnd#NOT_SENT}.
+     * Send an attempt to this host and wait for it no longer than the time-out; attempts are numbered from 0. Its first
+     * byte has to go out before {@code beginByUs}, by the facade's clock (Long.MAX_VALUE: whenever): where it can't any
+     * more, nothing of the attempt goes out, and it ends as {@link AttemptEnd#NOT_SENT}.
      */
-    record Send(int leg, String host, long timeoutUs, long beginByUs) implements Decision {
+    record Send(int attempt, String host, long timeoutUs, long beginByUs) implements Decision {
         /** One that may begin at any time. */
-        public Send(int leg, String host, long timeoutUs) {
-            this(leg, host, timeoutUs, Long.MAX_VALUE);
+        public Send(int attempt, String host, long timeoutUs) {
+            this(attempt, host, timeoutUs, Long.MAX_VALUE);
         }
     }
 
--- a/core/src/main/java/dapplequay/facade/Facade.java
+++ b/core/src/main/java/dapplequay/facade/Facade.java
@@ -56,8 +56,8 @@
     private long nextFaultAt = Long.MIN_VALUE;
     private long nextLineAt = Long.MIN_VALUE;
 
-    /** A leg that is not to be waited for any longer; its end is reported like any other. */
-    public record Cut(long id, int leg) { }
+    /** An attempt that is not to be waited for any longer; its end is reported like any other. */
+    public record Cut(long id, int attempt) { }
 
     private record Timer(long atUs, long number, long token) implements Comparable<Timer> {
         @Override
@@ -164,26 +164,26 @@
         return faults;
     }
 
-    /** The last byte of a long request was written to its leg: its time begins now. */
+    /** The last byte of a long request was written to its attempt: its time begins now. */
     public synchronized void uploaded(long id) {
         begin(0, 0);
         guarded(() -> module.body(clock.getAsLong(), id, BodyStage.WHOLE));
     }
 
     /**
-     * How a leg ended, and what is to be done now. {@code over}: the client has its answer, or has left.
-     * {@code load} may be null. Where some of the request was passed on that is not held, no other leg follows.
+     * How an attempt ended, and what is to be done now. {@code over}: the client has its answer, or has left.
+     * {@code load} may be null. Where some of the request was passed on that is not held, no other attempt follows.
      */
-    public synchronized Decision report(long id, int leg, String host, LegEnd end, long tookUs, boolean over,
+    public synchronized Decision report(long id, int attempt, String host, AttemptEnd end, long tookUs, boolean over,
                                         HostLoad load, Upload body) {
-        begin(id, leg + 1);
+        begin(id, attempt + 1);
         long now = clock.getAsLong();
-        boolean answered = over || end == LegEnd.SERVED;
+        boolean answered = over || end == AttemptEnd.SERVED;
         boolean sound = guarded(() -> {
             if (body == Upload.PASSED_ON) {
                 module.body(now, id, BodyStage.PASSED_ON);
             }
-            module.outcome(now, id, leg, host, end.outcome, tookUs, answered,
+            module.outcome(now, id, attempt, host, end.outcome, tookUs, answered,
                     load == null ? null : new LoadReport(load.queue(), load.inFlight()));
             if (body == Upload.COMING && decided instanceof Decision.Send) {
                 module.body(now, id, BodyStage.COMING);
@@ -193,11 +193,12 @@
     }
 
     /** The same for a request that was held whole. */
-    public Decision report(long id, int leg, String host, LegEnd end, long tookUs, boolean over, HostLoad load) {
-        return report(id, leg, host, end, tookUs, over, load, Upload.NONE);
+    public Decision report(long id, int attempt, String host, AttemptEnd end, long tookUs, boolean over,
+                           HostLoad load) {
+        return report(id, attempt, host, end, tookUs, over, load, Upload.NONE);
     }
 
-    /** The client has left; a leg that is still out is reported when it has ended. */
+    /** The client has left; an attempt that is still out is reported when it has ended. */
     public synchronized void clientGone(long id) {
         begin(0, 0);
         guarded(() -> module.gone(clock.getAsLong(), id));
@@ -242,7 +243,7 @@
         asking.heard(kind);
     }
 
-    /** Gives the module its timers that are due; returns the legs that are to be cut now. */
+    /** Gives the module its timers that are due; returns the attempts that are to be cut now. */
     public List<Cut> tick() {
         List<Cut> now = new ArrayList<>();
         tick(now);
@@ -288,9 +289,9 @@
         notifyAll();
     }
 
-    private void begin(long id, int legs) {
+    private void begin(long id, int attempts) {
         inHand = id;
-        sends = legs;
+        sends = attempts;
         decided = new Decision.Rest();
     }
 
--- a/core/src/test/java/dapplequay/MechanismTest.java
+++ b/core/src/test/java/dapplequay/MechanismTest.java
@@ -474,9 +474,9 @@
                 + until[1]);
     }
 
-    /** Legs at a machine that vanished were waited for until their clients left; and it was left out for long. */
+    /** Attempts at a machine that vanished were waited for until their clients left; and it was left out for long. */
     @Test
-    void legsAtASilentServerGoElsewhereAndOneLegTriesItAgain() {
+    void attemptsAtASilentServerGoElsewhereAndOneAttemptTriesItAgain() {
         Bench b = new Bench();
         b.module.fleet(b.now, ListKind.RESTORED, List.of(sized("a0", 4), sized("a1", 4), sized("a2", 4)));
         String gone = b.answered(Bench.SAFE, 0).host();
--- a/core/src/test/java/dapplequay/facade/FacadeTest.java
+++ b/core/src/test/java/dapplequay/facade/FacadeTest.java
@@ -44,15 +44,15 @@
     }
 
     @Test
-    void sendsUntilTheModuleGivesUpAndNumbersTheLegs() {
+    void sendsUntilTheModuleGivesUpAndNumbersTheAttempts() {
         facade.news(new ListNews(Kind.CHANGES, List.of(new Line("s2", "north", 1, State.SERVING, 1, 0))));
         Decision.Send first = (Decision.Send) facade.pick(1, PAY);
-        assertThat(first.leg()).isZero();
+        assertThat(first.attempt()).isZero();
         assertThat(first.timeoutUs()).isEqualTo(900_000);
-        Decision.Send second = (Decision.Send) facade.report(1, 0, first.host(), LegEnd.TURNED_AWAY, 1, false, null);
-        assertThat(second.leg()).isOne();
+        Decision.Send second = (Decision.Send) facade.report(1, 0, first.host(), AttemptEnd.TURNED_AWAY, 1, false, null);
+        assertThat(second.attempt()).isOne();
         assertThat(second.host()).isNotEqualTo(first.host());
-        assertThat(facade.report(1, 1, second.host(), LegEnd.RESET, 1, false, null))
+        assertThat(facade.report(1, 1, second.host(), AttemptEnd.RESET, 1, false, null))
                 .isEqualTo(new Decision.Fail());
     }
 
@@ -64,7 +64,7 @@
         long sent = now.get();
         assertThat(first.beginByUs()).isEqualTo(Long.MAX_VALUE);
         now.addAndGet(100_000);
-        Decision.Send second = (Decision.Send) facade.report(1, 0, first.host(), LegEnd.RESET, 1, false, null);
+        Decision.Send second = (Decision.Send) facade.report(1, 0, first.host(), AttemptEnd.RESET, 1, false, null);
         assertThat(second.beginByUs()).isEqualTo(sent + 3_980_000);
     }
 
@@ -73,18 +73,18 @@
     void aLongRequestThatNeverRanAtAHostThatIsGoneGoesElsewhere() {
         Decision.Send sent = (Decision.Send) facade.pick(1, LONG);
         facade.news(new ListNews(Kind.WHOLE, List.of(new Line("s2", "south", 2, State.SERVING, 1, 0))));
-        assertThat(facade.report(1, 0, sent.host(), LegEnd.NOT_CONNECTED, 1, false, null, Upload.COMING))
+        assertThat(facade.report(1, 0, sent.host(), AttemptEnd.NOT_CONNECTED, 1, false, null, Upload.COMING))
                 .isInstanceOf(Decision.Send.class);
     }
 
     @Test
     void restsOnceServedOrGone() {
         Decision.Send send = (Decision.Send) facade.pick(1, PAY);
-        assertThat(facade.report(1, 0, send.host(), LegEnd.SERVED, 1, true, new HostLoad(0, 1)))
+        assertThat(facade.report(1, 0, send.host(), AttemptEnd.SERVED, 1, true, new HostLoad(0, 1)))
                 .isEqualTo(new Decision.Rest());
         facade.pick(2, PAY);
         facade.clientGone(2);
-        assertThat(facade.report(2, 0, send.host(), LegEnd.GIVEN_UP, 1, true, null)).isEqualTo(new Decision.Rest());
+        assertThat(facade.report(2, 0, send.host(), AttemptEnd.GIVEN_UP, 1, true, null)).isEqualTo(new Decision.Rest());
     }
 
     @Test
@@ -185,8 +185,8 @@
         Decision.Send before = (Decision.Send) facade.pick(1, PAY);
         broken.set(true);
         assertThat(facade.pick(2, PAY)).isEqualTo(new Decision.Fail());
-        assertThat(facade.report(1, 0, before.host(), LegEnd.RESET, 1, false, null)).isEqualTo(new Decision.Fail());
-        assertThat(facade.report(1, 0, before.host(), LegEnd.SERVED, 1, true, null)).isEqualTo(new Decision.Rest());
+        assertThat(facade.report(1, 0, before.host(), AttemptEnd.RESET, 1, false, null)).isEqualTo(new Decision.Fail());
+        assertThat(facade.report(1, 0, before.host(), AttemptEnd.SERVED, 1, true, null)).isEqualTo(new Decision.Rest());
         facade.clientGone(1);
         assertThat(facade.passedOver()).isZero();
         assertThatThrownBy(() -> news(Kind.WHOLE, "north", State.SERVING)).isInstanceOf(IllegalStateException.class);
@@ -250,10 +250,10 @@
         facade.news(new ListNews(Kind.CHANGES, List.of(new Line("s2", "north", 1, State.SERVING, 1, 0))));
         Decision.Send before = (Decision.Send) facade.pick(1, PAY);
         facade.retune(changed("\"send_cap\": 3", "\"send_cap\": 1"));
-        assertThat(facade.report(1, 0, before.host(), LegEnd.TURNED_AWAY, 1, false, null))
+        assertThat(facade.report(1, 0, before.host(), AttemptEnd.TURNED_AWAY, 1, false, null))
                 .isInstanceOf(Decision.Send.class);
         Decision.Send after = (Decision.Send) facade.pick(2, PAY);
-        assertThat(facade.report(2, 0, after.host(), LegEnd.TURNED_AWAY, 1, false, null))
+        assertThat(facade.report(2, 0, after.host(), AttemptEnd.TURNED_AWAY, 1, false, null))
                 .isInstanceOf(Decision.Refuse.class);
     }
 
@@ -263,12 +263,12 @@
         facade.news(new ListNews(Kind.CHANGES, List.of(new Line("s2", "north", 1, State.SERVING, 1, 0))));
         facade.retune(changed("{\"name\": \"quote\", \"semantics\": \"retryable\"",
                 "{\"name\": \"once\", \"semantics\": \"fragile\""));
-        assertThat(facade.report(1, 0, quote.host(), LegEnd.RESET, 1, false, null)).as("keeps its class")
+        assertThat(facade.report(1, 0, quote.host(), AttemptEnd.RESET, 1, false, null)).as("keeps its class")
                 .isInstanceOf(Decision.Send.class);
         assertThat(facade.pick(2, new Call("quote", "shop-a", null, 900_000, 0, false))).as("gone")
                 .isInstanceOf(Decision.Refuse.class);
         Decision.Send once = (Decision.Send) facade.pick(3, new Call("once", "shop-a", null, 900_000, 0, false));
-        assertThat(facade.report(3, 0, once.host(), LegEnd.RESET, 1, false, null)).isEqualTo(new Decision.Fail());
+        assertThat(facade.report(3, 0, once.host(), AttemptEnd.RESET, 1, false, null)).isEqualTo(new Decision.Fail());
     }
 
     @Test
@@ -294,20 +294,20 @@
     void aLongRequestGoesElsewhereOnlyWhileAllThatWentOutIsHeld() {
         facade.news(new ListNews(Kind.CHANGES, List.of(new Line("s2", "north", 1, State.SERVING, 1, 0))));
         Decision.Send first = (Decision.Send) facade.pick(1, LONG);
-        assertThat(facade.report(1, 0, first.host(), LegEnd.NOT_CONNECTED, 1, false, null, Upload.COMING))
+        assertThat(facade.report(1, 0, first.host(), AttemptEnd.NOT_CONNECTED, 1, false, null, Upload.COMING))
                 .isInstanceOf(Decision.Send.class);
         Decision.Send other = (Decision.Send) facade.pick(2, LONG);
-        assertThat(facade.report(2, 0, other.host(), LegEnd.NOT_CONNECTED, 1, false, null, Upload.PASSED_ON))
+        assertThat(facade.report(2, 0, other.host(), AttemptEnd.NOT_CONNECTED, 1, false, null, Upload.PASSED_ON))
                 .as("never ran").isInstanceOf(Decision.Refuse.class);
         Decision.Send third = (Decision.Send) facade.pick(3, LONG);
         facade.uploaded(3);
-        assertThat(facade.report(3, 0, third.host(), LegEnd.RESET, 1, false, null, Upload.PASSED_ON))
+        assertThat(facade.report(3, 0, third.host(), AttemptEnd.RESET, 1, false, null, Upload.PASSED_ON))
                 .as("may have run").isInstanceOf(Decision.Fail.class);
     }
 
     /** A client may send for a minute: that is no silence of the host's, and the request's time begins after it. */
     @Test
-    void aLegWhoseRequestIsStillComingIsNotTakenForASilentHosts() {
+    void anAttemptWhoseRequestIsStillComingIsNotTakenForASilentHosts() {
         facade.news(new ListNews(Kind.CHANGES, List.of(new Line("s2", "north", 1, State.SERVING, 1, 0))));
         Decision.Send sent = (Decision.Send) facade.pick(1, LONG);
         for (int i = 0; i < 600; i++) {
@@ -317,7 +317,7 @@
         assertThat(facade.passedOver()).isZero();
         facade.uploaded(1);
         now.addAndGet(400_000);
-        assertThat(facade.report(1, 0, sent.host(), LegEnd.TURNED_AWAY, 1, false, null, Upload.PASSED_ON))
+        assertThat(facade.report(1, 0, sent.host(), AttemptEnd.TURNED_AWAY, 1, false, null, Upload.PASSED_ON))
                 .isInstanceOf(Decision.Refuse.class);
         Decision.Send next = (Decision.Send) facade.pick(2, PAY);
         for (int i = 0; i < 20; i++) {
--- a/experiments/fleet-count.sh
+++ b/experiments/fleet-count.sh
@@ -12,9 +12,9 @@
 }
 function count(what) { n[FILENAME, what]++; all[what]++; t[int(at() * 2) / 2, what]++; seen[int(at() * 2) / 2] = 1 }
 FNR == 1 { files[++fileCount] = FILENAME }
-/ FINE leg / {
-    for (i = 1; $i != "leg"; i++) { }
-    count("legs"); count($(i + 2))
+/ FINE attempt / {
+    for (i = 1; $i != "attempt"; i++) { }
+    count("attempts"); count($(i + 2))
     if ($(i + 3) > 0 && $(i + 2) == "SERVED") { n[FILENAME, "us"] += $(i + 3); all["us"] += $(i + 3) }
     if ($(i + 4) == -1) { count("new") }
     if (!((FILENAME, $(i + 1)) in met)) { met[FILENAME, $(i + 1)] = 1; n[FILENAME, "hosts"]++ }
@@ -27,7 +27,7 @@
 /discovery call failed/ { count("listfail") }
 /serving on/ { count("starts") }
 END {
-    cols = split("starts legs SERVED new NOT_CONNECTED NOT_SENT TURNED_AWAY ERROR RESET TIMED_OUT SILENT GIVEN_UP refused failed over lost listfail", c, " ")
+    cols = split("starts attempts SERVED new NOT_CONNECTED NOT_SENT TURNED_AWAY ERROR RESET TIMED_OUT SILENT GIVEN_UP refused failed over lost listfail", c, " ")
     printf "%-22s %7s %9s", "sidecar", "hosts", "served_us"
     for (i = 1; i <= cols; i++) printf " %s", c[i]
     print ""
--- a/sidecar/src/main/java/dapplequay/net/Leg.java
+++ b/sidecar/src/main/java/dapplequay/net/Attempt.java
@@ -1,13 +1,13 @@
 package dapplequay.net;
 
 import dapplequay.facade.Decision;
-import dapplequay.facade.LegEnd;
+import dapplequay.facade.AttemptEnd;
 import dapplequay.time.Deadlines;
 import java.io.InterruptedIOException;
 import java.util.function.LongSupplier;
 
 /** One attempt at an upstream. It ends once: the first counts of an answer, a cut and a break. */
-final class Leg {
+final class Attempt {
     final Authorisation authorisation;
     final Decision.Send order;
     private long startUs;
@@ -18,14 +18,14 @@
     /** What it rested for is lost. */
     private boolean restEnded;
     private long idleUs = -1;
-    private LegEnd end;
+    private AttemptEnd end;
     private boolean writing = true;      // until told otherwise: what is not known is not "never ran"
     private long headUs;
     private long writtenAtUs = -1;       // -1: not written whole
     private UpstreamConnection connection;
     private Deadlines.Deadline deadline;
 
-    Leg(Authorisation authorisation, Decision.Send order, long startUs) {
+    Attempt(Authorisation authorisation, Decision.Send order, long startUs) {
         this.authorisation = authorisation;
         this.order = order;
         this.startUs = startUs;
@@ -45,7 +45,7 @@
 
     /**
      * Waits until then, microseconds, or until it is cut or {@link #stopResting} says that it waits in vain. The wait
-     * is this side's own doing: the leg's time is counted from its end, and what it may take at most is not.
+     * is this side's own doing: the attempt's time is counted from its end, and what it may take at most is not.
      */
     synchronized void rest(long overUs, LongSupplier clock) {
         try {
@@ -73,7 +73,7 @@
         synchronized (this) {
             open = true;
         }
-        authorisation.legOpened();
+        authorisation.attemptOpened();
     }
 
     synchronized boolean isOpen() {
@@ -85,8 +85,8 @@
     }
 
     /**
-     * The last piece of a long request is about to be written: from here on it may have run. False where the leg has
-     * ended, and the piece must not go out. Its time begins now.
+     * The last piece of a long request is about to be written: from here on it may have run. False where the attempt
+     * has ended, and the piece must not go out. Its time begins now.
      */
     synchronized boolean lastPiece(Deadlines.Deadline itsDeadline, long until) {
         if (end != null || !writing) {
@@ -136,9 +136,9 @@
 
     /**
      * Ends the wait from outside by closing the connection, so that a late answer reaches nobody. The
-     * connection's own thread reports the leg.
+     * connection's own thread reports the attempt.
      */
-    void cut(LegEnd why) {
+    void cut(AttemptEnd why) {
         UpstreamConnection toClose;
         synchronized (this) {
             if (end != null) {
@@ -154,11 +154,11 @@
     }
 
     /**
-     * How long the leg has taken, microseconds. Of an answer only what came after the write: what this process needs
-     * to begin a leg, much in its first second, says nothing of the host's pace.
+     * How long the attempt has taken, microseconds. Of an answer only what came after the write: what this process
+     * needs to begin an attempt, much in its first second, says nothing of the host's pace.
      */
-    synchronized long tookUs(LegEnd how, long nowUs) {
-        boolean served = how == LegEnd.SERVED;
+    synchronized long tookUs(AttemptEnd how, long nowUs) {
+        boolean served = how == AttemptEnd.SERVED;
         return (served && headUs > 0 ? headUs : nowUs) - (served && isWritten() ? writtenAtUs : startUs);
     }
 
@@ -184,8 +184,8 @@
         return end != null;
     }
 
-    /** The whole answer is here: false if the leg was cut before. */
-    synchronized boolean answered(LegEnd how) {
+    /** The whole answer is here: false if the attempt was cut before. */
+    synchronized boolean answered(AttemptEnd how) {
         if (end != null) {
             return false;
         }
@@ -194,22 +194,22 @@
     }
 
     /** How it ended, as nothing of it went out, for no fault of its host's. */
-    synchronized LegEnd neverSent() {
-        end = end == LegEnd.GIVEN_UP ? end : LegEnd.NOT_SENT;
+    synchronized AttemptEnd neverSent() {
+        end = end == AttemptEnd.GIVEN_UP ? end : AttemptEnd.NOT_SENT;
         return end;
     }
 
     /**
-     * How the leg ended, its connection being broken. What was not written whole never ran; while another
+     * How the attempt ended, its connection being broken. What was not written whole never ran; while another
      * thread still writes it, that is not known yet, and taking it for not run could run it twice.
      */
-    synchronized LegEnd broken() {
+    synchronized AttemptEnd broken() {
         if (uploading) {
             writing = false;        // the last piece was not written, and never will be
         }
         Waits.whileTrue(this, () -> writing);
-        if (end == null || (end == LegEnd.TIMED_OUT || end == LegEnd.SILENT) && !isWritten()) {
-            end = isWritten() ? LegEnd.RESET : LegEnd.NOT_CONNECTED;
+        if (end == null || (end == AttemptEnd.TIMED_OUT || end == AttemptEnd.SILENT) && !isWritten()) {
+            end = isWritten() ? AttemptEnd.RESET : AttemptEnd.NOT_CONNECTED;
         }
         return end;
     }
--- a/sidecar/src/main/java/dapplequay/net/Authorisation.java
+++ b/sidecar/src/main/java/dapplequay/net/Authorisation.java
@@ -11,7 +11,7 @@
     private final Counts counts;
     private boolean over;
     private boolean timedOut;
-    private Leg leg;
+    private Attempt attempt;
     private boolean committed;
     private boolean taken;
     private volatile long dueUs;
@@ -62,47 +62,47 @@
         return over;
     }
 
-    /** The leg that is out from now on; false if the client has left meanwhile, and nothing may go out. */
-    synchronized boolean attach(Leg next) {
+    /** The attempt that is out from now on; false if the client has left meanwhile, and nothing may go out. */
+    synchronized boolean attach(Attempt next) {
         if (over) {
             return false;
         }
-        leg = next;
+        attempt = next;
         return true;
     }
 
-    /** Waits for the leg that takes the rest of a long request; null once the authorisation is over. */
-    synchronized Leg awaitOpen() {
-        Waits.whileTrue(this, () -> !over && (leg == null || !leg.isOpen()));
-        return over ? null : leg;
+    /** Waits for the attempt that takes the rest of a long request; null once the authorisation is over. */
+    synchronized Attempt awaitOpen() {
+        Waits.whileTrue(this, () -> !over && (attempt == null || !attempt.isOpen()));
+        return over ? null : attempt;
     }
 
-    /** More than is held goes to this leg, and no other can follow; false where it has ended meanwhile. */
-    synchronized boolean commit(Leg to) {
-        committed |= !over && leg == to;
-        return !over && leg == to;
+    /** More than is held goes to this attempt, and no other can follow; false where it has ended meanwhile. */
+    synchronized boolean commit(Attempt to) {
+        committed |= !over && attempt == to;
+        return !over && attempt == to;
     }
 
-    /** The leg has ended; how far a long request was passed on by then. */
-    synchronized Upload legOver(Leg ended) {
-        if (leg == ended) {
-            leg = null;
+    /** The attempt has ended; how far a long request was passed on by then. */
+    synchronized Upload attemptOver(Attempt ended) {
+        if (attempt == ended) {
+            attempt = null;
         }
         return committed ? Upload.PASSED_ON : request.isLong() ? Upload.COMING : Upload.NONE;
     }
 
-    /** Has those look again who wait for a leg. */
-    synchronized void legOpened() {
+    /** Has those look again who wait for an attempt. */
+    synchronized void attemptOpened() {
         notifyAll();
     }
 
-    /** The leg now out, or null; asked for once the authorisation is claimed, when none can follow. */
-    synchronized Leg leg() {
-        return leg;
+    /** The attempt now out, or null; asked for once the authorisation is claimed, when none can follow. */
+    synchronized Attempt attempt() {
+        return attempt;
     }
 
     /** What a failed answer says: that time ran out, or that the upstreams failed. */
-    synchronized void lastLegTimedOut(boolean so) {
+    synchronized void lastAttemptTimedOut(boolean so) {
         timedOut = so;
     }
 
--- a/sidecar/src/main/java/dapplequay/net/BodyReader.java
+++ b/sidecar/src/main/java/dapplequay/net/BodyReader.java
@@ -26,7 +26,7 @@
         this.tooLate = tooLate;
     }
 
-    /** All of a short body; of a long one as much as is held for another leg. It grows as the body comes. */
+    /** All of a short body; of a long one as much as is held for another attempt. It grows as the body comes. */
     byte[] held(Body body) throws IOException {
         int most = body.length() < 0 ? MessageReader.MAX_BODY
                 : body.length() > MessageReader.MAX_BODY ? HELD : (int) body.length();
--- a/sidecar/src/main/java/dapplequay/net/ClientConnection.java
+++ b/sidecar/src/main/java/dapplequay/net/ClientConnection.java
@@ -15,7 +15,7 @@
 import java.util.logging.Logger;
 
 /**
- * One connection of the client's, with the thread that reads it. The thread goes on reading while a leg is
+ * One connection of the client's, with the thread that reads it. The thread goes on reading while an attempt is
  * out, and so sees a client that leaves; whoever has the answer writes it.
  */
 final class ClientConnection implements Runnable {
@@ -238,7 +238,7 @@
         return hasRoom;
     }
 
-    /** Carries the rest of a long request to the leg that is out, until it is whole or the request is over. */
+    /** Carries the rest of a long request to the attempt that is out, until it is whole or the request is over. */
     private void carry(Authorisation authorisation, Body body) throws IOException {
         byte[] piece = Pieces.take();
         boolean chunked = authorisation.request.isChunked();
@@ -250,36 +250,36 @@
                 side.conductor().cutStuck(authorisation);
             }
         })) {
-            Leg leg = null;
+            Attempt attempt = null;
             while (uploading && !authorisation.isOver()) {
                 int read = Math.max(0, bodies.read(body, piece, Chunks.ROOM, Pieces.SIZE));
                 boolean last = body.isWhole();
                 uploading = !last;
-                // From the first piece on that is not held, no other leg can follow: asked for once it is here.
-                while (leg == null || !authorisation.commit(leg)) {
-                    leg = authorisation.awaitOpen();
-                    if (leg == null) {
+                // From the first piece on that is not held, no other attempt can follow: asked for once it is here.
+                while (attempt == null || !authorisation.commit(attempt)) {
+                    attempt = authorisation.awaitOpen();
+                    if (attempt == null) {
                         return;
                     }
                     expectClient(side.deadlines().now(), last);
-                    if (!leg.connection().beginFor()) {
-                        leg = null;
+                    if (!attempt.connection().beginFor()) {
+                        attempt = null;
                     }
                 }
                 if (last) {
                     input.expect(reader, true);     // it may have left while this thread was elsewhere
-                    if (!side.conductor().lastPiece(leg)) {
+                    if (!side.conductor().lastPiece(attempt)) {
                         return;
                     }
                 }
                 moves.moved();
                 Chunks.Span out = Chunks.span(piece, read, chunked, last);
-                if (!leg.connection().carry(leg, piece, out, last)) {
+                if (!attempt.connection().carry(attempt, piece, out, last)) {
                     return;
                 }
                 moves.moved();
                 if (last) {
-                    leg.connection().carried(true);
+                    attempt.connection().carried(true);
                 }
                 Pieces.gather(read, body, side.pauseMs());
             }
@@ -297,7 +297,7 @@
         } finally {
             Pieces.give(piece);
             // Its end is reported by this thread, if it was this thread's to serve and the answer is not awaited yet.
-            Leg left = authorisation.leg();
+            Attempt left = authorisation.attempt();
             if (left != null && left.connection() != null) {
                 left.connection().carried(false);
             }
--- a/sidecar/src/main/java/dapplequay/net/ClientRequest.java
+++ b/sidecar/src/main/java/dapplequay/net/ClientRequest.java
@@ -49,7 +49,7 @@
         if (budget == null || !budget.matches("[0-9]{1,9}") || Long.parseLong(budget) < 1) {
             throw new BadMessage(400, "missing or bad X-Budget-Ms");
         }
-        // No client waits for longer than its class grants: a greater figure would hold a leg for good, and
+        // No client waits for longer than its class grants: a greater figure would hold an attempt for good, and
         // make all others look like later tries to the module.
         long longestUs = setup.settings().classes().get(serviceClass).deadlineUs();
         return new ClientRequest(head, body, rest, className, tenant(head, setup), about(target),
--- a/sidecar/src/main/java/dapplequay/net/ClientSide.java
+++ b/sidecar/src/main/java/dapplequay/net/ClientSide.java
@@ -104,7 +104,9 @@
         return counts;
     }
 
-    /** Another long request comes; false where there are as many as may come at once, and no leg may begin for it. */
+    /**
+     * Another long request comes; false where there are as many as may come at once, and no attempt may begin for it.
+     */
     boolean uploadBegins() {
         return uploads.incrementAndGet() <= mostUploads;
     }
--- a/sidecar/src/main/java/dapplequay/net/Conductor.java
+++ b/sidecar/src/main/java/dapplequay/net/Conductor.java
@@ -4,7 +4,7 @@
 import dapplequay.facade.Decision;
 import dapplequay.facade.Facade;
 import dapplequay.facade.HostLoad;
-import dapplequay.facade.LegEnd;
+import dapplequay.facade.AttemptEnd;
 import dapplequay.facade.Upload;
 import dapplequay.http.Body;
 import dapplequay.http.Head;
@@ -15,14 +15,14 @@
 import java.util.logging.Level;
 import java.util.logging.Logger;
 
-/** Carries out what the facade decides: legs to the upstream side, answers to the client side. */
+/** Carries out what the facade decides: attempts to the upstream side, answers to the client side. */
 class Conductor {
     private static final Logger LOG = Logger.getLogger(Conductor.class.getName());
 
     private final Facade facade;
     private final UpstreamSide upstreams;
-    /** The legs that are out, by their authorisation's number. */
-    private final Map<Long, Leg> out = new ConcurrentHashMap<>();
+    /** The attempts that are out, by their authorisation's number. */
+    private final Map<Long, Attempt> out = new ConcurrentHashMap<>();
 
     Conductor(Facade facade, UpstreamSide upstreams) {
         this.facade = facade;
@@ -35,9 +35,9 @@
 
     private void carryOut(Authorisation authorisation, Decision decision) {
         if (decision instanceof Decision.Send send) {
-            Leg leg = new Leg(authorisation, send, upstreams.now());
-            out.put(authorisation.id, leg);
-            upstreams.send(leg);
+            Attempt attempt = new Attempt(authorisation, send, upstreams.now());
+            out.put(authorisation.id, attempt);
+            upstreams.send(attempt);
         } else if (decision instanceof Decision.Refuse refuse && authorisation.claim()) {
             LOG.fine(() -> "refused " + authorisation.id);
             finish(authorisation, End.THROTTLED, Answers.refusal(refuse.pauseUs()));
@@ -53,23 +53,23 @@
         authorisation.from.answer(answer);
     }
 
-    /** A leg has ended; {@code load}, {@code head} and {@code body} are there only if it was answered. */
-    void legEnded(Leg leg, LegEnd end, HostLoad load, Head head, byte[] body) {
-        Authorisation authorisation = leg.authorisation;
-        out.remove(authorisation.id, leg);
-        Upload upload = authorisation.legOver(leg);
-        if (LOG.isLoggable(Level.FINE)) {       // once a leg: nothing is put together for nobody
-            LOG.fine("leg " + leg.order.host() + ' ' + end + ' ' + (upstreams.now() - leg.startUs()) + ' ' + leg.idleUs()
-                    + ' ' + authorisation.id);
+    /** An attempt has ended; {@code load}, {@code head} and {@code body} are there only if it was answered. */
+    void attemptEnded(Attempt attempt, AttemptEnd end, HostLoad load, Head head, byte[] body) {
+        Authorisation authorisation = attempt.authorisation;
+        out.remove(authorisation.id, attempt);
+        Upload upload = authorisation.attemptOver(attempt);
+        if (LOG.isLoggable(Level.FINE)) {       // once an attempt: nothing is put together for nobody
+            LOG.fine("attempt " + attempt.order.host() + ' ' + end + ' ' + (upstreams.now() - attempt.startUs()) + ' '
+                    + attempt.idleUs() + ' ' + authorisation.id);
         }
         guarded(authorisation, () -> {
             // What the request itself is at fault for, another host would find too.
-            boolean serves = (end == LegEnd.SERVED || end == LegEnd.NOT_ACCEPTED) && authorisation.claim();
-            authorisation.lastLegTimedOut(end == LegEnd.TIMED_OUT);
-            Decision next = facade.report(authorisation.id, leg.order.leg(), leg.order.host(), end,
-                    leg.tookUs(end, upstreams.now()), authorisation.isOver(), load, upload);
+            boolean serves = (end == AttemptEnd.SERVED || end == AttemptEnd.NOT_ACCEPTED) && authorisation.claim();
+            authorisation.lastAttemptTimedOut(end == AttemptEnd.TIMED_OUT);
+            Decision next = facade.report(authorisation.id, attempt.order.attempt(), attempt.order.host(), end,
+                    attempt.tookUs(end, upstreams.now()), authorisation.isOver(), load, upload);
             if (serves) {
-                if (end == LegEnd.SERVED) {
+                if (end == AttemptEnd.SERVED) {
                     finish(authorisation, End.FULFILLED, Answers.served(head, body));
                 } else {
                     finish(authorisation, End.FAULTED, Answers.plain(400, "not accepted"));
@@ -84,13 +84,13 @@
      * A long answer has begun: it is the client's from here on, and the module hears that it was served, as what is
      * left is to carry it. Whether all of it reached the client.
      */
-    boolean relay(Leg leg, HostLoad load, Head head, Body body, byte[] start) {
-        Authorisation authorisation = leg.authorisation;
-        out.remove(authorisation.id, leg);
-        Upload upload = authorisation.legOver(leg);
+    boolean relay(Attempt attempt, HostLoad load, Head head, Body body, byte[] start) {
+        Authorisation authorisation = attempt.authorisation;
+        out.remove(authorisation.id, attempt);
+        Upload upload = authorisation.attemptOver(attempt);
         boolean goesOn = authorisation.claim();
-        facade.report(authorisation.id, leg.order.leg(), leg.order.host(), LegEnd.SERVED,
-                leg.tookUs(LegEnd.SERVED, upstreams.now()), true, load, upload);
+        facade.report(authorisation.id, attempt.order.attempt(), attempt.order.host(), AttemptEnd.SERVED,
+                attempt.tookUs(AttemptEnd.SERVED, upstreams.now()), true, load, upload);
         if (!goesOn) {
             return false;
         }
@@ -103,41 +103,43 @@
         return whole;
     }
 
-    /** The last byte of a long request has come and is about to go out: its time begins. False: its leg has ended. */
-    boolean lastPiece(Leg leg) {
-        if (!upstreams.lastPiece(leg, leg.authorisation.request.budgetUs())) {
+    /**
+     * The last byte of a long request has come and is about to go out: its time begins. False: its attempt has ended.
+     */
+    boolean lastPiece(Attempt attempt) {
+        if (!upstreams.lastPiece(attempt, attempt.authorisation.request.budgetUs())) {
             return false;
         }
-        leg.authorisation.taken();
-        leg.authorisation.dueBy(leg.untilUs());
-        facade.uploaded(leg.authorisation.id);
+        attempt.authorisation.taken();
+        attempt.authorisation.dueBy(attempt.untilUs());
+        facade.uploaded(attempt.authorisation.id);
         return true;
     }
 
     /** The host takes nothing more of a long request. */
     void cutStuck(Authorisation authorisation) {
-        Leg leg = authorisation.leg();
-        if (leg != null) {
-            leg.cut(LegEnd.TIMED_OUT);
+        Attempt attempt = authorisation.attempt();
+        if (attempt != null) {
+            attempt.cut(AttemptEnd.TIMED_OUT);
         }
     }
 
-    /** The client is at fault for a long request that can't go on: it is told so, and the leg is given up. */
+    /** The client is at fault for a long request that can't go on: it is told so, and the attempt is given up. */
     void spoilt(Authorisation authorisation, Answers.Answer answer) {
         giveUp(authorisation, () -> finish(authorisation, End.FAULTED, answer));
     }
 
-    /** Ends the wait for these legs; each is reported by its connection's own thread. */
+    /** Ends the wait for these attempts; each is reported by its connection's own thread. */
     void cut(List<Facade.Cut> cuts) {
         for (Facade.Cut cut : cuts) {
-            Leg leg = out.get(cut.id());
-            if (leg != null && leg.order.leg() == cut.leg()) {
-                leg.cut(LegEnd.SILENT);
+            Attempt attempt = out.get(cut.id());
+            if (attempt != null && attempt.order.attempt() == cut.attempt()) {
+                attempt.cut(AttemptEnd.SILENT);
             }
         }
     }
 
-    /** The client is gone: nothing is owed, and the leg that is out is given up. */
+    /** The client is gone: nothing is owed, and the attempt that is out is given up. */
     void clientLeft(Authorisation authorisation) {
         giveUp(authorisation, () -> authorisation.ended(End.FAULTED));
     }
@@ -146,9 +148,9 @@
         if (authorisation.claim()) {
             end.run();
             facade.clientGone(authorisation.id);
-            Leg leg = authorisation.leg();
-            if (leg != null) {
-                leg.cut(LegEnd.GIVEN_UP);
+            Attempt attempt = authorisation.attempt();
+            if (attempt != null) {
+                attempt.cut(AttemptEnd.GIVEN_UP);
             }
         }
     }
--- a/sidecar/src/main/java/dapplequay/net/IdleRisk.java
+++ b/sidecar/src/main/java/dapplequay/net/IdleRisk.java
@@ -3,17 +3,17 @@
 import java.util.function.LongSupplier;
 
 /**
- * What befell legs on connections by how long these had been idle before. Something on the way may forget
- * idle connections long before the settings' time; a leg on such a one is reset, and may count as run.
+ * What befell attempts on connections by how long these had been idle before. Something on the way may forget
+ * idle connections long before the settings' time; an attempt on such a one is reset, and may count as run.
  */
 final class IdleRisk {
     /** By doubling idle times, from a millisecond on. */
     private static final int STEPS = 16;
-    /** Weight of the newest leg in its step's share of broken ones: about the last twenty. */
+    /** Weight of the newest attempt in its step's share of broken ones: about the last twenty. */
     private static final double GAIN = 0.05;
     /** A share is forgotten with this time constant, as a step that is avoided learns nothing new. */
     private static final double FADE_US = 10_000_000;
-    /** So much more than on new connections, where hosts break some legs too, is too much. */
+    /** So much more than on new connections, where hosts break some attempts too, is too much. */
     private static final double ACCEPTED = 0.15;
     private static final int NEW = STEPS;
 
--- a/sidecar/src/main/java/dapplequay/net/UpstreamConnection.java
+++ b/sidecar/src/main/java/dapplequay/net/UpstreamConnection.java
@@ -1,7 +1,7 @@
 package dapplequay.net;
 
 import dapplequay.facade.HostLoad;
-import dapplequay.facade.LegEnd;
+import dapplequay.facade.AttemptEnd;
 import dapplequay.http.BadMessage;
 import dapplequay.http.Body;
 import dapplequay.http.Head;
@@ -19,7 +19,7 @@
 import java.util.logging.Logger;
 
 /**
- * One connection to an upstream, with the thread that reads it. One leg at a time; between legs the thread
+ * One connection to an upstream, with the thread that reads it. One attempt at a time; between attempts the thread
  * stays in its read, and so sees at once when the host closes.
  */
 final class UpstreamConnection implements Runnable {
@@ -35,29 +35,32 @@
     private volatile Drive drive;
     private volatile boolean isConnected;
     /** This and the next three: under this connection's own lock. */
-    private Leg leg;
-    /** The leg was handed over by another thread, which is about to write it and owns it until it does. */
+    private Attempt attempt;
+    /** The attempt was handed over by another thread, which is about to write it and owns it until it does. */
     private boolean handed;
-    /** The leg's first byte is about to go out, or has gone: what is read from now on may be its answer. */
+    /** The attempt's first byte is about to go out, or has gone: what is read from now on may be its answer. */
     private boolean begun;
-    /** Something was read, or the end, before a leg began: it is no leg's answer, and none may begin here. */
+    /** Something was read, or the end, before an attempt began: it is no attempt's answer, and none may begin here. */
     private boolean unfit;
     private Deadlines.Deadline idleEnd;
     private long idleSinceUs;
     /** Under the side's lock. */
-    private Leg promisedTo;
+    private Attempt promisedTo;
 
     /** One that takes a long request is served by its client's thread until that is whole. */
-    UpstreamConnection(UpstreamSide side, RoutingTable.Route route, Leg first) {
+    UpstreamConnection(UpstreamSide side, RoutingTable.Route route, Attempt first) {
         drive = first.isUploading() ? Drive.CLIENT : Drive.OWN;
         this.side = side;
         this.route = route;
-        leg = first;
+        attempt = first;
     }
 
-    /** A leg for it, as it leaves the table of idle ones; the leg stays the caller's until {@link #write} takes it. */
-    synchronized void assign(Leg next) {
-        leg = next;
+    /**
+     * An attempt for it, as it leaves the table of idle ones; the attempt stays the caller's until {@link #write} takes
+     * it.
+     */
+    synchronized void assign(Attempt next) {
+        attempt = next;
         handed = true;
     }
 
@@ -71,11 +74,11 @@
     }
 
     /** Nobody else may take it while it rests; null: anybody may, once it has rested. */
-    void promise(Leg next) {
+    void promise(Attempt next) {
         promisedTo = next;
     }
 
-    Leg promisedTo() {
+    Attempt promisedTo() {
         return promisedTo;
     }
 
@@ -87,18 +90,20 @@
         Sockets.close(socket);
     }
 
-    /** What became of a leg that was to be written. */
+    /** What became of an attempt that was to be written. */
     enum Begin {
         /** The connection has it, and its thread reports its end, also where the write has failed. */
         TAKEN,
         /** It may not go out any more, and has ended as never sent. The connection is of no more use. */
         STOPPED,
-        /** The host has closed the connection or sent what nobody asked for: the leg may go out on another one. */
+        /** The host has closed the connection or sent what nobody asked for: the attempt may go out on another one. */
         UNFIT
     }
 
-    /** Writes the leg, or the beginning of a long one, where it may still go out and the connection is fit for it. */
-    Begin write(Leg now) {
+    /**
+     * Writes the attempt, or the beginning of a long one, where it may still go out and the connection is fit for it.
+     */
+    Begin write(Attempt now) {
         ClientRequest request = now.authorisation.request;
         byte[] message = request.bytesFor(route.endpoint(), now.untilUs() - side.now());
         if (!side.mayBegin(now, route)) {
@@ -114,7 +119,7 @@
             begins = request.isLong();
             whole = !begins;
         } catch (IOException e) {
-            LOG.log(Level.FINE, "leg could not be written to {0}: {1}", new Object[] {route.endpoint(), e});
+            LOG.log(Level.FINE, "attempt could not be written to {0}: {1}", new Object[] {route.endpoint(), e});
         } finally {
             if (begins) {
                 now.takenUp();
@@ -126,9 +131,10 @@
     }
 
     /**
-     * Whether the leg in hand begins, right before its first byte: not where anything came before, be it half a line
-     * that still lies with the system, or the end that the reading thread has just seen. Either that thread says first
-     * that something came, or this says first that the leg has begun; only what comes then is taken for its answer.
+     * Whether the attempt in hand begins, right before its first byte: not where anything came before, be it half a
+     * line that still lies with the system, or the end that the reading thread has just seen. Either that thread says
+     * first that something came, or this says first that the attempt has begun; only what comes then is taken for its
+     * answer.
      */
     private synchronized boolean begins() {
         try {
@@ -146,14 +152,14 @@
         unfit |= !begun;
     }
 
-    /** The leg that has begun, or null. */
-    private synchronized Leg begunLeg() {
-        return begun ? leg : null;
+    /** The attempt that has begun, or null. */
+    private synchronized Attempt begunAttempt() {
+        return begun ? attempt : null;
     }
 
-    /** The leg is over for this connection: what still comes is the rest of its answer. */
+    /** The attempt is over for this connection: what still comes is the rest of its answer. */
     private synchronized void release() {
-        leg = null;
+        attempt = null;
     }
 
     /** The answer is whole and read: from here on whatever comes is unasked. */
@@ -177,7 +183,7 @@
         }
     }
 
-    private void writeEnded(Leg now, boolean whole) {
+    private void writeEnded(Attempt now, boolean whole) {
         if (whole) {
             side.counts().relayed();
         }
@@ -188,9 +194,10 @@
     }
 
     /**
-     * Writes the next piece of a long request, the last one with the end of the body; false where the leg has ended.
+     * Writes the next piece of a long request, the last one with the end of the body; false where the attempt has
+     * ended.
      */
-    boolean carry(Leg now, byte[] piece, Chunks.Span span, boolean last) {
+    boolean carry(Attempt now, byte[] piece, Chunks.Span span, boolean last) {
         boolean written = false;
         try {
             if (!now.isCut()) {
@@ -198,7 +205,7 @@
                 written = true;
             }
         } catch (IOException e) {
-            LOG.log(Level.FINE, "leg could not be written to {0}: {1}", new Object[] {route.endpoint(), e});
+            LOG.log(Level.FINE, "attempt could not be written to {0}: {1}", new Object[] {route.endpoint(), e});
         } finally {
             if (last || !written) {
                 writeEnded(now, last && written);
@@ -209,7 +216,8 @@
 
     /**
      * The client's thread connects for its long request and writes the beginning, as it will carry the rest: a thread
-     * of this connection's own would only wait until that is over. False where the leg has ended, which is reported.
+     * of this connection's own would only wait until that is over. False where the attempt has ended, which is
+     * reported.
      */
     boolean beginFor() {
         if (drive != Drive.CLIENT) {
@@ -263,7 +271,7 @@
     }
 
     private boolean connect() throws IOException {
-        Leg first = owed();
+        Attempt first = owed();
         Begin begin = Begin.UNFIT;
         try {
             if (first.isCut()) {
@@ -278,7 +286,7 @@
             begin = write(first);
         } catch (SocketTimeoutException e) {
             if (side.now() >= first.order.beginByUs()) {
-                first.answered(LegEnd.NOT_SENT);        // cut short by this side: it tells nothing of the host
+                first.answered(AttemptEnd.NOT_SENT);        // cut short by this side: it tells nothing of the host
             }
             throw e;
         } finally {
@@ -292,24 +300,25 @@
 
     /** Reads what came; false where the connection is of no more use. */
     private boolean serve(MessageReader reader) throws IOException {
-        Leg served = begunLeg();
+        Attempt served = begunAttempt();
         if (served == null) {
             return false;           // bytes that nobody asked for
         }
         try {
             Head head = reader.response();
             served.headCame(side.now());
-            LegEnd end = end(head);
+            AttemptEnd end = end(head);
             Body body = reader.bodyOf(head);
-            if (end == LegEnd.SERVED && served.isUploading()) {
+            if (end == AttemptEnd.SERVED && served.isUploading()) {
                 throw new BadMessage(502, "served before it had the request");
             }
-            byte[] start = end == LegEnd.SERVED && body.length() > MessageReader.MAX_BODY ? new byte[0] : start(body);
-            if (end == LegEnd.SERVED && body.framing() == Body.Framing.TO_END && !served.awaitWritten()) {
+            boolean isLong = end == AttemptEnd.SERVED && body.length() > MessageReader.MAX_BODY;
+            byte[] start = isLong ? new byte[0] : start(body);
+            if (end == AttemptEnd.SERVED && body.framing() == Body.Framing.TO_END && !served.awaitWritten()) {
                 throw new EOFException("ended under its request");
             }
             HostLoad load = LoadText.read(head);
-            boolean isPassedOn = end == LegEnd.SERVED && !body.isWhole();
+            boolean isPassedOn = end == AttemptEnd.SERVED && !body.isWhole();
             if (isPassedOn) {
                 socket.setSoTimeout(LongAnswer.LOOK_MS);
             }
@@ -340,7 +349,7 @@
             return open;
         } catch (BadMessage e) {
             LOG.log(Level.WARNING, "rubbish from {0}: {1}", new Object[] {route.endpoint(), e.getMessage()});
-            served.answered(LegEnd.ERROR);
+            served.answered(AttemptEnd.ERROR);
             return false;
         }
     }
@@ -378,25 +387,25 @@
         return start.toByteArray();
     }
 
-    private static LegEnd end(Head head) throws BadMessage {
+    private static AttemptEnd end(Head head) throws BadMessage {
         String status = head.start[1];
         if (status.equals("200")) {
-            return LegEnd.SERVED;
+            return AttemptEnd.SERVED;
         }
         if (status.startsWith("4")) {
-            return LegEnd.NOT_ACCEPTED;
+            return AttemptEnd.NOT_ACCEPTED;
         }
         boolean unseen = (status.equals("503") || status.equals("504")) && "1".equals(head.get("X-Rejected"));
-        return unseen ? LegEnd.TURNED_AWAY : LegEnd.ERROR;
+        return unseen ? AttemptEnd.TURNED_AWAY : AttemptEnd.ERROR;
     }
 
-    /** The leg whose end this connection has to report, or null: one that is handed over is still its writer's. */
-    synchronized Leg owed() {
-        return handed ? null : leg;
+    /** The attempt whose end this connection has to report, or null: one that is handed over is still its writer's. */
+    synchronized Attempt owed() {
+        return handed ? null : attempt;
     }
 
-    /** The same at its end: no leg begins on it any more. */
-    synchronized Leg owedAtEnd() {
+    /** The same at its end: no attempt begins on it any more. */
+    synchronized Attempt owedAtEnd() {
         unfit |= !begun;
         return owed();
     }
--- a/sidecar/src/main/java/dapplequay/net/UpstreamSide.java
+++ b/sidecar/src/main/java/dapplequay/net/UpstreamSide.java
@@ -1,7 +1,7 @@
 package dapplequay.net;
 
 import dapplequay.facade.HostLoad;
-import dapplequay.facade.LegEnd;
+import dapplequay.facade.AttemptEnd;
 import dapplequay.http.Body;
 import dapplequay.http.Head;
 import dapplequay.http.Sockets;
@@ -30,7 +30,7 @@
     private static final double IDLE_SHARE = 0.7;
     /**
      * A connection rests so long after an answer: what a host sends or closes behind it, be it some milliseconds late,
-     * shows by then, and is not taken for the answer to the next leg, or that leg for one that may have run.
+     * shows by then, and is not taken for the answer to the next attempt, or that attempt for one that may have run.
      */
     static final long REST_US = 20_000;
     /** How long a thread that has waited for a connection stays for the next such wait, ms. */
@@ -68,7 +68,7 @@
         risk = new IdleRisk(deadlines::now);
     }
 
-    /** Who hears of the legs' ends; set once, before the first leg. */
+    /** Who hears of the attempts' ends; set once, before the first attempt. */
     void conductor(Conductor theConductor) {
         conductor = theConductor;
     }
@@ -85,21 +85,21 @@
         return setup.get().connectTimeoutUs();
     }
 
-    /** Starts a leg. Its end is told to the conductor, by this thread if nothing went out at all. */
-    void send(Leg leg) {
-        RoutingTable.Route route = table.routeOf(leg.order.host());
-        if (route == null || leg.isUploading() && !leg.authorisation.from.hasRoom()) {
-            conductor.legEnded(leg, LegEnd.NOT_SENT, null, null, null);
+    /** Starts an attempt. Its end is told to the conductor, by this thread if nothing went out at all. */
+    void send(Attempt attempt) {
+        RoutingTable.Route route = table.routeOf(attempt.order.host());
+        if (route == null || attempt.isUploading() && !attempt.authorisation.from.hasRoom()) {
+            conductor.attemptEnded(attempt, AttemptEnd.NOT_SENT, null, null, null);
             return;
         }
-        if (!leg.authorisation.attach(leg)) {
-            conductor.legEnded(leg, LegEnd.GIVEN_UP, null, null, null);
+        if (!attempt.authorisation.attach(attempt)) {
+            conductor.attemptEnded(attempt, AttemptEnd.GIVEN_UP, null, null, null);
             return;
         }
         // The time of a long request begins with its last byte.
-        leg.endsWith(leg.isUploading() ? null
-                : deadlines.after(leg.untilUs() - now(), () -> leg.cut(LegEnd.TIMED_OUT)));
-        goOut(route, leg);
+        attempt.endsWith(attempt.isUploading() ? null
+                : deadlines.after(attempt.untilUs() - now(), () -> attempt.cut(AttemptEnd.TIMED_OUT)));
+        goOut(route, attempt);
     }
 
     private static Thread waiter(Runnable work) {
@@ -109,55 +109,55 @@
     }
 
     /**
-     * Writes the leg to a connection that has rested, passing over those that prove unfit, has it wait for one that
+     * Writes the attempt to a connection that has rested, passing over those that prove unfit, has it wait for one that
      * rests, or opens one, in this order: a new one is work for the host, and may be slow to come up.
      */
-    private void goOut(RoutingTable.Route route, Leg leg) {
+    private void goOut(RoutingTable.Route route, Attempt attempt) {
         UpstreamConnection.Begin begin = UpstreamConnection.Begin.UNFIT;
         while (begin == UpstreamConnection.Begin.UNFIT) {
-            Found found = find(route, leg);
+            Found found = find(route, attempt);
             if (found == null) {
-                open(route, leg);
+                open(route, attempt);
                 return;
             }
             if (found.restUs() > 0) {
-                waitFor(route, leg, now() + found.restUs());
+                waitFor(route, attempt, now() + found.restUs());
                 return;
             }
-            begin = found.connection().write(leg);
+            begin = found.connection().write(attempt);
             if (begin != UpstreamConnection.Begin.TAKEN) {
                 found.connection().close();
             }
         }
         if (begin == UpstreamConnection.Begin.STOPPED) {
-            neverSent(leg);
+            neverSent(attempt);
         }
     }
 
     /** A thread of its own waits: the caller's has a client to listen to, or a connection. */
-    private void waitFor(RoutingTable.Route route, Leg leg, long untilUs) {
+    private void waitFor(RoutingTable.Route route, Attempt attempt, long untilUs) {
         try {
-            waiters.execute(() -> afterRest(route, leg, untilUs));
+            waiters.execute(() -> afterRest(route, attempt, untilUs));
         } catch (OutOfMemoryError e) {
             LOG.log(Level.SEVERE, "no thread to wait for a connection", e);
-            release(route, leg);
-            neverSent(leg);
+            release(route, attempt);
+            neverSent(attempt);
         }
     }
 
     /** Where it may still begin, it finds the connection that it was promised, or, that being lost, what there is. */
-    private void afterRest(RoutingTable.Route route, Leg leg, long untilUs) {
-        leg.rest(untilUs, deadlines::now);
-        if (mayBegin(leg, route)) {
-            goOut(route, leg);
+    private void afterRest(RoutingTable.Route route, Attempt attempt, long untilUs) {
+        attempt.rest(untilUs, deadlines::now);
+        if (mayBegin(attempt, route)) {
+            goOut(route, attempt);
         } else {
-            release(route, leg);
-            neverSent(leg);
+            release(route, attempt);
+            neverSent(attempt);
         }
     }
 
-    /** Opens a connection for the leg, in the place of an idle one where there are as many as there may be. */
-    private void open(RoutingTable.Route route, Leg leg) {
+    /** Opens a connection for the attempt, in the place of an idle one where there are as many as there may be. */
+    private void open(RoutingTable.Route route, Attempt attempt) {
         UpstreamConnection connection = null;
         UpstreamConnection evicted = null;
         synchronized (this) {
@@ -165,7 +165,7 @@
                 evicted = evict();
             }
             if (open < most || evicted != null) {
-                connection = new UpstreamConnection(this, route, leg);
+                connection = new UpstreamConnection(this, route, attempt);
                 open++;
             }
         }
@@ -174,37 +174,37 @@
         }
         if (connection == null) {
             LOG.warning("no room for another connection to an upstream");
-            neverSent(leg);
+            neverSent(attempt);
             return;
         }
-        leg.on(connection, -1);
-        if (leg.isUploading()) {
-            leg.takenUp();                  // its client's thread goes on from here
+        attempt.on(connection, -1);
+        if (attempt.isUploading()) {
+            attempt.takenUp();                  // its client's thread goes on from here
         } else {
             start(connection);
         }
     }
 
     /**
-     * Asked right before a leg's first byte, on a used connection as on a new one: whether it may still go out. While
-     * it waited, above all for its connect, the client may have left or been answered, the window for repeats or the
-     * time may be over, or the host may want no new work. What is stopped here never ran: the module decides anew.
+     * Asked right before an attempt's first byte, on a used connection as on a new one: whether it may still go out.
+     * While it waited, above all for its connect, the client may have left or been answered, the window for repeats or
+     * the time may be over, or the host may want no new work. What is stopped here never ran: the module decides anew.
      */
-    boolean mayBegin(Leg leg, RoutingTable.Route route) {
+    boolean mayBegin(Attempt attempt, RoutingTable.Route route) {
         long now = now();
-        boolean may = !leg.isCut() && !leg.authorisation.isOver() && leg.mayBeginAt(now)
-                && route.equals(table.routeOf(leg.order.host()));
+        boolean may = !attempt.isCut() && !attempt.authorisation.isOver() && attempt.mayBeginAt(now)
+                && route.equals(table.routeOf(attempt.order.host()));
         if (!may) {
-            leg.answered(LegEnd.NOT_SENT);      // unless it has ended otherwise
+            attempt.answered(AttemptEnd.NOT_SENT);      // unless it has ended otherwise
         }
         return may;
     }
 
-    /** Nothing of the leg went out, and no connection has it. */
-    private void neverSent(Leg leg) {
-        leg.writeEnded(false, now());
-        deadlines.cancel(leg.deadline());
-        conductor.legEnded(leg, leg.neverSent(), null, null, null);
+    /** Nothing of the attempt went out, and no connection has it. */
+    private void neverSent(Attempt attempt) {
+        attempt.writeEnded(false, now());
+        deadlines.cancel(attempt.deadline());
+        conductor.attemptEnded(attempt, attempt.neverSent(), null, null, null);
     }
 
     /** Gives a connection its own thread. */
@@ -214,7 +214,7 @@
         } catch (OutOfMemoryError e) {
             // No thread to be had: what was not written never ran, and the module decides what to do instead.
             LOG.log(Level.SEVERE, "no thread for a connection", e);
-            Leg owed = connection.owed();
+            Attempt owed = connection.owed();
             if (owed != null && owed.isWriting()) {
                 owed.writeEnded(false, now());
             }
@@ -223,12 +223,12 @@
         }
     }
 
-    /** A connection for a leg: its own from now on, or, with a rest left, promised to it alone, microseconds. */
+    /** A connection for an attempt: its own from now on, or, with a rest left, promised to it alone, microseconds. */
     private record Found(UpstreamConnection connection, long restUs) { }
 
     /** The last used of those that have rested; else the first to have rested; null: there is none for it. */
-    private synchronized Found find(RoutingTable.Route route, Leg leg) {
-        release(route, leg);
+    private synchronized Found find(RoutingTable.Route route, Attempt attempt) {
+        release(route, attempt);
         Deque<UpstreamConnection> ready = idle.get(route);
         if (ready == null) {
             return null;
@@ -243,23 +243,23 @@
                 }
                 last.remove();
                 deadlines.cancel(connection.idleEnd());
-                connection.assign(leg);
-                leg.on(connection, idleUs);
+                connection.assign(attempt);
+                attempt.on(connection, idleUs);
                 return new Found(connection, 0);
             }
         }
         UpstreamConnection first = ready.stream().filter(c -> now - c.idleSinceUs() < REST_US && c.promisedTo() == null)
                 .findFirst().orElse(null);
-        if (first == null || !risk.isAccepted(REST_US) || !leg.mayBeginAt(first.idleSinceUs() + REST_US)) {
+        if (first == null || !risk.isAccepted(REST_US) || !attempt.mayBeginAt(first.idleSinceUs() + REST_US)) {
             return null;
         }
-        first.promise(leg);
+        first.promise(attempt);
         return new Found(first, first.idleSinceUs() + REST_US - now);
     }
 
-    /** The leg does not wait for a connection any more. */
-    private synchronized void release(RoutingTable.Route route, Leg leg) {
-        idle.getOrDefault(route, NONE).stream().filter(c -> c.promisedTo() == leg).forEach(c -> c.promise(null));
+    /** The attempt does not wait for a connection any more. */
+    private synchronized void release(RoutingTable.Route route, Attempt attempt) {
+        idle.getOrDefault(route, NONE).stream().filter(c -> c.promisedTo() == attempt).forEach(c -> c.promise(null));
     }
 
     /** It can't be waited for any more, and has left the idle ones; under the lock. */
@@ -282,10 +282,10 @@
         return null;
     }
 
-    /** The last piece of a long request is about to go out; false where its leg has ended. */
-    boolean lastPiece(Leg leg, long budgetUs) {
-        Deadlines.Deadline late = deadlines.after(budgetUs, () -> leg.cut(LegEnd.TIMED_OUT));
-        boolean goes = leg.lastPiece(late, now() + budgetUs);
+    /** The last piece of a long request is about to go out; false where its attempt has ended. */
+    boolean lastPiece(Attempt attempt, long budgetUs) {
+        Deadlines.Deadline late = deadlines.after(budgetUs, () -> attempt.cut(AttemptEnd.TIMED_OUT));
+        boolean goes = attempt.lastPiece(late, now() + budgetUs);
         if (!goes) {
             deadlines.cancel(late);
         }
@@ -293,26 +293,26 @@
     }
 
     /** The host has answered, whole or with the beginning of a long answer. */
-    void answered(Leg leg) {
-        deadlines.cancel(leg.deadline());
-        risk.note(leg.idleUs(), false);
+    void answered(Attempt attempt) {
+        deadlines.cancel(attempt.deadline());
+        risk.note(attempt.idleUs(), false);
     }
 
     /** A whole answer goes to whom it concerns. */
-    void told(Leg leg, LegEnd end, HostLoad load, Head head, byte[] body) {
-        conductor.legEnded(leg, end, load, head, body);
+    void told(Attempt attempt, AttemptEnd end, HostLoad load, Head head, byte[] body) {
+        conductor.attemptEnded(attempt, end, load, head, body);
     }
 
     /** A long answer is passed on; whether it was whole, and the client took all of it. */
-    boolean relay(Leg leg, HostLoad load, Head head, Body body, byte[] start) {
-        return conductor.relay(leg, load, head, body, start);
+    boolean relay(Attempt attempt, HostLoad load, Head head, Body body, byte[] start) {
+        return conductor.relay(attempt, load, head, body, start);
     }
 
     /** The connection may be used again: before the client can send its next request, where the answer was short. */
     void free(UpstreamConnection connection, String host) {
         boolean stays;
         synchronized (this) {
-            // Where the list has changed meanwhile, the next leg goes to another process. Asked under the lock: the
+            // Where the list has changed meanwhile, the next attempt goes to another process. Asked under the lock: the
             // news are in the table before the idle connections on the routes that are gone are closed.
             stays = connection.route.equals(table.routeOf(host));
             if (stays) {
@@ -362,7 +362,7 @@
         }
     }
 
-    /** Closes all idle connections: no more legs come. */
+    /** Closes all idle connections: no more attempts come. */
     void closeAllIdle() {
         List<RoutingTable.Route> routes;
         synchronized (this) {
@@ -371,26 +371,26 @@
         closeIdle(routes);
     }
 
-    /** A connection's thread is done with it; a leg that it still owed is reported. */
+    /** A connection's thread is done with it; an attempt that it still owed is reported. */
     void ended(UpstreamConnection connection) {
         synchronized (this) {
             open--;
             removeIdle(connection);
             deadlines.cancel(connection.idleEnd());
         }
-        Leg owed = connection.owedAtEnd();
+        Attempt owed = connection.owedAtEnd();
         if (owed != null) {
-            LegEnd end = owed.broken();
+            AttemptEnd end = owed.broken();
             deadlines.cancel(owed.deadline());
-            if (end == LegEnd.RESET || end == LegEnd.NOT_CONNECTED) {
+            if (end == AttemptEnd.RESET || end == AttemptEnd.NOT_CONNECTED) {
                 risk.note(owed.idleUs(), true);
             }
-            if (end == LegEnd.TIMED_OUT || end == LegEnd.SILENT) {
-                // A machine that vanished leaves its idle connections open and silent: a leg on another one
+            if (end == AttemptEnd.TIMED_OUT || end == AttemptEnd.SILENT) {
+                // A machine that vanished leaves its idle connections open and silent: an attempt on another one
                 // would time out too and might have run, while a connect that fails proves that it never ran.
                 closeIdle(List.of(connection.route));
             }
-            conductor.legEnded(owed, end, null, null, null);
+            conductor.attemptEnded(owed, end, null, null, null);
         }
     }
 }
--- a/sidecar/src/main/java/dapplequay/net/WarmUp.java
+++ b/sidecar/src/main/java/dapplequay/net/WarmUp.java
@@ -3,7 +3,7 @@
 import dapplequay.BalancerApi.Semantics;
 import dapplequay.facade.Decision;
 import dapplequay.facade.Facade;
-import dapplequay.facade.LegEnd;
+import dapplequay.facade.AttemptEnd;
 import dapplequay.facade.ListNews;
 import dapplequay.http.Head;
 import dapplequay.http.MessageReader;
@@ -78,7 +78,7 @@
             MessageReader back = reader(ANSWER);
             Head answer = back.response();
             byte[] body = back.responseBody(answer);
-            facade.report(id, send.leg(), send.host(), LegEnd.SERVED, 1_000, true,
+            facade.report(id, send.attempt(), send.host(), AttemptEnd.SERVED, 1_000, true,
                     LoadText.read(answer));
             Answers.served(answer, body).bytes("");
             deadlines.cancel(deadline);
--- a/sidecar/src/test/java/dapplequay/net/BlockedWriteTest.java
+++ b/sidecar/src/test/java/dapplequay/net/BlockedWriteTest.java
@@ -2,7 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import dapplequay.facade.LegEnd;
+import dapplequay.facade.AttemptEnd;
 import java.io.IOException;
 import java.io.OutputStream;
 import java.net.InetAddress;
@@ -17,14 +17,14 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
-/** A leg is being written to a used connection, whose host does not read on, when something else happens. */
+/** An attempt is being written to a used connection, whose host does not read on, when something else happens. */
 @Timeout(60)
 class BlockedWriteTest {
     private final UpstreamRig rig = new UpstreamRig(10);
     private final CountDownLatch go = new CountDownLatch(1);
     private final ServerSocket listener = new ServerSocket();
     private Socket host;
-    private Leg leg;
+    private Attempt attempt;
     private Thread writer;
 
     BlockedWriteTest() throws IOException { }
@@ -41,20 +41,20 @@
         }
     }
 
-    /** Returns once the leg's first bytes have come: its writer is in the write, and comes out by what a test does. */
+    /** Returns once the attempt's first bytes have come: its writer is in the write, and comes out by what a test does. */
     @BeforeEach
     void begin() throws Exception {
         listener.setReceiveBufferSize(4_096);
         listener.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
         rig.list("SERVING", listener.getLocalPort());
-        rig.side.send(rig.leg("s0", Long.MAX_VALUE));
+        rig.side.send(rig.attempt("s0", Long.MAX_VALUE));
         host = listener.accept();
         host.getInputStream().read(new byte[4_096]);
         write(host, Host.ok("first"));
         assertThat(rig.next().body()).isEqualTo("first");
         rig.now.addAndGet(400_000);
-        leg = rig.largeLeg("s0");
-        writer = new Thread(() -> rig.side.send(leg));
+        attempt = rig.largeAttempt("s0");
+        writer = new Thread(() -> rig.side.send(attempt));
         writer.setDaemon(true);
         writer.start();
         assertThat(host.getInputStream().read(new byte[100])).isPositive();
@@ -67,8 +67,8 @@
         listener.close();
     }
 
-    private void assertEnded(LegEnd how) throws Exception {
-        assertThat(rig.next()).isEqualTo(new UpstreamRig.Ended(leg, how, null));
+    private void assertEnded(AttemptEnd how) throws Exception {
+        assertThat(rig.next()).isEqualTo(new UpstreamRig.Ended(attempt, how, null));
         writer.join(TimeUnit.SECONDS.toMillis(Host.PATIENCE_S));
         assertThat(writer.isAlive()).as("it comes back").isFalse();
         rig.awaitThreads(0);
@@ -101,7 +101,7 @@
         await(met);
         rig.awaitEndOrWaiting();
         go.countDown();
-        assertEnded(LegEnd.NOT_CONNECTED);
+        assertEnded(AttemptEnd.NOT_CONNECTED);
     }
 
     /** It never ran, as it was not whole. */
@@ -109,7 +109,7 @@
     void itsTimeEnds() throws Exception {
         rig.now.addAndGet(UpstreamRig.TIME_US);
         rig.deadlines.sweep();
-        assertEnded(LegEnd.NOT_CONNECTED);
+        assertEnded(AttemptEnd.NOT_CONNECTED);
     }
 
     /** The write has just become whole, and its thread has not said so: it may have run. */
@@ -120,7 +120,7 @@
             rig.deadlines.sweep();
         });
         Host.daemon(() -> host.getInputStream().transferTo(OutputStream.nullOutputStream()));
-        assertEnded(LegEnd.TIMED_OUT);
+        assertEnded(AttemptEnd.TIMED_OUT);
     }
 
     /** The head of its answer is here, and then its time is over: the cut counts, and the answer reaches nobody. */
@@ -133,7 +133,7 @@
         Host.daemon(() -> host.getInputStream().transferTo(OutputStream.nullOutputStream()));
         writer.join();
         write(host, Host.ok("late"));
-        assertEnded(LegEnd.TIMED_OUT);
+        assertEnded(AttemptEnd.TIMED_OUT);
     }
 
     /** The answer is here and told, and then its time is over: the answer counts, and its connection stays. */
@@ -143,15 +143,15 @@
             rig.atEnd = next -> { };
             rig.now.addAndGet(UpstreamRig.TIME_US);
             rig.deadlines.sweep();
-            leg.cut(LegEnd.TIMED_OUT);
+            attempt.cut(AttemptEnd.TIMED_OUT);
             go.countDown();
         };
         Host.daemon(() -> host.getInputStream().transferTo(OutputStream.nullOutputStream()));
         writer.join();
         write(host, Host.ok("in time"));
-        assertThat(rig.next()).isEqualTo(new UpstreamRig.Ended(leg, LegEnd.SERVED, "in time"));
+        assertThat(rig.next()).isEqualTo(new UpstreamRig.Ended(attempt, AttemptEnd.SERVED, "in time"));
         await(go);
-        rig.side.send(rig.leg("s0", Long.MAX_VALUE));
+        rig.side.send(rig.attempt("s0", Long.MAX_VALUE));
         write(host, Host.ok("next"));
         assertThat(rig.next().body()).as("on the same connection").isEqualTo("next");
     }
--- a/sidecar/src/test/java/dapplequay/net/IdleRiskTest.java
+++ b/sidecar/src/test/java/dapplequay/net/IdleRiskTest.java
@@ -7,7 +7,7 @@
 
 class IdleRiskTest {
     @Test
-    void idleTimesAtWhichLegsBreakAreAvoidedForAWhile() {
+    void idleTimesAtWhichAttemptsBreakAreAvoidedForAWhile() {
         AtomicLong now = new AtomicLong(1_000_000);
         IdleRisk risk = new IdleRisk(now::get);
         for (int i = 0; i < 40; i++) {
--- a/sidecar/src/test/java/dapplequay/net/LongBodiesTest.java
+++ b/sidecar/src/test/java/dapplequay/net/LongBodiesTest.java
@@ -329,7 +329,7 @@
 
     @ParameterizedTest
     @ValueSource(booleans = {true, false})
-    void aClientThatLeavesTakesItsLegAlong(boolean whileItSends) throws Exception {
+    void aClientThatLeavesTakesItsAttemptAlong(boolean whileItSends) throws Exception {
         CountDownLatch begun = new CountDownLatch(1);
         int port = host((head, reader, socket) -> {
             begun.countDown();
--- a/sidecar/src/test/java/dapplequay/net/SidecarTest.java
+++ b/sidecar/src/test/java/dapplequay/net/SidecarTest.java
@@ -347,7 +347,7 @@
     }
 
     @Test
-    void noLegWaitsLongerThanItsClassGrants() throws Exception {
+    void noAttemptWaitsLongerThanItsClassGrants() throws Exception {
         Host host = host((head, seen) -> Host.ok("done"));
         Host.Client client = client(sidecar(host.port()));
         client.send(pay(1, 900_000_000, ""));
@@ -396,7 +396,7 @@
     }
 
     @Test
-    void clientThatLeavesTakesItsLegAlong() throws Exception {
+    void clientThatLeavesTakesItsAttemptAlong() throws Exception {
         Host host = host((head, seen) -> {
             seen.socket().getInputStream().read();
             return null;
@@ -409,7 +409,7 @@
     }
 
     @Test
-    void legWithoutAnswerFailsInTimeAndItsLateAnswerReachesNobody() throws Exception {
+    void attemptWithoutAnswerFailsInTimeAndItsLateAnswerReachesNobody() throws Exception {
         CountDownLatch late = new CountDownLatch(1);
         Host host = host((head, seen) -> {
             if (head.get("Idempotency-Key").equals("k1")) {
@@ -462,7 +462,7 @@
     }
 
     @Test
-    void legAtASilentHostIsCutAndAnotherServes() throws Exception {
+    void attemptAtASilentHostIsCutAndAnotherServes() throws Exception {
         AtomicInteger calls = new AtomicInteger();
         Host.Script script = (head, seen) -> {
             if (calls.getAndIncrement() == 0) {
--- a/sidecar/src/test/java/dapplequay/net/StrayBytesTest.java
+++ b/sidecar/src/test/java/dapplequay/net/StrayBytesTest.java
@@ -2,7 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import dapplequay.facade.LegEnd;
+import dapplequay.facade.AttemptEnd;
 import java.io.IOException;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
@@ -16,7 +16,7 @@
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
-/** What comes on an idle connection, or ends it, in the very moment in which a leg takes it. */
+/** What comes on an idle connection, or ends it, in the very moment in which an attempt takes it. */
 @Timeout(60)
 class StrayBytesTest {
     /** What a host does on its idle connection. */
@@ -32,11 +32,11 @@
 
     /**
      * The reading thread is held at the client's side of the answer before, when its connection is free already: the
-     * stray bytes lie with the system, and nobody has read them when the next leg takes the connection.
+     * stray bytes lie with the system, and nobody has read them when the next attempt takes the connection.
      */
     @ParameterizedTest
     @ValueSource(strings = {"H", "HTTP/1.1 20", STRAY})
-    void whatLiesUnreadIsNotTheNextLegsAnswer(String stray) throws Exception {
+    void whatLiesUnreadIsNotTheNextAttemptsAnswer(String stray) throws Exception {
         CountDownLatch go = new CountDownLatch(1);
         try (Host host = new Host((head, seen) -> Host.ok("done"))) {
             rig.list("SERVING", host.port());
@@ -46,10 +46,10 @@
             };
             Socket first = rig.served("s0", host).socket();
             write(first, stray);
-            Leg leg = rig.leg("s0", Long.MAX_VALUE);
-            rig.side.send(leg);
+            Attempt attempt = rig.attempt("s0", Long.MAX_VALUE);
+            rig.side.send(attempt);
             go.countDown();
-            assertThat(rig.next()).isEqualTo(new UpstreamRig.Ended(leg, LegEnd.SERVED, "done"));
+            assertThat(rig.next()).isEqualTo(new UpstreamRig.Ended(attempt, AttemptEnd.SERVED, "done"));
             assertThat(host.next().socket()).isNotSameAs(first);
             assertThat(host.closed.poll(Host.PATIENCE_S, TimeUnit.SECONDS)).as("the first one is closed").isTrue();
             assertThat(rig.ends).isEmpty();
@@ -77,69 +77,69 @@
 
     /**
      * The reading thread has seen the end, or stray bytes, and stands before the lock of the table in which its
-     * connection still is: there a leg takes it. It never ran there, and goes out on another one.
+     * connection still is: there an attempt takes it. It never ran there, and goes out on another one.
      */
     @ParameterizedTest
     @EnumSource(Does.class)
-    void aLegTakesAConnectionWhoseThreadHasJustSeenItsEnd(Does what) throws Exception {
+    void anAttemptTakesAConnectionWhoseThreadHasJustSeenItsEnd(Does what) throws Exception {
         try (Host host = new Host((head, seen) -> Host.ok("done"))) {
             rig.list("SERVING", host.port());
             Socket first = rig.served("s0", host).socket();
-            Leg leg = rig.leg("s0", Long.MAX_VALUE);
+            Attempt attempt = rig.attempt("s0", Long.MAX_VALUE);
             synchronized (rig.side) {
                 end(first, what, "HTTP/1.1 2");
                 rig.awaitBlocked();
-                rig.side.send(leg);
+                rig.side.send(attempt);
             }
-            assertThat(rig.next()).isEqualTo(new UpstreamRig.Ended(leg, LegEnd.SERVED, "done"));
+            assertThat(rig.next()).isEqualTo(new UpstreamRig.Ended(attempt, AttemptEnd.SERVED, "done"));
             assertThat(host.next().socket()).isNotSameAs(first);
             rig.awaitThreads(1);
             assertThat(rig.ends).as("told once").isEmpty();
         }
     }
 
-    /** A second answer may come some milliseconds late: a leg on that connection would be served with it. */
+    /** A second answer may come some milliseconds late: an attempt on that connection would be served with it. */
     @Test
     void aConnectionIsNotUsedAgainWithinTheMillisecondsThatASecondAnswerMayBeLate() throws Exception {
         try (Host host = new Host((head, seen) -> Host.ok("done"))) {
             rig.list("SERVING", host.port());
             Socket first = rig.served("s0", host).socket();
-            rig.side.send(rig.leg("s0", Long.MAX_VALUE));
-            assertThat(rig.next().end()).isEqualTo(LegEnd.SERVED);
+            rig.side.send(rig.attempt("s0", Long.MAX_VALUE));
+            assertThat(rig.next().end()).isEqualTo(AttemptEnd.SERVED);
             assertThat(host.next().socket()).as("it has rested").isSameAs(first);
             rig.now.addAndGet(15_000);
-            rig.side.send(rig.leg("s0", Long.MAX_VALUE));
+            rig.side.send(rig.attempt("s0", Long.MAX_VALUE));
             rig.awaitResting(1);
             rig.passWithNobodyRested(4_999);
             assertThat(host.seen).as("19.999 ms after its last answer").isEmpty();
             rig.now.addAndGet(1);
-            assertThat(rig.next().end()).isEqualTo(LegEnd.SERVED);
+            assertThat(rig.next().end()).isEqualTo(AttemptEnd.SERVED);
             assertThat(host.next().socket()).as("20 ms after it, and no new one").isSameAs(first);
         }
     }
 
     /** The first to have rested is waited for by one; the next waits for the other, and only the third opens one. */
     @Test
-    void aRestingConnectionIsPromisedToOneLeg() throws Exception {
+    void aRestingConnectionIsPromisedToOneAttempt() throws Exception {
         CountDownLatch go = new CountDownLatch(1);
         try (Host host = new Host((head, seen) -> {
             await(go);
             return Host.ok("done");
         })) {
             rig.list("SERVING", host.port());
-            rig.side.send(rig.leg("s0", Long.MAX_VALUE));
-            rig.side.send(rig.leg("s0", Long.MAX_VALUE));
+            rig.side.send(rig.attempt("s0", Long.MAX_VALUE));
+            rig.side.send(rig.attempt("s0", Long.MAX_VALUE));
             List<Socket> used = List.of(host.next().socket(), host.next().socket());
             go.countDown();
             rig.next();
             rig.next();
-            rig.side.send(rig.leg("s0", Long.MAX_VALUE));
-            rig.side.send(rig.leg("s0", Long.MAX_VALUE));
+            rig.side.send(rig.attempt("s0", Long.MAX_VALUE));
+            rig.side.send(rig.attempt("s0", Long.MAX_VALUE));
             rig.awaitResting(2);
             rig.now.addAndGet(5_000);
-            Leg third = rig.leg("s0", Long.MAX_VALUE);
+            Attempt third = rig.attempt("s0", Long.MAX_VALUE);
             rig.side.send(third);
-            assertThat(rig.next()).isEqualTo(new UpstreamRig.Ended(third, LegEnd.SERVED, "done"));
+            assertThat(rig.next()).isEqualTo(new UpstreamRig.Ended(third, AttemptEnd.SERVED, "done"));
             assertThat(host.next().socket()).isNotIn(used);
             rig.now.addAndGet(UpstreamSide.REST_US - 5_000);
             rig.next();
@@ -148,47 +148,47 @@
         }
     }
 
-    /** The second answer comes while a leg waits, or the end: it goes out on a new one, and its time begins there. */
+    /** The second answer comes while an attempt waits, or the end: it goes out on a new one, and its time begins there. */
     @ParameterizedTest
     @EnumSource(Does.class)
     void aConnectionThatEndsWhileALegWaitsForItIsNotUsed(Does what) throws Exception {
         try (Host host = new Host((head, seen) -> Host.ok("done"))) {
             rig.list("SERVING", host.port());
-            rig.side.send(rig.leg("s0", Long.MAX_VALUE));
+            rig.side.send(rig.attempt("s0", Long.MAX_VALUE));
             rig.next();
             Socket first = host.next().socket();
             rig.now.addAndGet(5_000);
-            Leg leg = rig.leg("s0", Long.MAX_VALUE);
-            rig.side.send(leg);
+            Attempt attempt = rig.attempt("s0", Long.MAX_VALUE);
+            rig.side.send(attempt);
             rig.awaitResting(1);
             rig.passWithNobodyRested(10_000);
             end(first, what, STRAY);
             assertThat(rig.next()).as("before the rest is over").isEqualTo(
-                    new UpstreamRig.Ended(leg, LegEnd.SERVED, "done"));
+                    new UpstreamRig.Ended(attempt, AttemptEnd.SERVED, "done"));
             assertThat(host.next().socket()).isNotSameAs(first);
-            assertThat(leg.tookUs(LegEnd.NOT_CONNECTED, rig.now.get())).as("what a failed connect would say").isZero();
+            assertThat(attempt.tookUs(AttemptEnd.NOT_CONNECTED, rig.now.get())).as("what a failed connect would say").isZero();
             assertThat(rig.ends).as("told once").isEmpty();
         }
     }
 
-    /** A cut while the leg waits ends the wait; its host is not held against, and the connection is the next one's. */
+    /** A cut while the attempt waits ends the wait; its host is not held against, and the connection is the next one's. */
     @ParameterizedTest
-    @EnumSource(value = LegEnd.class, names = {"GIVEN_UP", "TIMED_OUT", "SILENT"})
-    void aLegThatIsCutWhileItWaitsNeverRan(LegEnd why) throws Exception {
+    @EnumSource(value = AttemptEnd.class, names = {"GIVEN_UP", "TIMED_OUT", "SILENT"})
+    void anAttemptThatIsCutWhileItWaitsNeverRan(AttemptEnd why) throws Exception {
         try (Host host = new Host((head, seen) -> Host.ok("done"))) {
             rig.list("SERVING", host.port());
-            rig.side.send(rig.leg("s0", Long.MAX_VALUE));
+            rig.side.send(rig.attempt("s0", Long.MAX_VALUE));
             rig.next();
             Socket first = host.next().socket();
-            Leg leg = rig.leg("s0", Long.MAX_VALUE);
-            rig.side.send(leg);
+            Attempt attempt = rig.attempt("s0", Long.MAX_VALUE);
+            rig.side.send(attempt);
             rig.awaitResting(1);
-            leg.cut(why);
-            LegEnd told = why == LegEnd.GIVEN_UP ? why : LegEnd.NOT_SENT;
-            assertThat(rig.next()).isEqualTo(new UpstreamRig.Ended(leg, told, null));
+            attempt.cut(why);
+            AttemptEnd told = why == AttemptEnd.GIVEN_UP ? why : AttemptEnd.NOT_SENT;
+            assertThat(rig.next()).isEqualTo(new UpstreamRig.Ended(attempt, told, null));
             rig.now.addAndGet(UpstreamSide.REST_US);
-            rig.side.send(rig.leg("s0", Long.MAX_VALUE));
-            assertThat(rig.next().end()).isEqualTo(LegEnd.SERVED);
+            rig.side.send(rig.attempt("s0", Long.MAX_VALUE));
+            assertThat(rig.next().end()).isEqualTo(AttemptEnd.SERVED);
             assertThat(host.next().socket()).as("and nothing came before").isSameAs(first);
         }
     }
@@ -200,17 +200,17 @@
             rig.list("SERVING", host.port());
             RoutingTable.Route route = rig.table.routeOf("s0");
             synchronized (rig.side) {
-                rig.side.send(rig.leg("s0", Long.MAX_VALUE));
+                rig.side.send(rig.attempt("s0", Long.MAX_VALUE));
                 rig.awaitBlocked();
                 rig.list("DRAINING", host.port());
                 rig.side.closeIdle(List.of(route));
             }
-            assertThat(rig.next().end()).isEqualTo(LegEnd.SERVED);
+            assertThat(rig.next().end()).isEqualTo(AttemptEnd.SERVED);
             assertThat(host.closed.poll(Host.PATIENCE_S, TimeUnit.SECONDS)).isTrue();
         }
     }
 
-    /** At a bound of one: each leg evicts the other host's connection; none is used after that, nor counted twice. */
+    /** At a bound of one: each attempt evicts the other host's connection; none is used after that, nor counted twice. */
     @Test
     void evictedConnectionsAreCountedOnceAndNotUsedAgain() throws Exception {
         UpstreamRig one = new UpstreamRig(1);
@@ -222,17 +222,17 @@
              })) {
             one.list("SERVING", a.port(), b.port(), silent.port());
             for (int i : IntStream.range(0, 20).toArray()) {
-                one.side.send(one.leg("s" + i % 2, Long.MAX_VALUE));
+                one.side.send(one.attempt("s" + i % 2, Long.MAX_VALUE));
                 assertThat(one.next().body()).isEqualTo(i % 2 == 0 ? "a" : "b");
                 one.now.addAndGet(400_000);
             }
             assertThat(List.of(a.seen.size(), b.seen.size())).containsExactly(10, 10);
             one.side.closeAllIdle();
             one.awaitThreads(0);
-            one.side.send(one.leg("s2", Long.MAX_VALUE));
+            one.side.send(one.attempt("s2", Long.MAX_VALUE));
             silent.next();
-            one.side.send(one.leg("s0", Long.MAX_VALUE));
-            assertThat(one.next().end()).as("there is room for one, and that is out").isEqualTo(LegEnd.NOT_SENT);
+            one.side.send(one.attempt("s0", Long.MAX_VALUE));
+            assertThat(one.next().end()).as("there is room for one, and that is out").isEqualTo(AttemptEnd.NOT_SENT);
             go.countDown();
             assertThat(one.next().body()).isEqualTo("late");
         }
--- a/sidecar/src/test/java/dapplequay/net/UpstreamRig.java
+++ b/sidecar/src/test/java/dapplequay/net/UpstreamRig.java
@@ -2,7 +2,7 @@
 
 import dapplequay.facade.Decision;
 import dapplequay.facade.HostLoad;
-import dapplequay.facade.LegEnd;
+import dapplequay.facade.AttemptEnd;
 import dapplequay.http.Head;
 import dapplequay.http.MessageReader;
 import dapplequay.management.Counts;
@@ -30,7 +30,7 @@
 
 /**
  * The upstream side alone before real hosts. Its clock stands still but for the test, which may do something at a
- * thread's next look at it; where legs end, a thread may be held.
+ * thread's next look at it; where attempts end, a thread may be held.
  */
 final class UpstreamRig {
     static final long TIME_US = 10_000_000;
@@ -38,8 +38,8 @@
     private static final int LARGE = 16 << 20;
     private static final Predicate<Thread> WAITER = t -> t.getName().startsWith("waits");
 
-    /** One leg's end, in the order told. */
-    record Ended(Leg leg, LegEnd end, String body) { }
+    /** One attempt's end, in the order told. */
+    record Ended(Attempt attempt, AttemptEnd end, String body) { }
 
     final AtomicLong now = new AtomicLong(1_000_000_000);
     final RoutingTable table = new RoutingTable();
@@ -59,8 +59,8 @@
         side = new UpstreamSide(table, deadlines, () -> setup, most, new Counts());
         side.conductor(new Conductor(null, side) {
             @Override
-            void legEnded(Leg leg, LegEnd end, HostLoad load, Head head, byte[] body) {
-                Ended ended = new Ended(leg, end, body == null ? null : new String(body, StandardCharsets.ISO_8859_1));
+            void attemptEnded(Attempt attempt, AttemptEnd end, HostLoad load, Head head, byte[] body) {
+                Ended ended = new Ended(attempt, end, body == null ? null : new String(body, StandardCharsets.ISO_8859_1));
                 ends.add(ended);
                 atEnd.accept(ended);
             }
@@ -103,27 +103,27 @@
         }
     }
 
-    Leg leg(String host, long beginByUs) {
-        return leg(host, beginByUs, "POST /pay HTTP/1.1", false, 0);
+    Attempt attempt(String host, long beginByUs) {
+        return attempt(host, beginByUs, "POST /pay HTTP/1.1", false, 0);
     }
 
     /** One that is held whole, and whose write waits until the host reads. */
-    Leg largeLeg(String host) {
-        return leg(host, Long.MAX_VALUE, "POST /pay HTTP/1.1", false, LARGE);
+    Attempt largeAttempt(String host) {
+        return attempt(host, Long.MAX_VALUE, "POST /pay HTTP/1.1", false, LARGE);
     }
 
     /** One whose body is still to come from its client. */
-    Leg longLeg(String host, long beginByUs) {
-        return leg(host, beginByUs, "POST /pay HTTP/1.1\r\nContent-Length: 100000", true, 0);
+    Attempt longAttempt(String host, long beginByUs) {
+        return attempt(host, beginByUs, "POST /pay HTTP/1.1\r\nContent-Length: 100000", true, 0);
     }
 
-    private Leg leg(String host, long beginByUs, String head, boolean isLong, int held) {
+    private Attempt attempt(String host, long beginByUs, String head, boolean isLong, int held) {
         try {
             Head read = Head.request(head.getBytes(StandardCharsets.US_ASCII));
             MessageReader reader = new MessageReader(new ByteArrayInputStream(new byte[0]), MessageReader.LONGEST_BODY);
             ClientRequest request = new ClientRequest(read, new byte[held], isLong ? reader.body(read) : null,
                     "pay", null, null, TIME_US);
-            return new Leg(new Authorisation(++ids, null, request, new Counts()),
+            return new Attempt(new Authorisation(++ids, null, request, new Counts()),
                     new Decision.Send(0, host, TIME_US, beginByUs), now.get());
         } catch (IOException e) {
             throw new AssertionError(e);
@@ -133,16 +133,16 @@
     Ended next() throws InterruptedException {
         Ended next = ends.poll(Host.PATIENCE_S, TimeUnit.SECONDS);
         if (next == null) {
-            throw new AssertionError("no leg ended");
+            throw new AssertionError("no attempt ended");
         }
         return next;
     }
 
-    /** Sends a leg that is served, and lets its connection rest until it may be used again. */
+    /** Sends an attempt that is served, and lets its connection rest until it may be used again. */
     Host.Seen served(String name, Host host) throws InterruptedException {
-        side.send(leg(name, Long.MAX_VALUE));
+        side.send(attempt(name, Long.MAX_VALUE));
         Ended ended = next();
-        if (ended.end() != LegEnd.SERVED) {
+        if (ended.end() != AttemptEnd.SERVED) {
             throw new AssertionError("not served: " + ended);
         }
         now.addAndGet(400_000);
@@ -155,11 +155,11 @@
                 && listed.contains(Integer.parseInt(t.getName().substring(t.getName().lastIndexOf(':') + 1))));
     }
 
-    /** Waits until that many legs wait for a connection to have rested, each since it last looked at the clock. */
+    /** Waits until that many attempts wait for a connection to have rested, each since it last looked at the clock. */
     void awaitResting(int many) {
         while (Thread.getAllStackTraces().entrySet().stream().filter(e -> WAITER.test(e.getKey())
                 && e.getKey().getState() == Thread.State.TIMED_WAITING && Arrays.stream(e.getValue()).anyMatch(
-                        f -> f.getClassName().equals(Leg.class.getName()))).count() != many) {
+                        f -> f.getClassName().equals(Attempt.class.getName()))).count() != many) {
             if (!ends.isEmpty() || Thread.interrupted()) {      // interrupted: the test's time is over
                 throw new AssertionError("did not wait: " + ends);
             }
@@ -191,7 +191,7 @@
         }
     }
 
-    /** Waits until a leg has ended, or a connection's thread waits for another one. */
+    /** Waits until an attempt has ended, or a connection's thread waits for another one. */
     void awaitEndOrWaiting() {
         while (ends.isEmpty() && threads().noneMatch(t -> t.getState() == Thread.State.WAITING)) {
             Thread.onSpinWait();
--- a/sidecar/src/test/java/dapplequay/net/UpstreamSideTest.java
+++ b/sidecar/src/test/java/dapplequay/net/UpstreamSideTest.java
@@ -4,7 +4,7 @@
 
 import dapplequay.facade.Decision;
 import dapplequay.facade.HostLoad;
-import dapplequay.facade.LegEnd;
+import dapplequay.facade.AttemptEnd;
 import dapplequay.http.Head;
 import dapplequay.management.Counts;
 import dapplequay.settings.SettingsReader;
@@ -36,28 +36,28 @@
         }
     }
 
-    private static UpstreamSide side(RoutingTable table, Deadlines deadlines, BlockingQueue<LegEnd> ends) {
+    private static UpstreamSide side(RoutingTable table, Deadlines deadlines, BlockingQueue<AttemptEnd> ends) {
         UpstreamSide side = new UpstreamSide(table, deadlines, () -> SETUP, 10, new Counts());
         side.conductor(new Conductor(null, side) {
             @Override
-            void legEnded(Leg leg, LegEnd end, HostLoad load, Head head, byte[] body) {
+            void attemptEnded(Attempt attempt, AttemptEnd end, HostLoad load, Head head, byte[] body) {
                 ends.add(end);
             }
         });
         return side;
     }
 
-    private static Leg leg(UpstreamSide side) throws IOException {
+    private static Attempt attempt(UpstreamSide side) throws IOException {
         Head head = Head.request("POST /pay HTTP/1.1".getBytes(StandardCharsets.US_ASCII));
         ClientRequest request = new ClientRequest(head, new byte[0], null, "pay", null, null, 10_000_000);
-        return new Leg(new Authorisation(1, null, request, new Counts()), new Decision.Send(0, "s1", 10_000_000), side.now());
+        return new Attempt(new Authorisation(1, null, request, new Counts()), new Decision.Send(0, "s1", 10_000_000), side.now());
     }
 
     /** What a host sends behind an answer would else be taken for the next one; a new connection costs the host. */
     @Test
     void connectionRestsAfterAnAnswerBeforeItIsUsedAgain() throws Exception {
         RoutingTable table = new RoutingTable();
-        BlockingQueue<LegEnd> ends = new LinkedBlockingQueue<>();
+        BlockingQueue<AttemptEnd> ends = new LinkedBlockingQueue<>();
         List<Long> cameUs = new CopyOnWriteArrayList<>();
         try (Host host = new Host((head, seen) -> {
             cameUs.add(System.nanoTime() / 1000);
@@ -67,8 +67,8 @@
             UpstreamSide side = side(table, new Deadlines(() -> System.nanoTime() / 1000), ends);
             List<Socket> used = new ArrayList<>();
             for (int i = 0; i < 3; i++) {
-                side.send(leg(side));
-                assertThat(ends.poll(Host.PATIENCE_S, TimeUnit.SECONDS)).isEqualTo(LegEnd.SERVED);
+                side.send(attempt(side));
+                assertThat(ends.poll(Host.PATIENCE_S, TimeUnit.SECONDS)).isEqualTo(AttemptEnd.SERVED);
                 used.add(host.next().socket());
             }
             assertThat(cameUs.get(1) - cameUs.get(0)).isGreaterThanOrEqualTo(UpstreamSide.REST_US);
@@ -81,7 +81,7 @@
     @Test
     void spareConnectionIsClosedSoonAndTheLastOneStays() throws Exception {
         RoutingTable table = new RoutingTable();
-        BlockingQueue<LegEnd> ends = new LinkedBlockingQueue<>();
+        BlockingQueue<AttemptEnd> ends = new LinkedBlockingQueue<>();
         AtomicLong now = new AtomicLong(1_000_000);
         Deadlines deadlines = new Deadlines(now::get);
         Semaphore answers = new Semaphore(0);
@@ -96,12 +96,12 @@
                 now.addAndGet(pauseUs);
                 deadlines.sweep();
                 for (int i = 0; i < 2; i++) {           // two at once
-                    side.send(leg(side));
+                    side.send(attempt(side));
                     used.add(host.next().socket());
                 }
                 answers.release(2);
                 for (int i = 0; i < 2; i++) {
-                    assertThat(ends.poll(Host.PATIENCE_S, TimeUnit.SECONDS)).isEqualTo(LegEnd.SERVED);
+                    assertThat(ends.poll(Host.PATIENCE_S, TimeUnit.SECONDS)).isEqualTo(AttemptEnd.SERVED);
                 }
             }
             assertThat(used.get(1)).isNotSameAs(used.get(0));
@@ -112,9 +112,9 @@
 
     /** The connecting thread reads the clock between the pick and the connect: there the drain is told. */
     @Test
-    void legThatWaitedForItsConnectIsNotSentToAHostThatDrainsMeanwhile() throws Exception {
+    void attemptThatWaitedForItsConnectIsNotSentToAHostThatDrainsMeanwhile() throws Exception {
         RoutingTable table = new RoutingTable();
-        BlockingQueue<LegEnd> ends = new LinkedBlockingQueue<>();
+        BlockingQueue<AttemptEnd> ends = new LinkedBlockingQueue<>();
         try (Host host = new Host((head, seen) -> Host.ok("done"))) {
             list(table, host.port(), "SERVING");
             Deadlines deadlines = new Deadlines(() -> {
@@ -124,8 +124,8 @@
                 return System.nanoTime() / 1000;
             });
             UpstreamSide side = side(table, deadlines, ends);
-            side.send(leg(side));
-            assertThat(ends.poll(Host.PATIENCE_S, TimeUnit.SECONDS)).isEqualTo(LegEnd.NOT_SENT);
+            side.send(attempt(side));
+            assertThat(ends.poll(Host.PATIENCE_S, TimeUnit.SECONDS)).isEqualTo(AttemptEnd.NOT_SENT);
             assertThat(host.closed.poll(Host.PATIENCE_S, TimeUnit.SECONDS)).isTrue();
             assertThat(host.seen).isEmpty();
         }
--- a/sidecar/src/test/java/dapplequay/net/WriteGuardTest.java
+++ b/sidecar/src/test/java/dapplequay/net/WriteGuardTest.java
@@ -2,7 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import dapplequay.facade.LegEnd;
+import dapplequay.facade.AttemptEnd;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -15,19 +15,19 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 
-/** What changes between the decision for a leg and its first byte: nothing of it goes out, and it never ran. */
+/** What changes between the decision for an attempt and its first byte: nothing of it goes out, and it never ran. */
 @Timeout(60)
 class WriteGuardTest {
     private static final long WINDOW_US = 500_000;
 
-    /** What happens meanwhile; NOTHING: the leg is served, so that it is the change that stops it. */
+    /** What happens meanwhile; NOTHING: the attempt is served, so that it is the change that stops it. */
     enum Meanwhile { NOTHING, CLIENT_GONE, WINDOW_OVER, TIME_OVER, HOST_DRAINS, HOST_RESTARTED }
 
     private final UpstreamRig rig = new UpstreamRig(10);
 
-    private void happen(Meanwhile what, Leg leg, int port) {
+    private void happen(Meanwhile what, Attempt attempt, int port) {
         switch (what) {
-            case CLIENT_GONE -> leg.authorisation.claim();      // and its leg has not been cut yet
+            case CLIENT_GONE -> attempt.authorisation.claim();      // and its attempt has not been cut yet
             case WINDOW_OVER -> rig.now.addAndGet(WINDOW_US);
             case TIME_OVER -> rig.now.addAndGet(UpstreamRig.TIME_US);
             case HOST_DRAINS -> rig.list("DRAINING", port);
@@ -39,22 +39,22 @@
         }
     }
 
-    private void assertStopped(Meanwhile what, Leg leg) throws InterruptedException {
-        assertThat(rig.next()).isEqualTo(new UpstreamRig.Ended(leg, what == Meanwhile.NOTHING ? LegEnd.SERVED
-                : LegEnd.NOT_SENT, what == Meanwhile.NOTHING ? "done" : null));
+    private void assertStopped(Meanwhile what, Attempt attempt) throws InterruptedException {
+        assertThat(rig.next()).isEqualTo(new UpstreamRig.Ended(attempt, what == Meanwhile.NOTHING ? AttemptEnd.SERVED
+                : AttemptEnd.NOT_SENT, what == Meanwhile.NOTHING ? "done" : null));
         assertThat(rig.ends).as("told once").isEmpty();
     }
 
     /** The connecting thread looks at the clock before it connects: there it happens. */
     @ParameterizedTest
     @EnumSource(Meanwhile.class)
-    void aLegThatWaitedForItsConnect(Meanwhile what) throws Exception {
+    void anAttemptThatWaitedForItsConnect(Meanwhile what) throws Exception {
         try (Host host = new Host((head, seen) -> Host.ok("done"))) {
             rig.list("SERVING", host.port());
-            Leg leg = rig.leg("s0", rig.now.get() + WINDOW_US);
-            rig.atLook(null, () -> happen(what, leg, host.port()));
-            rig.side.send(leg);
-            assertStopped(what, leg);
+            Attempt attempt = rig.attempt("s0", rig.now.get() + WINDOW_US);
+            rig.atLook(null, () -> happen(what, attempt, host.port()));
+            rig.side.send(attempt);
+            assertStopped(what, attempt);
             if (what != Meanwhile.NOTHING) {
                 assertThat(host.closed.poll(Host.PATIENCE_S, TimeUnit.SECONDS)).isTrue();
                 assertThat(host.seen).isEmpty();
@@ -65,14 +65,14 @@
     /** The sending thread looks at the clock once it knows the way and has taken the request up. */
     @ParameterizedTest
     @EnumSource(Meanwhile.class)
-    void aLegForAUsedConnection(Meanwhile what) throws Exception {
+    void anAttemptForAUsedConnection(Meanwhile what) throws Exception {
         try (Host host = new Host((head, seen) -> Host.ok("done"))) {
             rig.list("SERVING", host.port());
             Socket used = rig.served("s0", host).socket();
-            Leg leg = rig.leg("s0", rig.now.get() + WINDOW_US);
-            rig.atLook(Thread.currentThread(), () -> happen(what, leg, host.port()));
-            rig.side.send(leg);
-            assertStopped(what, leg);
+            Attempt attempt = rig.attempt("s0", rig.now.get() + WINDOW_US);
+            rig.atLook(Thread.currentThread(), () -> happen(what, attempt, host.port()));
+            rig.side.send(attempt);
+            assertStopped(what, attempt);
             if (what == Meanwhile.NOTHING) {
                 assertThat(host.next().socket()).isSameAs(used);
             } else {
@@ -82,21 +82,21 @@
         }
     }
 
-    /** It happens while the leg waits for the one connection to have rested; that connection stays. */
+    /** It happens while the attempt waits for the one connection to have rested; that connection stays. */
     @ParameterizedTest
     @EnumSource(Meanwhile.class)
-    void aLegThatWaitedForARestingConnection(Meanwhile what) throws Exception {
+    void anAttemptThatWaitedForARestingConnection(Meanwhile what) throws Exception {
         try (Host host = new Host((head, seen) -> Host.ok("done"))) {
             rig.list("SERVING", host.port());
-            rig.side.send(rig.leg("s0", Long.MAX_VALUE));
+            rig.side.send(rig.attempt("s0", Long.MAX_VALUE));
             rig.next();
             Socket used = host.next().socket();
-            Leg leg = rig.leg("s0", rig.now.get() + WINDOW_US);
-            rig.side.send(leg);
+            Attempt attempt = rig.attempt("s0", rig.now.get() + WINDOW_US);
+            rig.side.send(attempt);
             rig.awaitResting(1);
-            happen(what, leg, host.port());
+            happen(what, attempt, host.port());
             rig.now.addAndGet(UpstreamSide.REST_US);
-            assertStopped(what, leg);
+            assertStopped(what, attempt);
             if (what == Meanwhile.NOTHING) {
                 assertThat(host.next().socket()).isSameAs(used);
             }
@@ -111,12 +111,12 @@
     void aLongRequest(Meanwhile what) throws Exception {
         try (ServerSocket host = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             rig.list("SERVING", host.getLocalPort());
-            Leg leg = rig.longLeg("s0", rig.now.get() + WINDOW_US);
-            UpstreamConnection connection = new UpstreamConnection(rig.side, rig.table.routeOf("s0"), leg);
-            leg.on(connection, -1);
-            rig.atLook(Thread.currentThread(), () -> happen(what, leg, host.getLocalPort()));
+            Attempt attempt = rig.longAttempt("s0", rig.now.get() + WINDOW_US);
+            UpstreamConnection connection = new UpstreamConnection(rig.side, rig.table.routeOf("s0"), attempt);
+            attempt.on(connection, -1);
+            rig.atLook(Thread.currentThread(), () -> happen(what, attempt, host.getLocalPort()));
             assertThat(connection.beginFor()).isFalse();
-            assertStopped(what, leg);
+            assertStopped(what, attempt);
             connection.carried(false);
             assertThat(rig.ends).as("told once").isEmpty();
             try (Socket accepted = host.accept()) {
@@ -132,12 +132,12 @@
         try (ServerSocket full = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             fill(full, fillers);
             rig.list("SERVING", full.getLocalPort());
-            Leg leg = rig.leg("s0", rig.now.get() + 50_000);
+            Attempt attempt = rig.attempt("s0", rig.now.get() + 50_000);
             // The clock stands still until the connecting thread has looked how long it may wait.
             rig.atLook(null, () -> rig.now.addAndGet(50_000));
             long started = System.nanoTime();
-            rig.side.send(leg);
-            assertThat(rig.next().end()).isEqualTo(LegEnd.NOT_SENT);
+            rig.side.send(attempt);
+            assertThat(rig.next().end()).isEqualTo(AttemptEnd.NOT_SENT);
             assertThat(System.nanoTime() - started).as("and not the connect's own 10 s").isLessThan(9_000_000_000L);
         } finally {
             for (Socket filler : fillers) {
