--- a/sidecar/src/main/java/dapplequay/net/Attempt.java
+++ b/sidecar/src/main/java/dapplequay/net/Attempt.java
@@ -8,7 +8,7 @@
 
 /** One attempt at an upstream. It ends once: the first counts of an answer, a cut and a break. */
 final class Attempt {
-    final Authorisation authorisation;
+    final Exchange exchange;
     final Decision.Send order;
     private long startUs;
     private long untilUs;
@@ -25,12 +25,12 @@
     private UpstreamConnection connection;
     private Deadlines.Deadline deadline;
 
-    Attempt(Authorisation authorisation, Decision.Send order, long startUs) {
-        this.authorisation = authorisation;
+    Attempt(Exchange exchange, Decision.Send order, long startUs) {
+        this.exchange = exchange;
         this.order = order;
         this.startUs = startUs;
         untilUs = startUs + order.timeoutUs();
-        uploading = authorisation.request.isLong();
+        uploading = exchange.request.isLong();
     }
 
     /** When it was decided on, or, where it had to wait for a connection to have rested, when that was over. */
@@ -73,7 +73,7 @@
         synchronized (this) {
             open = true;
         }
-        authorisation.attemptOpened();
+        exchange.attemptOpened();
     }
 
     synchronized boolean isOpen() {
--- a/sidecar/src/main/java/dapplequay/net/ClientConnection.java
+++ b/sidecar/src/main/java/dapplequay/net/ClientConnection.java
@@ -64,7 +64,7 @@
     private volatile String version = "HTTP/1.1";
     private volatile ClientInput input;
     private MessageReader reader;
-    private volatile Authorisation current;
+    private volatile Exchange current;
 
     ClientConnection(ClientSide side, Socket socket) {
         this.side = side;
@@ -239,25 +239,25 @@
     }
 
     /** Carries the rest of a long request to the attempt that is out, until it is whole or the request is over. */
-    private void carry(Authorisation authorisation, Body body) throws IOException {
+    private void carry(Exchange exchange, Body body) throws IOException {
         byte[] piece = Pieces.take();
-        boolean chunked = authorisation.request.isChunked();
+        boolean chunked = exchange.request.isChunked();
         Progress.Moves moves = new Progress.Moves(side.deadlines(), STALL_US);
         try (Progress stuck = new Progress(side.deadlines(), moves, () -> {
             if (bodies.isWaiting()) {
                 requestIsLate();
             } else {
-                side.conductor().cutStuck(authorisation);
+                side.conductor().cutStuck(exchange);
             }
         })) {
             Attempt attempt = null;
-            while (uploading && !authorisation.isOver()) {
+            while (uploading && !exchange.isOver()) {
                 int read = Math.max(0, bodies.read(body, piece, Chunks.ROOM, Pieces.SIZE));
                 boolean last = body.isWhole();
                 uploading = !last;
                 // From the first piece on that is not held, no other attempt can follow: asked for once it is here.
-                while (attempt == null || !authorisation.commit(attempt)) {
-                    attempt = authorisation.awaitOpen();
+                while (attempt == null || !exchange.commit(attempt)) {
+                    attempt = exchange.awaitOpen();
                     if (attempt == null) {
                         return;
                     }
@@ -284,20 +284,20 @@
                 Pieces.gather(read, body, side.pauseMs());
             }
         } catch (BadMessage e) {
-            side.conductor().spoilt(authorisation, Answers.plain(e.status, e.getMessage()));
+            side.conductor().spoilt(exchange, Answers.plain(e.status, e.getMessage()));
         } catch (EOFException e) {
             if (!late) {
-                side.conductor().clientLeft(authorisation);
+                side.conductor().clientLeft(exchange);
                 throw e;
             }
-            side.conductor().spoilt(authorisation, Answers.tooLate());
+            side.conductor().spoilt(exchange, Answers.tooLate());
         } catch (IOException e) {
-            side.conductor().clientLeft(authorisation);
+            side.conductor().clientLeft(exchange);
             throw e;
         } finally {
             Pieces.give(piece);
             // Its end is reported by this thread, if it was this thread's to serve and the answer is not awaited yet.
-            Attempt left = authorisation.attempt();
+            Attempt left = exchange.attempt();
             if (left != null && left.connection() != null) {
                 left.connection().carried(false);
             }
@@ -319,16 +319,16 @@
         synchronized (this) {
             asked = true;
         }
-        Authorisation authorisation = new Authorisation(side.nextId(), this, request, side.counts());
-        authorisation.dueBy(receivedUs + request.budgetUs());
-        current = authorisation;
-        if (side.isOver() && authorisation.claim()) {
-            authorisation.ended(End.THROTTLED);         // it never ran, and there is no time for it to
+        Exchange exchange = new Exchange(side.nextId(), this, request, side.counts());
+        exchange.dueBy(receivedUs + request.budgetUs());
+        current = exchange;
+        if (side.isOver() && exchange.claim()) {
+            exchange.ended(End.THROTTLED);         // it never ran, and there is no time for it to
             answer(Answers.refusal(0));
             return;
         }
         long leftUs = request.budgetUs() - (side.deadlines().now() - receivedUs);
-        side.conductor().begin(authorisation, request.call(leftUs));
+        side.conductor().begin(exchange, request.call(leftUs));
     }
 
     /** Whether the answer in hand is this connection's last; one that comes while its request does, has to be. */
@@ -340,7 +340,7 @@
         return last ? "Connection: close\r\n" : version.equals("HTTP/1.0") ? "Connection: keep-alive\r\n" : "";
     }
 
-    /** Writes the answer to the request in hand. Only who claimed the authorisation may call this. */
+    /** Writes the answer to the request in hand. Only who claimed the exchange may call this. */
     void answer(Answers.Answer answer) {
         boolean last = isLast();
         Deadlines.Deadline stuck = side.deadlines().after(WRITE_US, this::close);
@@ -441,13 +441,13 @@
 
     /** Whether a request is in hand whose answer nobody has taken on. */
     boolean holds() {
-        Authorisation held = current;
+        Exchange held = current;
         return held != null && !held.isOver();
     }
 
     /** There is no time left to wait for the answer to the request in hand: it fails, better told than cut off. */
     void failHeld() {
-        Authorisation held = current;
+        Exchange held = current;
         if (held != null) {
             side.conductor().spoilt(held, Answers.failure(504));
         }
--- a/sidecar/src/main/java/dapplequay/net/Conductor.java
+++ b/sidecar/src/main/java/dapplequay/net/Conductor.java
@@ -21,7 +21,7 @@
 
     private final Facade facade;
     private final UpstreamSide upstreams;
-    /** The attempts that are out, by their authorisation's number. */
+    /** The attempts that are out, by their exchange's number. */
     private final Map<Long, Attempt> out = new ConcurrentHashMap<>();
 
     Conductor(Facade facade, UpstreamSide upstreams) {
@@ -29,53 +29,53 @@
         this.upstreams = upstreams;
     }
 
-    void begin(Authorisation authorisation, Call call) {
-        guarded(authorisation, () -> carryOut(authorisation, facade.pick(authorisation.id, call)));
+    void begin(Exchange exchange, Call call) {
+        guarded(exchange, () -> carryOut(exchange, facade.pick(exchange.id, call)));
     }
 
-    private void carryOut(Authorisation authorisation, Decision decision) {
+    private void carryOut(Exchange exchange, Decision decision) {
         if (decision instanceof Decision.Send send) {
-            Attempt attempt = new Attempt(authorisation, send, upstreams.now());
-            out.put(authorisation.id, attempt);
+            Attempt attempt = new Attempt(exchange, send, upstreams.now());
+            out.put(exchange.id, attempt);
             upstreams.send(attempt);
-        } else if (decision instanceof Decision.Refuse refuse && authorisation.claim()) {
-            LOG.fine(() -> "refused " + authorisation.id);
-            finish(authorisation, End.THROTTLED, Answers.refusal(refuse.pauseUs()));
-        } else if (decision instanceof Decision.Fail && authorisation.claim()) {
-            LOG.fine(() -> "failed " + authorisation.id);
-            finish(authorisation, End.FAULTED, Answers.failure(authorisation.failureStatus()));
+        } else if (decision instanceof Decision.Refuse refuse && exchange.claim()) {
+            LOG.fine(() -> "refused " + exchange.id);
+            finish(exchange, End.THROTTLED, Answers.refusal(refuse.pauseUs()));
+        } else if (decision instanceof Decision.Fail && exchange.claim()) {
+            LOG.fine(() -> "failed " + exchange.id);
+            finish(exchange, End.FAULTED, Answers.failure(exchange.failureStatus()));
         }
     }
 
     /** The one answer, by who claimed it; it is counted before the client can see it. */
-    private static void finish(Authorisation authorisation, End how, Answers.Answer answer) {
-        authorisation.ended(how);
-        authorisation.from.answer(answer);
+    private static void finish(Exchange exchange, End how, Answers.Answer answer) {
+        exchange.ended(how);
+        exchange.from.answer(answer);
     }
 
     /** An attempt has ended; {@code load}, {@code head} and {@code body} are there only if it was answered. */
     void attemptEnded(Attempt attempt, AttemptEnd end, HostLoad load, Head head, byte[] body) {
-        Authorisation authorisation = attempt.authorisation;
-        out.remove(authorisation.id, attempt);
-        Upload upload = authorisation.attemptOver(attempt);
+        Exchange exchange = attempt.exchange;
+        out.remove(exchange.id, attempt);
+        Upload upload = exchange.attemptOver(attempt);
         if (LOG.isLoggable(Level.FINE)) {       // once an attempt: nothing is put together for nobody
             LOG.fine("attempt " + attempt.order.host() + ' ' + end + ' ' + (upstreams.now() - attempt.startUs()) + ' '
-                    + attempt.idleUs() + ' ' + authorisation.id);
+                    + attempt.idleUs() + ' ' + exchange.id);
         }
-        guarded(authorisation, () -> {
+        guarded(exchange, () -> {
             // What the request itself is at fault for, another host would find too.
-            boolean serves = (end == AttemptEnd.SERVED || end == AttemptEnd.NOT_ACCEPTED) && authorisation.claim();
-            authorisation.lastAttemptTimedOut(end == AttemptEnd.TIMED_OUT);
-            Decision next = facade.report(authorisation.id, attempt.order.attempt(), attempt.order.host(), end,
-                    attempt.tookUs(end, upstreams.now()), authorisation.isOver(), load, upload);
+            boolean serves = (end == AttemptEnd.SERVED || end == AttemptEnd.NOT_ACCEPTED) && exchange.claim();
+            exchange.lastAttemptTimedOut(end == AttemptEnd.TIMED_OUT);
+            Decision next = facade.report(exchange.id, attempt.order.attempt(), attempt.order.host(), end,
+                    attempt.tookUs(end, upstreams.now()), exchange.isOver(), load, upload);
             if (serves) {
                 if (end == AttemptEnd.SERVED) {
-                    finish(authorisation, End.FULFILLED, Answers.served(head, body));
+                    finish(exchange, End.FULFILLED, Answers.served(head, body));
                 } else {
-                    finish(authorisation, End.FAULTED, Answers.plain(400, "not accepted"));
+                    finish(exchange, End.FAULTED, Answers.plain(400, "not accepted"));
                 }
             } else {
-                carryOut(authorisation, next);
+                carryOut(exchange, next);
             }
         });
     }
@@ -85,20 +85,20 @@
      * left is to carry it. Whether all of it reached the client.
      */
     boolean relay(Attempt attempt, HostLoad load, Head head, Body body, byte[] start) {
-        Authorisation authorisation = attempt.authorisation;
-        out.remove(authorisation.id, attempt);
-        Upload upload = authorisation.attemptOver(attempt);
-        boolean goesOn = authorisation.claim();
-        facade.report(authorisation.id, attempt.order.attempt(), attempt.order.host(), AttemptEnd.SERVED,
+        Exchange exchange = attempt.exchange;
+        out.remove(exchange.id, attempt);
+        Upload upload = exchange.attemptOver(attempt);
+        boolean goesOn = exchange.claim();
+        facade.report(exchange.id, attempt.order.attempt(), attempt.order.host(), AttemptEnd.SERVED,
                 attempt.tookUs(AttemptEnd.SERVED, upstreams.now()), true, load, upload);
         if (!goesOn) {
             return false;
         }
         boolean whole = false;
         try {
-            whole = authorisation.from.relay(head, body, start, authorisation.dueUs());
+            whole = exchange.from.relay(head, body, start, exchange.dueUs());
         } finally {
-            authorisation.ended(whole ? End.FULFILLED : End.FAULTED);
+            exchange.ended(whole ? End.FULFILLED : End.FAULTED);
         }
         return whole;
     }
@@ -107,26 +107,26 @@
      * The last byte of a long request has come and is about to go out: its time begins. False: its attempt has ended.
      */
     boolean lastPiece(Attempt attempt) {
-        if (!upstreams.lastPiece(attempt, attempt.authorisation.request.budgetUs())) {
+        if (!upstreams.lastPiece(attempt, attempt.exchange.request.budgetUs())) {
             return false;
         }
-        attempt.authorisation.taken();
-        attempt.authorisation.dueBy(attempt.untilUs());
-        facade.uploaded(attempt.authorisation.id);
+        attempt.exchange.taken();
+        attempt.exchange.dueBy(attempt.untilUs());
+        facade.uploaded(attempt.exchange.id);
         return true;
     }
 
     /** The host takes nothing more of a long request. */
-    void cutStuck(Authorisation authorisation) {
-        Attempt attempt = authorisation.attempt();
+    void cutStuck(Exchange exchange) {
+        Attempt attempt = exchange.attempt();
         if (attempt != null) {
             attempt.cut(AttemptEnd.TIMED_OUT);
         }
     }
 
     /** The client is at fault for a long request that can't go on: it is told so, and the attempt is given up. */
-    void spoilt(Authorisation authorisation, Answers.Answer answer) {
-        giveUp(authorisation, () -> finish(authorisation, End.FAULTED, answer));
+    void spoilt(Exchange exchange, Answers.Answer answer) {
+        giveUp(exchange, () -> finish(exchange, End.FAULTED, answer));
     }
 
     /** Ends the wait for these attempts; each is reported by its connection's own thread. */
@@ -140,15 +140,15 @@
     }
 
     /** The client is gone: nothing is owed, and the attempt that is out is given up. */
-    void clientLeft(Authorisation authorisation) {
-        giveUp(authorisation, () -> authorisation.ended(End.FAULTED));
+    void clientLeft(Exchange exchange) {
+        giveUp(exchange, () -> exchange.ended(End.FAULTED));
     }
 
-    private void giveUp(Authorisation authorisation, Runnable end) {
-        if (authorisation.claim()) {
+    private void giveUp(Exchange exchange, Runnable end) {
+        if (exchange.claim()) {
             end.run();
-            facade.clientGone(authorisation.id);
-            Attempt attempt = authorisation.attempt();
+            facade.clientGone(exchange.id);
+            Attempt attempt = exchange.attempt();
             if (attempt != null) {
                 attempt.cut(AttemptEnd.GIVEN_UP);
             }
@@ -156,13 +156,13 @@
     }
 
     /** A fault in here must not leave the client without its answer, nor end the thread that met it. */
-    private void guarded(Authorisation authorisation, Runnable step) {
+    private void guarded(Exchange exchange, Runnable step) {
         try {
             step.run();
         } catch (RuntimeException e) {
-            LOG.log(Level.SEVERE, "authorisation failed", e);
-            if (authorisation.claim()) {
-                finish(authorisation, End.FAULTED, Answers.failure(500));
+            LOG.log(Level.SEVERE, "exchange failed", e);
+            if (exchange.claim()) {
+                finish(exchange, End.FAULTED, Answers.failure(500));
             }
         }
     }
--- a/sidecar/src/main/java/dapplequay/net/Authorisation.java
+++ b/sidecar/src/main/java/dapplequay/net/Exchange.java
@@ -4,7 +4,7 @@
 import dapplequay.management.Counts;
 
 /** One request of the client's, until its one answer. Whoever claims it first answers it, or drops it. */
-final class Authorisation {
+final class Exchange {
     final long id;
     final ClientConnection from;
     final ClientRequest request;
@@ -17,7 +17,7 @@
     private volatile long dueUs;
 
     /** Counts as taken from here on; a long one, once its last byte has come. */
-    Authorisation(long id, ClientConnection from, ClientRequest request, Counts counts) {
+    Exchange(long id, ClientConnection from, ClientRequest request, Counts counts) {
         this.id = id;
         this.from = from;
         this.request = request;
@@ -71,7 +71,7 @@
         return true;
     }
 
-    /** Waits for the attempt that takes the rest of a long request; null once the authorisation is over. */
+    /** Waits for the attempt that takes the rest of a long request; null once the exchange is over. */
     synchronized Attempt awaitOpen() {
         Waits.whileTrue(this, () -> !over && (attempt == null || !attempt.isOpen()));
         return over ? null : attempt;
@@ -96,7 +96,7 @@
         notifyAll();
     }
 
-    /** The attempt now out, or null; asked for once the authorisation is claimed, when none can follow. */
+    /** The attempt now out, or null; asked for once the exchange is claimed, when none can follow. */
     synchronized Attempt attempt() {
         return attempt;
     }
--- a/sidecar/src/main/java/dapplequay/net/UpstreamConnection.java
+++ b/sidecar/src/main/java/dapplequay/net/UpstreamConnection.java
@@ -104,7 +104,7 @@
      * Writes the attempt, or the beginning of a long one, where it may still go out and the connection is fit for it.
      */
     Begin write(Attempt now) {
-        ClientRequest request = now.authorisation.request;
+        ClientRequest request = now.exchange.request;
         byte[] message = request.bytesFor(route.endpoint(), now.untilUs() - side.now());
         if (!side.mayBegin(now, route)) {
             return Begin.STOPPED;
--- a/sidecar/src/main/java/dapplequay/net/UpstreamSide.java
+++ b/sidecar/src/main/java/dapplequay/net/UpstreamSide.java
@@ -88,11 +88,11 @@
     /** Starts an attempt. Its end is told to the conductor, by this thread if nothing went out at all. */
     void send(Attempt attempt) {
         RoutingTable.Route route = table.routeOf(attempt.order.host());
-        if (route == null || attempt.isUploading() && !attempt.authorisation.from.hasRoom()) {
+        if (route == null || attempt.isUploading() && !attempt.exchange.from.hasRoom()) {
             conductor.attemptEnded(attempt, AttemptEnd.NOT_SENT, null, null, null);
             return;
         }
-        if (!attempt.authorisation.attach(attempt)) {
+        if (!attempt.exchange.attach(attempt)) {
             conductor.attemptEnded(attempt, AttemptEnd.GIVEN_UP, null, null, null);
             return;
         }
@@ -192,7 +192,7 @@
      */
     boolean mayBegin(Attempt attempt, RoutingTable.Route route) {
         long now = now();
-        boolean may = !attempt.isCut() && !attempt.authorisation.isOver() && attempt.mayBeginAt(now)
+        boolean may = !attempt.isCut() && !attempt.exchange.isOver() && attempt.mayBeginAt(now)
                 && route.equals(table.routeOf(attempt.order.host()));
         if (!may) {
             attempt.answered(AttemptEnd.NOT_SENT);      // unless it has ended otherwise
--- a/sidecar/src/test/java/dapplequay/net/UpstreamRig.java
+++ b/sidecar/src/test/java/dapplequay/net/UpstreamRig.java
@@ -123,7 +123,7 @@
             MessageReader reader = new MessageReader(new ByteArrayInputStream(new byte[0]), MessageReader.LONGEST_BODY);
             ClientRequest request = new ClientRequest(read, new byte[held], isLong ? reader.body(read) : null,
                     "pay", null, null, TIME_US);
-            return new Attempt(new Authorisation(++ids, null, request, new Counts()),
+            return new Attempt(new Exchange(++ids, null, request, new Counts()),
                     new Decision.Send(0, host, TIME_US, beginByUs), now.get());
         } catch (IOException e) {
             throw new AssertionError(e);
--- a/sidecar/src/test/java/dapplequay/net/WriteGuardTest.java
+++ b/sidecar/src/test/java/dapplequay/net/WriteGuardTest.java
@@ -27,7 +27,7 @@
 
     private void happen(Meanwhile what, Attempt attempt, int port) {
         switch (what) {
-            case CLIENT_GONE -> attempt.authorisation.claim();      // and its attempt has not been cut yet
+            case CLIENT_GONE -> attempt.exchange.claim();      // and its attempt has not been cut yet
             case WINDOW_OVER -> rig.now.addAndGet(WINDOW_US);
             case TIME_OVER -> rig.now.addAndGet(UpstreamRig.TIME_US);
             case HOST_DRAINS -> rig.list("DRAINING", port);
