--- a/sidecar/src/main/java/dapplequay/net/RoutingTable.java
+++ b/sidecar/src/main/java/dapplequay/net/Endpoints.java
@@ -20,24 +20,24 @@
  * Discovery's list as last heard: which endpoint belongs to a host's uid, and whether it wants new work. Only
  * the network asks for endpoints; they differ from one sidecar to the next and may change.
  */
-final class RoutingTable {
-    private final Map<String, Listed> routes = new HashMap<>();
+final class Endpoints {
+    private final Map<String, Listed> endpoints = new HashMap<>();
     private long revision;
 
     /**
      * The way to one process: a host that restarts, moves or comes up at the address of a gone one is
      * another, so that no connection of the one before is used for it.
      */
-    record Route(String uid, InetSocketAddress endpoint, long bootMs) { }
+    record Endpoint(String uid, InetSocketAddress address, long bootMs) { }
 
-    private record Listed(Route route, Line line) {
+    private record Listed(Endpoint endpoint, Line line) {
         State state() {
             return line.state();
         }
     }
 
     /** One text of discovery's, read and checked as a whole before any of it counts. */
-    record Update(long revision, ListNews news, Map<String, InetSocketAddress> endpoints) { }
+    record Update(long revision, ListNews news, Map<String, InetSocketAddress> addresses) { }
 
     static Update read(byte[] text) throws IOException {
         return read(Json.parse(text));
@@ -49,7 +49,7 @@
             Map<?, ?> map = (Map<?, ?>) tree;
             boolean whole = (Boolean) map.get("all");
             List<Line> lines = new ArrayList<>();
-            Map<String, InetSocketAddress> endpoints = new HashMap<>();
+            Map<String, InetSocketAddress> addresses = new HashMap<>();
             for (Object target : (List<?>) map.get("targets")) {
                 Map<?, ?> entry = (Map<?, ?>) target;
                 State state = State.valueOf((String) entry.get("state"));
@@ -58,13 +58,13 @@
                     throw new IOException("list entry without uid");
                 }
                 if (state != State.DELETED) {
-                    endpoints.put(uid, endpoint((String) entry.get("endpoint")));
+                    addresses.put(uid, address((String) entry.get("endpoint")));
                 }
                 lines.add(new Line(uid, (String) entry.get("az"), (int) number(entry, "pod_group", 0),
                         state, number(entry, "capacity_hint", 1), (long) number(entry, "boot_ms", 0)));
             }
             ListNews.Kind kind = whole ? ListNews.Kind.WHOLE : ListNews.Kind.CHANGES;
-            return new Update(((Number) map.get("rev")).longValue(), new ListNews(kind, lines), endpoints);
+            return new Update(((Number) map.get("rev")).longValue(), new ListNews(kind, lines), addresses);
         } catch (ClassCastException | NullPointerException | IllegalArgumentException e) {
             throw new IOException("not a list of servers: " + e.getMessage(), e);
         }
@@ -76,7 +76,7 @@
     }
 
     /** An address with its port. Names are refused: there is nobody to ask for them. */
-    static InetSocketAddress endpoint(String text) throws IOException {
+    static InetSocketAddress address(String text) throws IOException {
         int colon = text.lastIndexOf(':');
         String host = colon < 0 ? "" : text.substring(0, colon);
         String port = text.substring(colon + 1);
@@ -91,18 +91,18 @@
         return revision;
     }
 
-    /** Takes an update over; returns the routes that take no new work any more. */
-    synchronized Set<Route> take(Update update) {
-        Set<Route> before = serving();
+    /** Takes an update over; returns the endpoints that take no new work any more. */
+    synchronized Set<Endpoint> take(Update update) {
+        Set<Endpoint> before = serving();
         if (update.news().kind() != ListNews.Kind.CHANGES) {
-            routes.clear();
+            endpoints.clear();
         }
         for (Line line : update.news().lines()) {
             if (line.state() == State.DELETED) {
-                routes.remove(line.uid());
+                endpoints.remove(line.uid());
             } else {
-                Route route = new Route(line.uid(), update.endpoints().get(line.uid()), line.bootMs());
-                routes.put(line.uid(), new Listed(route, line));
+                Endpoint endpoint = new Endpoint(line.uid(), update.addresses().get(line.uid()), line.bootMs());
+                endpoints.put(line.uid(), new Listed(endpoint, line));
             }
         }
         revision = update.revision();
@@ -116,35 +116,35 @@
      */
     synchronized Update outsOf(Update older, boolean ends) {
         List<Line> outs = new ArrayList<>();
-        Map<String, InetSocketAddress> endpoints = new HashMap<>();
+        Map<String, InetSocketAddress> addresses = new HashMap<>();
         Set<String> named = new HashSet<>();
         for (Line line : older.news().lines()) {
             named.add(line.uid());
-            Listed listed = routes.get(line.uid());
+            Listed listed = endpoints.get(line.uid());
             boolean drains = line.state() == State.DRAINING && listed != null && listed.state() == State.SERVING
                     && line.bootMs() >= listed.line().bootMs();
             if (drains || line.state() == State.DELETED && listed != null) {
                 outs.add(in(line.state(), listed.line()));
-                endpoints.put(line.uid(), listed.route().endpoint());
+                addresses.put(line.uid(), listed.endpoint().address());
             }
         }
-        for (Listed listed : routes.values()) {
+        for (Listed listed : endpoints.values()) {
             if (ends && !named.contains(listed.line().uid())) {
                 outs.add(in(State.DELETED, listed.line()));
             }
         }
-        return new Update(revision, new ListNews(ListNews.Kind.CHANGES, outs), endpoints);
+        return new Update(revision, new ListNews(ListNews.Kind.CHANGES, outs), addresses);
     }
 
     private static Line in(State state, Line known) {
         return new Line(known.uid(), known.zone(), known.cell(), state, known.weight(), known.bootMs());
     }
 
-    private Set<Route> serving() {
-        Set<Route> serving = new HashSet<>();
-        for (Listed listed : routes.values()) {
+    private Set<Endpoint> serving() {
+        Set<Endpoint> serving = new HashSet<>();
+        for (Listed listed : endpoints.values()) {
             if (listed.state() == State.SERVING) {
-                serving.add(listed.route());
+                serving.add(listed.endpoint());
             }
         }
         return serving;
@@ -152,7 +152,7 @@
 
     /** How many hosts serve, and how many of them a whole list does not name any more. */
     synchronized int[] servingAndMissing(Update whole) {
-        Set<Route> before = serving();
+        Set<Endpoint> before = serving();
         Set<String> named = new HashSet<>();
         whole.news().lines().forEach(line -> named.add(line.uid()));
         return new int[] {before.size(), (int) before.stream().filter(r -> !named.contains(r.uid())).count()};
@@ -161,11 +161,11 @@
     /** The list in discovery's form, so that a later life can begin with it. */
     synchronized Map<String, Object> tree() {
         List<Object> targets = new ArrayList<>();
-        for (Listed listed : routes.values()) {
+        for (Listed listed : endpoints.values()) {
             Line line = listed.line();
             Map<String, Object> target = new LinkedHashMap<>();
             target.put("uid", line.uid());
-            target.put("endpoint", Sockets.text(listed.route().endpoint()));
+            target.put("endpoint", Sockets.text(listed.endpoint().address()));
             target.put("az", line.zone());
             target.put("pod_group", line.cell());
             target.put("state", line.state().name());
@@ -182,12 +182,12 @@
 
     /** Hosts in the list, those that drain included. */
     synchronized int size() {
-        return routes.size();
+        return endpoints.size();
     }
 
     /** How to reach the host, or null where it wants no new work or is not listed. */
-    synchronized Route routeOf(String uid) {
-        Listed listed = routes.get(uid);
-        return listed == null || listed.state() != State.SERVING ? null : listed.route();
+    synchronized Endpoint endpointOf(String uid) {
+        Listed listed = endpoints.get(uid);
+        return listed == null || listed.state() != State.SERVING ? null : listed.endpoint();
     }
 }
--- a/sidecar/src/main/java/dapplequay/net/Sidecar.java
+++ b/sidecar/src/main/java/dapplequay/net/Sidecar.java
@@ -51,7 +51,7 @@
     private final Facade facade;
     private final Plan plan;
     private final Conductor conductor;
-    private final RoutingTable table;
+    private final Endpoints table;
     private final Watch watch;
     private final UpstreamSide upstreams;
     private final Counts counts = new Counts();
@@ -164,11 +164,11 @@
         LOG.log(line.startsWith(Facade.FAULT) ? Level.SEVERE : Level.INFO, "{0}", line);
     }
 
-    private static RoutingTable restored(Plan plan, Facade facade) throws IOException {
-        RoutingTable table = new RoutingTable();
+    private static Endpoints restored(Plan plan, Facade facade) throws IOException {
+        Endpoints table = new Endpoints();
         List<ListNews.Line> lines = List.of();
         if (plan.known() != null) {
-            RoutingTable.Update known = RoutingTable.read(plan.known());
+            Endpoints.Update known = Endpoints.read(plan.known());
             table.take(known);
             lines = known.news().lines();
         }
--- a/sidecar/src/main/java/dapplequay/net/UpstreamConnection.java
+++ b/sidecar/src/main/java/dapplequay/net/UpstreamConnection.java
@@ -29,7 +29,7 @@
     /** So long an answer of unknown length may take before it is passed on as it comes. */
     private static final long HELD_US = 100_000;
 
-    final RoutingTable.Route route;
+    final Endpoints.Endpoint endpoint;
     private final UpstreamSide side;
     private final Socket socket = new Socket();
     private volatile Drive drive;
@@ -48,10 +48,10 @@
     private Attempt promisedTo;
 
     /** One that takes a long request is served by its client's thread until that is whole. */
-    UpstreamConnection(UpstreamSide side, RoutingTable.Route route, Attempt first) {
+    UpstreamConnection(UpstreamSide side, Endpoints.Endpoint endpoint, Attempt first) {
         drive = first.isUploading() ? Drive.CLIENT : Drive.OWN;
         this.side = side;
-        this.route = route;
+        this.endpoint = endpoint;
         attempt = first;
     }
 
@@ -105,8 +105,8 @@
      */
     Begin write(Attempt now) {
         ClientRequest request = now.exchange.request;
-        byte[] message = request.bytesFor(route.endpoint(), now.untilUs() - side.now());
-        if (!side.mayBegin(now, route)) {
+        byte[] message = request.bytesFor(endpoint.address(), now.untilUs() - side.now());
+        if (!side.mayBegin(now, endpoint)) {
             return Begin.STOPPED;
         }
         if (!begins()) {
@@ -119,7 +119,7 @@
             begins = request.isLong();
             whole = !begins;
         } catch (IOException e) {
-            LOG.log(Level.FINE, "attempt could not be written to {0}: {1}", new Object[] {route.endpoint(), e});
+            LOG.log(Level.FINE, "attempt could not be written to {0}: {1}", new Object[] {endpoint.address(), e});
         } finally {
             if (begins) {
                 now.takenUp();
@@ -205,7 +205,7 @@
                 written = true;
             }
         } catch (IOException e) {
-            LOG.log(Level.FINE, "attempt could not be written to {0}: {1}", new Object[] {route.endpoint(), e});
+            LOG.log(Level.FINE, "attempt could not be written to {0}: {1}", new Object[] {endpoint.address(), e});
         } finally {
             if (last || !written) {
                 writeEnded(now, last && written);
@@ -227,7 +227,7 @@
         try {
             begun = connect();
         } catch (IOException e) {
-            LOG.log(Level.FINE, "connection to {0} ended: {1}", new Object[] {route.endpoint(), e});
+            LOG.log(Level.FINE, "connection to {0} ended: {1}", new Object[] {endpoint.address(), e});
         }
         drive = begun ? Drive.CARRIED : Drive.OVER;
         if (!begun) {
@@ -263,7 +263,7 @@
                 while (reader.await() && serve(reader)) { }
             }
         } catch (IOException e) {
-            LOG.log(Level.FINE, "connection to {0} ended: {1}", new Object[] {route.endpoint(), e});
+            LOG.log(Level.FINE, "connection to {0} ended: {1}", new Object[] {endpoint.address(), e});
         } finally {
             close();
             side.ended(this);
@@ -282,7 +282,7 @@
                     Math.min(first.untilUs(), first.order.beginByUs()) - side.now());
             socket.setTcpNoDelay(true);
             // With the socket's own time-out: to close a socket that connects does not everywhere wake its thread.
-            socket.connect(route.endpoint(), (int) Math.max(1, (waitUs + 999) / 1000));
+            socket.connect(endpoint.address(), (int) Math.max(1, (waitUs + 999) / 1000));
             begin = write(first);
         } catch (SocketTimeoutException e) {
             if (side.now() >= first.order.beginByUs()) {
@@ -348,7 +348,7 @@
             side.told(served, end, load, head, start);
             return open;
         } catch (BadMessage e) {
-            LOG.log(Level.WARNING, "rubbish from {0}: {1}", new Object[] {route.endpoint(), e.getMessage()});
+            LOG.log(Level.WARNING, "rubbish from {0}: {1}", new Object[] {endpoint.address(), e.getMessage()});
             served.answered(AttemptEnd.ERROR);
             return false;
         }
@@ -378,7 +378,7 @@
                 }
             }
         } catch (SocketTimeoutException e) {
-            LOG.log(Level.FINE, "an answer from {0} takes its time", route.endpoint());
+            LOG.log(Level.FINE, "an answer from {0} takes its time", endpoint.address());
         } finally {
             if (body.length() < 0) {
                 socket.setSoTimeout(0);
--- a/sidecar/src/main/java/dapplequay/net/UpstreamSide.java
+++ b/sidecar/src/main/java/dapplequay/net/UpstreamSide.java
@@ -45,11 +45,11 @@
 
     private static final Deque<UpstreamConnection> NONE = new ArrayDeque<>();
 
-    private final RoutingTable table;
+    private final Endpoints table;
     private final Deadlines deadlines;
     private final Supplier<Setup> setup;
     private final int most;
-    private final Map<RoutingTable.Route, Deque<UpstreamConnection>> idle = new HashMap<>();
+    private final Map<Endpoints.Endpoint, Deque<UpstreamConnection>> idle = new HashMap<>();
     private final IdleRisk risk;
     private final Counts counts;
     /** They wait for connections to have rested: no more at once than there are such connections. */
@@ -58,7 +58,7 @@
     private int open;
     private Conductor conductor;
 
-    UpstreamSide(RoutingTable table, Deadlines deadlines, Supplier<Setup> setup, int most,
+    UpstreamSide(Endpoints table, Deadlines deadlines, Supplier<Setup> setup, int most,
                Counts counts) {
         this.table = table;
         this.deadlines = deadlines;
@@ -87,8 +87,8 @@
 
     /** Starts an attempt. Its end is told to the conductor, by this thread if nothing went out at all. */
     void send(Attempt attempt) {
-        RoutingTable.Route route = table.routeOf(attempt.order.host());
-        if (route == null || attempt.isUploading() && !attempt.exchange.from.hasRoom()) {
+        Endpoints.Endpoint endpoint = table.endpointOf(attempt.order.host());
+        if (endpoint == null || attempt.isUploading() && !attempt.exchange.from.hasRoom()) {
             conductor.attemptEnded(attempt, AttemptEnd.NOT_SENT, null, null, null);
             return;
         }
@@ -99,7 +99,7 @@
         // The time of a long request begins with its last byte.
         attempt.endsWith(attempt.isUploading() ? null
                 : deadlines.after(attempt.untilUs() - now(), () -> attempt.cut(AttemptEnd.TIMED_OUT)));
-        goOut(route, attempt);
+        goOut(endpoint, attempt);
     }
 
     private static Thread waiter(Runnable work) {
@@ -112,16 +112,16 @@
      * Writes the attempt to a connection that has rested, passing over those that prove unfit, has it wait for one that
      * rests, or opens one, in this order: a new one is work for the host, and may be slow to come up.
      */
-    private void goOut(RoutingTable.Route route, Attempt attempt) {
+    private void goOut(Endpoints.Endpoint endpoint, Attempt attempt) {
         UpstreamConnection.Begin begin = UpstreamConnection.Begin.UNFIT;
         while (begin == UpstreamConnection.Begin.UNFIT) {
-            Found found = find(route, attempt);
+            Found found = find(endpoint, attempt);
             if (found == null) {
-                open(route, attempt);
+                open(endpoint, attempt);
                 return;
             }
             if (found.restUs() > 0) {
-                waitFor(route, attempt, now() + found.restUs());
+                waitFor(endpoint, attempt, now() + found.restUs());
                 return;
             }
             begin = found.connection().write(attempt);
@@ -135,29 +135,29 @@
     }
 
     /** A thread of its own waits: the caller's has a client to listen to, or a connection. */
-    private void waitFor(RoutingTable.Route route, Attempt attempt, long untilUs) {
+    private void waitFor(Endpoints.Endpoint endpoint, Attempt attempt, long untilUs) {
         try {
-            waiters.execute(() -> afterRest(route, attempt, untilUs));
+            waiters.execute(() -> afterRest(endpoint, attempt, untilUs));
         } catch (OutOfMemoryError e) {
             LOG.log(Level.SEVERE, "no thread to wait for a connection", e);
-            release(route, attempt);
+            release(endpoint, attempt);
             neverSent(attempt);
         }
     }
 
     /** Where it may still begin, it finds the connection that it was promised, or, that being lost, what there is. */
-    private void afterRest(RoutingTable.Route route, Attempt attempt, long untilUs) {
+    private void afterRest(Endpoints.Endpoint endpoint, Attempt attempt, long untilUs) {
         attempt.rest(untilUs, deadlines::now);
-        if (mayBegin(attempt, route)) {
-            goOut(route, attempt);
+        if (mayBegin(attempt, endpoint)) {
+            goOut(endpoint, attempt);
         } else {
-            release(route, attempt);
+            release(endpoint, attempt);
             neverSent(attempt);
         }
     }
 
     /** Opens a connection for the attempt, in the place of an idle one where there are as many as there may be. */
-    private void open(RoutingTable.Route route, Attempt attempt) {
+    private void open(Endpoints.Endpoint endpoint, Attempt attempt) {
         UpstreamConnection connection = null;
         UpstreamConnection evicted = null;
         synchronized (this) {
@@ -165,7 +165,7 @@
                 evicted = evict();
             }
             if (open < most || evicted != null) {
-                connection = new UpstreamConnection(this, route, attempt);
+                connection = new UpstreamConnection(this, endpoint, attempt);
                 open++;
             }
         }
@@ -190,10 +190,10 @@
      * While it waited, above all for its connect, the client may have left or been answered, the window for repeats or
      * the time may be over, or the host may want no new work. What is stopped here never ran: the module decides anew.
      */
-    boolean mayBegin(Attempt attempt, RoutingTable.Route route) {
+    boolean mayBegin(Attempt attempt, Endpoints.Endpoint endpoint) {
         long now = now();
         boolean may = !attempt.isCut() && !attempt.exchange.isOver() && attempt.mayBeginAt(now)
-                && route.equals(table.routeOf(attempt.order.host()));
+                && endpoint.equals(table.endpointOf(attempt.order.host()));
         if (!may) {
             attempt.answered(AttemptEnd.NOT_SENT);      // unless it has ended otherwise
         }
@@ -210,7 +210,7 @@
     /** Gives a connection its own thread. */
     void start(UpstreamConnection connection) {
         try {
-            new Thread(connection, "upstream " + Sockets.text(connection.route.endpoint())).start();
+            new Thread(connection, "upstream " + Sockets.text(connection.endpoint.address())).start();
         } catch (OutOfMemoryError e) {
             // No thread to be had: what was not written never ran, and the module decides what to do instead.
             LOG.log(Level.SEVERE, "no thread for a connection", e);
@@ -227,9 +227,9 @@
     private record Found(UpstreamConnection connection, long restUs) { }
 
     /** The last used of those that have rested; else the first to have rested; null: there is none for it. */
-    private synchronized Found find(RoutingTable.Route route, Attempt attempt) {
-        release(route, attempt);
-        Deque<UpstreamConnection> ready = idle.get(route);
+    private synchronized Found find(Endpoints.Endpoint endpoint, Attempt attempt) {
+        release(endpoint, attempt);
+        Deque<UpstreamConnection> ready = idle.get(endpoint);
         if (ready == null) {
             return null;
         }
@@ -258,8 +258,8 @@
     }
 
     /** The attempt does not wait for a connection any more. */
-    private synchronized void release(RoutingTable.Route route, Attempt attempt) {
-        idle.getOrDefault(route, NONE).stream().filter(c -> c.promisedTo() == attempt).forEach(c -> c.promise(null));
+    private synchronized void release(Endpoints.Endpoint endpoint, Attempt attempt) {
+        idle.getOrDefault(endpoint, NONE).stream().filter(c -> c.promisedTo() == attempt).forEach(c -> c.promise(null));
     }
 
     /** It can't be waited for any more, and has left the idle ones; under the lock. */
@@ -313,10 +313,10 @@
         boolean stays;
         synchronized (this) {
             // Where the list has changed meanwhile, the next attempt goes to another process. Asked under the lock: the
-            // news are in the table before the idle connections on the routes that are gone are closed.
-            stays = connection.route.equals(table.routeOf(host));
+            // news are in the table before the idle connections on the endpoints that are gone are closed.
+            stays = connection.endpoint.equals(table.endpointOf(host));
             if (stays) {
-                Deque<UpstreamConnection> ready = idle.computeIfAbsent(connection.route, e -> new ArrayDeque<>());
+                Deque<UpstreamConnection> ready = idle.computeIfAbsent(connection.endpoint, e -> new ArrayDeque<>());
                 long idleUs = (long) (setup.get().connIdleUs() * IDLE_SHARE);
                 long stayUs = ready.isEmpty() ? idleUs : Math.min(idleUs, SPARE_US);
                 connection.idle(now(), deadlines.after(stayUs, () -> retire(connection)));
@@ -335,23 +335,23 @@
     }
 
     private synchronized boolean removeIdle(UpstreamConnection connection) {
-        Deque<UpstreamConnection> ready = idle.get(connection.route);
+        Deque<UpstreamConnection> ready = idle.get(connection.endpoint);
         boolean removed = ready != null && ready.remove(connection);
         if (removed) {
             gone(connection);
         }
         if (removed && ready.isEmpty()) {
-            idle.remove(connection.route);      // hosts come under new ids for good
+            idle.remove(connection.endpoint);      // hosts come under new ids for good
         }
         return removed;
     }
 
-    /** Closes the idle connections on routes that take no more work. */
-    void closeIdle(Collection<RoutingTable.Route> routes) {
-        for (RoutingTable.Route route : routes) {
+    /** Closes the idle connections on endpoints that take no more work. */
+    void closeIdle(Collection<Endpoints.Endpoint> endpoints) {
+        for (Endpoints.Endpoint endpoint : endpoints) {
             Deque<UpstreamConnection> ready;
             synchronized (this) {
-                ready = idle.remove(route);
+                ready = idle.remove(endpoint);
                 if (ready != null) {
                     ready.forEach(UpstreamSide::gone);
                 }
@@ -364,11 +364,11 @@
 
     /** Closes all idle connections: no more attempts come. */
     void closeAllIdle() {
-        List<RoutingTable.Route> routes;
+        List<Endpoints.Endpoint> endpoints;
         synchronized (this) {
-            routes = List.copyOf(idle.keySet());
+            endpoints = List.copyOf(idle.keySet());
         }
-        closeIdle(routes);
+        closeIdle(endpoints);
     }
 
     /** A connection's thread is done with it; an attempt that it still owed is reported. */
@@ -388,7 +388,7 @@
             if (end == AttemptEnd.TIMED_OUT || end == AttemptEnd.SILENT) {
                 // A machine that vanished leaves its idle connections open and silent: an attempt on another one
                 // would time out too and might have run, while a connect that fails proves that it never ran.
-                closeIdle(List.of(connection.route));
+                closeIdle(List.of(connection.endpoint));
             }
             conductor.attemptEnded(owed, end, null, null, null);
         }
--- a/sidecar/src/main/java/dapplequay/net/Watch.java
+++ b/sidecar/src/main/java/dapplequay/net/Watch.java
@@ -36,7 +36,7 @@
     /** For so long, us, after it was heard a version counts: a quiet watch, and as long as an older one is refused. */
     static final long VERSION_COUNTS_US = ListClock.LONGEST_WAIT_US + ListClock.AFTER_WAIT_US + LostCount.ALL_US;
 
-    private final RoutingTable table;
+    private final Endpoints table;
     private final Facade facade;
     private final UpstreamSide upstreams;
     private InetSocketAddress discovery;
@@ -52,7 +52,7 @@
     private final LongSupplier now;
     private final Doubt doubt = new Doubt();
     private long doubtEndsUs;               // no second answer is waited for any longer
-    private RoutingTable.Update doubted;
+    private Endpoints.Update doubted;
     private final LostCount lostCount = new LostCount();
     private long followed;                  // the version asked after, while older ones than the one known come
     private long notBeforeUs;               // the next question about a list that is not believed yet
@@ -63,7 +63,7 @@
     private volatile boolean isEnded;
 
     /** {@code now}: microseconds, never backwards. */
-    Watch(InetSocketAddress discovery, RoutingTable table, Facade facade, UpstreamSide upstreams, Sidecar.Memory memory,
+    Watch(InetSocketAddress discovery, Endpoints table, Facade facade, UpstreamSide upstreams, Sidecar.Memory memory,
             ListClock clock, LongSupplier now) {
         this.discovery = discovery;
         this.memory = memory;
@@ -229,7 +229,7 @@
     }
 
     /** Takes over what counts of an answer, and sees to it that the rest is asked for. */
-    private void hear(RoutingTable.Update update) {
+    private void hear(Endpoints.Update update) {
         notBeforeUs = 0;
         boolean isWhole = update.news().kind() == ListNews.Kind.WHOLE;
         if (!anyVersion && update.revision() < table.revision() && !hearOlder(update, isWhole)) {
@@ -243,8 +243,8 @@
         if (isWhole && isDoubtful(update)) {
             doubted = update;
             // The version stays: a life that begins with what is kept by now has to be told of the missing ones, too.
-            take(new RoutingTable.Update(table.revision(), new ListNews(ListNews.Kind.CHANGES, update.news().lines()),
-                    update.endpoints()));
+            take(new Endpoints.Update(table.revision(), new ListNews(ListNews.Kind.CHANGES, update.news().lines()),
+                    update.addresses()));
             whole = true;
             // A silence before it may have eaten of the grace: doubt has only what is left of that.
             long nowUs = now.getAsLong();
@@ -257,7 +257,7 @@
     }
 
     /** True where all of it counts; else what it takes out does, as far as {@link LostCount} believes it. */
-    private boolean hearOlder(RoutingTable.Update update, boolean isWhole) {
+    private boolean hearOlder(Endpoints.Update update, boolean isWhole) {
         if (!lostCount.isLost()) {
             LOG.log(Level.WARNING, "a list with version {0}, older than {1}: what it brings back does not count yet",
                     new Object[] {Long.toString(update.revision()), Long.toString(table.revision())});
@@ -267,7 +267,7 @@
         if (belief == LostCount.Belief.ALL && isWhole) {
             return true;
         }
-        RoutingTable.Update outs = table.outsOf(update, isWhole && belief == LostCount.Belief.ENDS);
+        Endpoints.Update outs = table.outsOf(update, isWhole && belief == LostCount.Belief.ENDS);
         if (!outs.news().lines().isEmpty()) {
             take(outs);
         }
@@ -280,7 +280,7 @@
         return false;
     }
 
-    private boolean isDoubtful(RoutingTable.Update update) {
+    private boolean isDoubtful(Endpoints.Update update) {
         int[] count = table.servingAndMissing(update);
         boolean second = doubt.isDoubting();
         boolean believed = doubt.believes(count[0], count[1]);
@@ -291,7 +291,7 @@
         return !believed || second && hasMoved();       // doubted at one address, it is not believed at another
     }
 
-    private void believe(RoutingTable.Update update) {
+    private void believe(Endpoints.Update update) {
         try {
             take(update);
         } catch (RuntimeException e) {
@@ -299,7 +299,7 @@
         }
     }
 
-    private void take(RoutingTable.Update update) {
+    private void take(Endpoints.Update update) {
         var drained = table.take(update);
         try {
             facade.news(update.news());
@@ -311,7 +311,7 @@
         memory.keep().accept(() -> Json.text(table.tree()));
     }
 
-    private RoutingTable.Update call() throws IOException {
+    private Endpoints.Update call() throws IOException {
         spoke = false;
         Socket to = connected();
         long after = lostCount.isLost() ? followed : table.revision();
@@ -324,7 +324,7 @@
             throw new IOException("discovery answered " + head.start[1]);
         }
         spoke = true;
-        RoutingTable.Update update = RoutingTable.read(body);
+        Endpoints.Update update = Endpoints.read(body);
         whole = false;
         if (head.closes(head.start[0]) || MessageReader.lastsToTheEnd(head) || reader.hasBytes()) {
             drop();             // bytes that nobody asked for would be read as the next answer
--- a/sidecar/src/test/java/dapplequay/net/ClientRig.java
+++ b/sidecar/src/test/java/dapplequay/net/ClientRig.java
@@ -143,8 +143,8 @@
         Map<?, ?> example = (Map<?, ?>) Json.parse(text.getBytes(StandardCharsets.UTF_8));
         Setup setup = SettingsReader.of(example.get("settings"), "example");
         Facade facade = new Facade(setup, 7, deadlines::now, line -> { });
-        RoutingTable table = new RoutingTable();
-        RoutingTable.Update known = RoutingTable.read(Json.parse(list(ports).getBytes(StandardCharsets.UTF_8)));
+        Endpoints table = new Endpoints();
+        Endpoints.Update known = Endpoints.read(Json.parse(list(ports).getBytes(StandardCharsets.UTF_8)));
         table.take(known);
         facade.news(new ListNews(ListNews.Kind.RESTORED, known.news().lines()));
         Counts counts = new Counts();
--- a/sidecar/src/test/java/dapplequay/net/RoutingTableTest.java
+++ b/sidecar/src/test/java/dapplequay/net/EndpointsTest.java
@@ -9,11 +9,11 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
-class RoutingTableTest {
+class EndpointsTest {
 
-    private static RoutingTable.Update list(int rev, boolean all, String... targets) throws IOException {
+    private static Endpoints.Update list(int rev, boolean all, String... targets) throws IOException {
         String text = "{\"rev\":" + rev + ",\"all\":" + all + ",\"targets\":[" + String.join(",", targets) + "]}";
-        return RoutingTable.read(text.getBytes(StandardCharsets.UTF_8));
+        return Endpoints.read(text.getBytes(StandardCharsets.UTF_8));
     }
 
     private static String target(String uid, int port, String state) {
@@ -23,31 +23,31 @@
 
     @Test
     void onlyServingHostsHaveAnEndpointAndChangesKeepTheRest() throws IOException {
-        RoutingTable table = new RoutingTable();
+        Endpoints table = new Endpoints();
         table.take(list(1, true, target("s1", 1, "SERVING"), target("s2", 2, "SERVING"),
                 target("s3", 3, "DRAINING")));
-        assertThat(table.routeOf("s1").endpoint().getPort()).isEqualTo(1);
-        assertThat(table.routeOf("s3")).isNull();
+        assertThat(table.endpointOf("s1").address().getPort()).isEqualTo(1);
+        assertThat(table.endpointOf("s3")).isNull();
         assertThat(table.take(list(2, false, target("s1", 1, "DRAINING"), target("s2", 9, "SERVING"))))
-                .extracting(a -> a.endpoint().getPort()).containsExactlyInAnyOrder(1, 2);
-        assertThat(table.routeOf("s1")).isNull();
-        assertThat(table.routeOf("s2").endpoint().getPort()).isEqualTo(9);
+                .extracting(a -> a.address().getPort()).containsExactlyInAnyOrder(1, 2);
+        assertThat(table.endpointOf("s1")).isNull();
+        assertThat(table.endpointOf("s2").address().getPort()).isEqualTo(9);
         table.take(list(3, false, "{\"uid\":\"s2\",\"state\":\"DELETED\"}"));
-        assertThat(table.routeOf("s2")).isNull();
+        assertThat(table.endpointOf("s2")).isNull();
         table.take(list(7, true, target("s4", 4, "SERVING")));
-        assertThat(table.routeOf("s3")).isNull();
+        assertThat(table.endpointOf("s3")).isNull();
         assertThat(table.revision()).isEqualTo(7);
     }
 
     /** What comes up at the address of a gone host, or under its id again, gets none of its connections. */
     @Test
     void anotherProcessIsAnotherRoute() throws IOException {
-        RoutingTable table = new RoutingTable();
+        Endpoints table = new Endpoints();
         table.take(list(1, true, target("s1", 1, "SERVING")));
-        assertThat(table.take(list(2, true, target("s2", 1, "SERVING")))).extracting(RoutingTable.Route::uid)
+        assertThat(table.take(list(2, true, target("s2", 1, "SERVING")))).extracting(Endpoints.Endpoint::uid)
                 .containsExactly("s1");
         assertThat(table.take(list(3, false, target("s2", 1, "SERVING").replace("boot_ms\":0", "boot_ms\":9"))))
-                .extracting(RoutingTable.Route::uid).containsExactly("s2");
+                .extracting(Endpoints.Endpoint::uid).containsExactly("s2");
     }
 
     @ParameterizedTest
@@ -57,7 +57,7 @@
         "{\"rev\":1,\"all\":true,\"targets\":[{\"uid\":\"a\",\"state\":\"SERVING\",\"endpoint\":\"host:1\"}]}",
         "{\"rev\":1,\"all\":true,\"targets\":[{\"uid\":\"a\",\"state\":\"SERVING\",\"endpoint\":\"127.0.0.1\"}]}"})
     void rubbishIsAFailedCall(String text) {
-        assertThatThrownBy(() -> RoutingTable.read(text.getBytes(StandardCharsets.UTF_8)))
+        assertThatThrownBy(() -> Endpoints.read(text.getBytes(StandardCharsets.UTF_8)))
                 .isInstanceOf(IOException.class);
     }
 }
--- a/sidecar/src/test/java/dapplequay/net/StrayBytesTest.java
+++ b/sidecar/src/test/java/dapplequay/net/StrayBytesTest.java
@@ -198,12 +198,12 @@
     void aConnectionThatIsBeingFreedWhileItsHostBeginsToDrainIsClosed() throws Exception {
         try (Host host = new Host((head, seen) -> Host.ok("done"))) {
             rig.list("SERVING", host.port());
-            RoutingTable.Route route = rig.table.routeOf("s0");
+            Endpoints.Endpoint endpoint = rig.table.endpointOf("s0");
             synchronized (rig.side) {
                 rig.side.send(rig.attempt("s0", Long.MAX_VALUE));
                 rig.awaitBlocked();
                 rig.list("DRAINING", host.port());
-                rig.side.closeIdle(List.of(route));
+                rig.side.closeIdle(List.of(endpoint));
             }
             assertThat(rig.next().end()).isEqualTo(AttemptEnd.SERVED);
             assertThat(host.closed.poll(Host.PATIENCE_S, TimeUnit.SECONDS)).isTrue();
--- a/sidecar/src/test/java/dapplequay/net/UpstreamRig.java
+++ b/sidecar/src/test/java/dapplequay/net/UpstreamRig.java
@@ -42,7 +42,7 @@
     record Ended(Attempt attempt, AttemptEnd end, String body) { }
 
     final AtomicLong now = new AtomicLong(1_000_000_000);
-    final RoutingTable table = new RoutingTable();
+    final Endpoints table = new Endpoints();
     final BlockingQueue<Ended> ends = new LinkedBlockingQueue<>();
     final Deadlines deadlines = new Deadlines(this::look);
     final UpstreamSide side;
@@ -96,7 +96,7 @@
                     + "\"boot_ms\":" + bootMs + ",\"state\":\"" + state + "\"}");
         }
         try {
-            table.take(RoutingTable.read(("{\"rev\":1,\"all\":true,\"targets\":[" + String.join(",", targets) + "]}")
+            table.take(Endpoints.read(("{\"rev\":1,\"all\":true,\"targets\":[" + String.join(",", targets) + "]}")
                     .getBytes(StandardCharsets.UTF_8)));
         } catch (IOException e) {
             throw new AssertionError(e);
--- a/sidecar/src/test/java/dapplequay/net/UpstreamSideTest.java
+++ b/sidecar/src/test/java/dapplequay/net/UpstreamSideTest.java
@@ -27,16 +27,16 @@
 class UpstreamSideTest {
     private static final SettingsReader.Setup SETUP = new SettingsReader.Setup(null, Map.of(), Map.of(), 10_000_000, 30_000_000);
 
-    private static void list(RoutingTable table, int port, String state) {
+    private static void list(Endpoints table, int port, String state) {
         try {
-            table.take(RoutingTable.read(("{\"rev\":1,\"all\":true,\"targets\":[{\"uid\":\"s1\",\"endpoint\":\"127.0.0.1:"
+            table.take(Endpoints.read(("{\"rev\":1,\"all\":true,\"targets\":[{\"uid\":\"s1\",\"endpoint\":\"127.0.0.1:"
                     + port + "\",\"az\":\"a\",\"state\":\"" + state + "\"}]}").getBytes(StandardCharsets.UTF_8)));
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
     }
 
-    private static UpstreamSide side(RoutingTable table, Deadlines deadlines, BlockingQueue<AttemptEnd> ends) {
+    private static UpstreamSide side(Endpoints table, Deadlines deadlines, BlockingQueue<AttemptEnd> ends) {
         UpstreamSide side = new UpstreamSide(table, deadlines, () -> SETUP, 10, new Counts());
         side.conductor(new Conductor(null, side) {
             @Override
@@ -56,7 +56,7 @@
     /** What a host sends behind an answer would else be taken for the next one; a new connection costs the host. */
     @Test
     void connectionRestsAfterAnAnswerBeforeItIsUsedAgain() throws Exception {
-        RoutingTable table = new RoutingTable();
+        Endpoints table = new Endpoints();
         BlockingQueue<AttemptEnd> ends = new LinkedBlockingQueue<>();
         List<Long> cameUs = new CopyOnWriteArrayList<>();
         try (Host host = new Host((head, seen) -> {
@@ -80,7 +80,7 @@
     /** Each instance kept what its busiest moment had opened; hosts at their cap turned all others away. */
     @Test
     void spareConnectionIsClosedSoonAndTheLastOneStays() throws Exception {
-        RoutingTable table = new RoutingTable();
+        Endpoints table = new Endpoints();
         BlockingQueue<AttemptEnd> ends = new LinkedBlockingQueue<>();
         AtomicLong now = new AtomicLong(1_000_000);
         Deadlines deadlines = new Deadlines(now::get);
@@ -113,7 +113,7 @@
     /** The connecting thread reads the clock between the pick and the connect: there the drain is told. */
     @Test
     void attemptThatWaitedForItsConnectIsNotSentToAHostThatDrainsMeanwhile() throws Exception {
-        RoutingTable table = new RoutingTable();
+        Endpoints table = new Endpoints();
         BlockingQueue<AttemptEnd> ends = new LinkedBlockingQueue<>();
         try (Host host = new Host((head, seen) -> Host.ok("done"))) {
             list(table, host.port(), "SERVING");
--- a/sidecar/src/test/java/dapplequay/net/WatchTest.java
+++ b/sidecar/src/test/java/dapplequay/net/WatchTest.java
@@ -42,7 +42,7 @@
     private static final int HOSTS = 4;
 
     private final List<AutoCloseable> toClose = new ArrayList<>();
-    private final RoutingTable table = new RoutingTable();
+    private final Endpoints table = new Endpoints();
     private final AtomicLong clock = new AtomicLong(System.nanoTime() / 1_000);
     private volatile Runnable atClock = () -> { };
     private volatile Consumer<String> atLog = line -> { };
@@ -125,7 +125,7 @@
                 .replace("\"ask_within_us\"", "\"drain_grace_us\": " + graceUs + ", \"ask_within_us\"");
         Setup setup = SettingsReader.of(((Map<?, ?>) Json.parse(text.getBytes())).get("settings"), "example");
         Facade facade = new Facade(setup, 7, clock::get, line -> { });
-        RoutingTable.Update known = RoutingTable.read(known().getBytes());
+        Endpoints.Update known = Endpoints.read(known().getBytes());
         table.take(known);
         facade.news(new ListNews(ListNews.Kind.RESTORED, known.news().lines()));
         facade.watchAnew();
@@ -223,7 +223,7 @@
         watch.moveTo(at(next));
         next.next();
         assertThat(table.size()).as("none is gone").isEqualTo(HOSTS);
-        assertThat(table.routeOf("s0")).as("the drain counts").isNull();
+        assertThat(table.endpointOf("s0")).as("the drain counts").isNull();
     }
 
     /** From the doubt on to the reading of the second answer: it confirms nothing once the address has changed. */
@@ -299,18 +299,18 @@
         assertThat(query(lost.next())).contains("after=6&");
         assertThat(query(lost.next())).isEqualTo("/v1/servers");
         assertThat(query(lost.next())).isEqualTo("/v1/servers");
-        assertThat(table.routeOf("s0")).as("a drain counts at once").isNull();
-        assertThat(table.routeOf("s1")).as("missing once").isNotNull();
+        assertThat(table.endpointOf("s0")).as("a drain counts at once").isNull();
+        assertThat(table.endpointOf("s1")).as("missing once").isNotNull();
         missedOnce.countDown();
         assertThat(query(lost.next())).contains("after=2&");
-        assertThat(table.routeOf("s1")).as("missing again").isNull();
-        assertThat(table.routeOf("s9")).as("what comes back waits").isNull();
-        assertThat(table.routeOf("s2")).isNotNull();
+        assertThat(table.endpointOf("s1")).as("missing again").isNull();
+        assertThat(table.endpointOf("s9")).as("what comes back waits").isNull();
+        assertThat(table.endpointOf("s2")).isNotNull();
         change.countDown();
         assertThat(query(lost.next())).contains("after=3&");
-        assertThat(table.routeOf("s2")).isNull();
-        assertThat(table.routeOf("s8")).isNull();
-        assertThat(table.routeOf("s3")).isNotNull();
+        assertThat(table.endpointOf("s2")).isNull();
+        assertThat(table.endpointOf("s8")).isNull();
+        assertThat(table.endpointOf("s3")).isNotNull();
         assertThat(table.revision()).as("a life that begins with it refuses older ones, too").isEqualTo(6);
     }
 
@@ -339,7 +339,7 @@
         while (followed.get() == 0 || !last.contains(newer ? "after=7&" : "after=2&") || !newer && followed.get() < 2) {
             last = query(lost.next());
         }
-        assertThat(table.routeOf("s9")).isNotNull();
-        assertThat(table.routeOf("s3")).isNull();
+        assertThat(table.endpointOf("s9")).isNotNull();
+        assertThat(table.endpointOf("s3")).isNull();
     }
 }
--- a/sidecar/src/test/java/dapplequay/net/WriteGuardTest.java
+++ b/sidecar/src/test/java/dapplequay/net/WriteGuardTest.java
@@ -112,7 +112,7 @@
         try (ServerSocket host = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             rig.list("SERVING", host.getLocalPort());
             Attempt attempt = rig.longAttempt("s0", rig.now.get() + WINDOW_US);
-            UpstreamConnection connection = new UpstreamConnection(rig.side, rig.table.routeOf("s0"), attempt);
+            UpstreamConnection connection = new UpstreamConnection(rig.side, rig.table.endpointOf("s0"), attempt);
             attempt.on(connection, -1);
             rig.atLook(Thread.currentThread(), () -> happen(what, attempt, host.getLocalPort()));
             assertThat(connection.beginFor()).isFalse();
