A held request is not sent on for a client that left while its thread stood in a write

Read, and put to the proof: a client's thread that writes a held request to a used connection may stand in that write, as the host takes nothing more. Nobody reads the client's connection then. The host breaks (or is given up as silent), the attempt never ran, and the upstream connection's thread sends the request on at once, before the client's thread has come back and read that its client left long ago: an attempt later than 0.1 s after the close. Ruled out: second attempts beside the first (none go out while one is), and long requests, of which nothing follows once more than is held went out.

Lines at fault: UpstreamConnection.write and UpstreamSide.mayBegin asked whether the exchange is over, which only the reading thread can say; beginFor wrote a long request's head after a connect of up to 1.5 s without a look.

Right before an attempt's first byte that thread looks itself where the client was not heard of for 20 ms; others wait for it where it has been away for longer, and it looks before it lets them go on. In the usual case that is one volatile read. Tests: attemptThatBreaksWithinItsWriteIsNotFollowedByAnother (sockets that hold 4 kB, by a seam in UpstreamSide's constructor) and longRequestIsNotBegunForAClientThatLeftDuringItsConnect; without Presence.lookFor both fail. The rigs' exchanges without a client's connection override the look; no assertion changed.

Seven test classes that each listed what to close share ClosesWhatItOpened now; their assertions are untouched.

--- a/sidecar/src/main/java/dapplequay/net/ClientConnection.java
+++ b/sidecar/src/main/java/dapplequay/net/ClientConnection.java
@@ -1,5 +1,6 @@
 package dapplequay.net;
 
+import dapplequay.facade.Call;
 import dapplequay.http.BadMessage;
 import dapplequay.http.Body;
 import dapplequay.http.Head;
@@ -26,10 +27,6 @@
     private static final long STRANGER_US = 50_000;
     /** The same for one whose request has begun to come, where no flood of them fills the bound. */
     private static final long HALF_US = 500_000;
-    /** While an answer is due and the client has sent more, it is looked for its departure each so many ms. */
-    private static final long AHEAD_MS = 25;
-    /** So long after it was last heard of, us, a client may have gone without having been missed. */
-    private static final long KNOWN_US = 20_000;
     /** A connection that has just come is not closed unheard: its first request is on its way. */
     private static final long FRESH_US = 100_000;
     /** Of a long request that was answered before it was whole: its client may read only after it has sent all. */
@@ -64,6 +61,7 @@
     private volatile String version = "HTTP/1.1";
     private volatile ClientInput input;
     private MessageReader reader;
+    private volatile Presence presence;
     private volatile Exchange current;
 
     ClientConnection(ClientSide side, Socket socket) {
@@ -93,6 +91,7 @@
             socket.setTcpNoDelay(true);
             input = new ClientInput(socket, side.deadlines()::now);
             reader = new MessageReader(input, MessageReader.LONGEST_BODY);
+            presence = new Presence(side, input, reader);
             while (reader.awaitRequest() && beginRequest()) {
                 readRequest();
             }
@@ -115,7 +114,7 @@
      * more is looked for meanwhile, as its end would lie behind that.
      */
     private boolean beginRequest() throws IOException {
-        while (isBusyAfter(AHEAD_MS)) {
+        while (isBusyAfter(Presence.AHEAD_MS)) {
             input.expect(reader, true);
         }
         return begins();
@@ -129,16 +128,6 @@
         return state == State.BUSY;
     }
 
-    /**
-     * Looks for the client where it is not known for sure to be there: what it sent lay in the buffer for a while, or
-     * perhaps in the socket, as this process came late. Else nothing is asked.
-     */
-    private void expectClient(long nowUs, boolean isWhole) throws IOException {
-        if (nowUs - input.heardUs() > KNOWN_US || side.isLate(nowUs)) {
-            input.expect(reader, isWhole);
-        }
-    }
-
     private synchronized boolean begins() {
         if (state == State.IDLE && input.isOverfull()) {
             state = State.CLOSED;
@@ -233,6 +222,11 @@
         }
     }
 
+    /** Right before an attempt's first byte: has the client looked for, where it may have left unseen. */
+    void lookFor(Exchange exchange) {
+        presence.lookFor(exchange, !uploading);
+    }
+
     /** Whether a long request is among as many as may come at once. */
     boolean hasRoom() {
         return hasRoom;
@@ -261,7 +255,7 @@
                     if (attempt == null) {
                         return;
                     }
-                    expectClient(side.deadlines().now(), last);
+                    presence.expect(side.deadlines().now(), last);
                     if (!attempt.connection().beginFor()) {
                         attempt = null;
                     }
@@ -311,7 +305,7 @@
         }
         ClientRequest request = ClientRequest.check(head, held, rest, side.setup());
         if (rest == null) {
-            expectClient(receivedUs, true);
+            presence.expect(receivedUs, true);
         }
         if (!side.isNewId(request.callId(), receivedUs)) {
             throw new BadMessage(409, "X-Call-Id of another request");
@@ -327,8 +321,8 @@
             answer(Answers.refusal(0));
             return;
         }
-        long leftUs = request.budgetUs() - (side.deadlines().now() - receivedUs);
-        side.conductor().begin(exchange, request.call(leftUs));
+        Call call = request.call(request.budgetUs() - (side.deadlines().now() - receivedUs));
+        presence.away(exchange, rest == null, () -> side.conductor().begin(exchange, call));
     }
 
     /** Whether the answer in hand is this connection's last; one that comes while its request does, has to be. */
--- a/sidecar/src/main/java/dapplequay/net/Exchange.java
+++ b/sidecar/src/main/java/dapplequay/net/Exchange.java
@@ -4,7 +4,7 @@
 import dapplequay.management.Counts;
 
 /** One request of the client's, until its one answer. Whoever claims it first answers it, or drops it. */
-final class Exchange {
+class Exchange {
     final long id;
     final ClientConnection from;
     final ClientRequest request;
@@ -27,6 +27,11 @@
         }
     }
 
+    /** Has its client looked for where that may have left unseen: asked right before an attempt's first byte. */
+    void lookForClient() {
+        from.lookFor(this);
+    }
+
     /** It is here whole. */
     synchronized void taken() {
         if (!taken) {
--- /dev/null
+++ b/sidecar/src/main/java/dapplequay/net/Presence.java
@@ -0,0 +1,98 @@
+package dapplequay.net;
+
+import dapplequay.http.MessageReader;
+import java.io.IOException;
+import java.io.InterruptedIOException;
+import java.util.logging.Level;
+import java.util.logging.Logger;
+
+/**
+ * Whether a client is still there, for one connection and the thread that reads it, which makes this. While that thread
+ * stands in its read, a departure shows at once. Else somebody has to look before more is done for the client.
+ */
+final class Presence {
+    private static final Logger LOG = Logger.getLogger(Presence.class.getName());
+    /** While an answer is due and the client has sent more, it is looked for each so many ms. */
+    static final long AHEAD_MS = 25;
+    /** So long after it was last heard of, us, a client may have gone without having been missed. */
+    private static final long KNOWN_US = 20_000;
+
+    private final ClientSide side;
+    private final ClientInput input;
+    private final MessageReader reader;
+    private final Thread thread = Thread.currentThread();
+    /** Since when, us, the thread has been with an attempt and does not read; -1: it reads. */
+    private volatile long awaySinceUs = -1;
+
+    Presence(ClientSide side, ClientInput input, MessageReader reader) {
+        this.side = side;
+        this.input = input;
+        this.reader = reader;
+    }
+
+    private boolean isUnheard(long nowUs) {
+        return nowUs - input.heardUs() > KNOWN_US;
+    }
+
+    /**
+     * Looks for the client where it is not known for sure to be there: what it sent lay in the buffer for a while, or
+     * perhaps in the socket, as this process came late. Else nothing is asked. EOFException: it has left.
+     */
+    void expect(long nowUs, boolean isWhole) throws IOException {
+        if (isUnheard(nowUs) || side.isLate(nowUs)) {
+            input.expect(reader, isWhole);
+        }
+    }
+
+    /**
+     * By the connection's thread: does what may keep it, as an upstream takes what it writes no further, and looks
+     * then. Who is about to do more for the client meanwhile is made to wait for that.
+     */
+    void away(Exchange exchange, boolean isWhole, Runnable work) throws IOException {
+        awaySinceUs = side.deadlines().now();
+        try {
+            work.run();
+            if (isUnheard(side.deadlines().now())) {
+                input.expect(reader, isWhole);
+            }
+        } catch (IOException e) {
+            side.conductor().clientLeft(exchange);      // before anybody who waits goes on
+            throw e;
+        } finally {
+            isBack();
+        }
+    }
+
+    private synchronized void isBack() {
+        awaySinceUs = -1;
+        notifyAll();
+    }
+
+    /**
+     * Right before an attempt's first byte: has the client looked for, where it may have left unseen. The connection's
+     * thread looks itself. Others wait where it is away for long: the attempt that keeps it has ended, or there would
+     * be no other, so that it is on its way back.
+     */
+    void lookFor(Exchange exchange, boolean isWhole) {
+        try {
+            if (Thread.currentThread() != thread) {
+                awaitThread(exchange);
+            } else if (isUnheard(side.deadlines().now())) {
+                input.expect(reader, isWhole);
+            }
+        } catch (IOException e) {
+            LOG.log(Level.FINE, "the client has gone: {0}", e.toString());
+            side.conductor().clientLeft(exchange);
+        }
+    }
+
+    private synchronized void awaitThread(Exchange exchange) {
+        try {
+            while (awaySinceUs >= 0 && side.deadlines().now() - awaySinceUs > KNOWN_US && !exchange.isOver()) {
+                Waits.atMost(this, AHEAD_MS);
+            }
+        } catch (InterruptedIOException e) {
+            LOG.log(Level.FINE, "client not waited for: {0}", e.toString());
+        }
+    }
+}
--- a/sidecar/src/main/java/dapplequay/net/UpstreamConnection.java
+++ b/sidecar/src/main/java/dapplequay/net/UpstreamConnection.java
@@ -31,7 +31,7 @@
 
     final Endpoints.Endpoint endpoint;
     private final UpstreamSide side;
-    private final Socket socket = new Socket();
+    private final Socket socket;
     private volatile Drive drive;
     private volatile boolean isConnected;
     /** This and the next three: under this connection's own lock. */
@@ -52,6 +52,7 @@
         drive = first.isUploading() ? Drive.CLIENT : Drive.OWN;
         this.side = side;
         this.endpoint = endpoint;
+        socket = side.newSocket();
         attempt = first;
     }
 
@@ -104,6 +105,7 @@
      * Writes the attempt, or the beginning of a long one, where it may still go out and the connection is fit for it.
      */
     Begin write(Attempt now) {
+        now.exchange.lookForClient();       // first, as it may take its time
         ClientRequest request = now.exchange.request;
         byte[] message = request.bytesFor(endpoint.address(), now.untilUs() - side.now());
         if (!side.mayBegin(now, endpoint)) {
--- a/sidecar/src/main/java/dapplequay/net/UpstreamSide.java
+++ b/sidecar/src/main/java/dapplequay/net/UpstreamSide.java
@@ -8,6 +8,7 @@
 import dapplequay.management.Counts;
 import dapplequay.settings.SettingsReader.Setup;
 import dapplequay.time.Deadlines;
+import java.net.Socket;
 import java.util.ArrayDeque;
 import java.util.Collection;
 import java.util.Deque;
@@ -52,19 +53,26 @@
     private final Map<Endpoints.Endpoint, Deque<UpstreamConnection>> idle = new HashMap<>();
     private final IdleRisk risk;
     private final Counts counts;
+    private final Supplier<Socket> sockets;
     /** They wait for connections to have rested: no more at once than there are such connections. */
     private final Executor waiters = new ThreadPoolExecutor(0, Integer.MAX_VALUE, WAITER_MS, TimeUnit.MILLISECONDS,
             new SynchronousQueue<>(), UpstreamSide::waiter);
     private int open;
     private Conductor conductor;
 
-    UpstreamSide(Endpoints table, Deadlines deadlines, Supplier<Setup> setup, int most,
-               Counts counts) {
+    UpstreamSide(Endpoints table, Deadlines deadlines, Supplier<Setup> setup, int most, Counts counts) {
+        this(table, deadlines, setup, most, counts, Socket::new);
+    }
+
+    /** {@code sockets}: where its connections get theirs, not connected yet. */
+    UpstreamSide(Endpoints table, Deadlines deadlines, Supplier<Setup> setup, int most, Counts counts,
+            Supplier<Socket> sockets) {
         this.table = table;
         this.deadlines = deadlines;
         this.setup = setup;
         this.most = most;
         this.counts = counts;
+        this.sockets = sockets;
         risk = new IdleRisk(deadlines::now);
     }
 
@@ -81,6 +89,10 @@
         return counts;
     }
 
+    Socket newSocket() {
+        return sockets.get();
+    }
+
     long connectTimeoutUs() {
         return setup.get().connectTimeoutUs();
     }
--- a/sidecar/src/test/java/dapplequay/cli/LastMomentTest.java
+++ b/sidecar/src/test/java/dapplequay/cli/LastMomentTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import dapplequay.ClosesWhatItOpened;
 import dapplequay.http.MessageReader;
 import dapplequay.net.Host;
 import java.io.IOException;
@@ -15,7 +16,6 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
-import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -23,7 +23,7 @@
 
 /** The last moments before the platform ends a process by force: what is held then fails, and the process goes. */
 @Timeout(60)
-class LastMomentTest {
+class LastMomentTest extends ClosesWhatItOpened {
     private static final int PATIENCE_MS = 20_000;
     /** The fewest ms between SIGTERM and SIGKILL where the longest deadline is over 3 s. */
     private static final long KILLED_MS = 3_700;
@@ -31,7 +31,6 @@
 
     @TempDir
     private Path folder;
-    private final List<AutoCloseable> toClose = new ArrayList<>();
     private Upstream upstream;
     private Program program;
     private int port;
@@ -53,18 +52,6 @@
         program.awaitReady();
     }
 
-    @AfterEach
-    void closeAll() throws Exception {
-        for (AutoCloseable one : toClose) {
-            one.close();
-        }
-    }
-
-    private <T extends AutoCloseable> T open(T one) {
-        toClose.add(one);
-        return one;
-    }
-
     private Socket client() throws IOException {
         Socket socket = open(new Socket(InetAddress.getLoopbackAddress(), port));
         socket.setSoTimeout(PATIENCE_MS);
--- a/sidecar/src/test/java/dapplequay/cli/SignalCrossingsTest.java
+++ b/sidecar/src/test/java/dapplequay/cli/SignalCrossingsTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import dapplequay.ClosesWhatItOpened;
 import dapplequay.http.Head;
 import dapplequay.http.MessageReader;
 import java.io.IOException;
@@ -20,37 +21,23 @@
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
-import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
 
 /** SIGTERM and SIGHUP against all that a process may be in the middle of. Each test leads one to the other. */
 @Timeout(120)
-class SignalCrossingsTest {
+class SignalCrossingsTest extends ClosesWhatItOpened {
     private static final int PATIENCE_MS = 20_000;
     private static final int ENDED_BY_SIGTERM = 128 + 15;
     private static final int HALF = 40;
 
     @TempDir
     private Path folder;
-    private final List<AutoCloseable> toClose = new ArrayList<>();
     private Upstream upstream;
     private Program program;
     private int calls;
 
-    @AfterEach
-    void closeAll() throws Exception {
-        for (AutoCloseable one : toClose) {
-            one.close();
-        }
-    }
-
-    private <T extends AutoCloseable> T open(T one) {
-        toClose.add(one);
-        return one;
-    }
-
     /** Deadlines so long that the time of an ending is the platform's longest; both servers are the test's. */
     private String settings() throws IOException {
         upstream = upstream == null ? open(new Upstream()) : upstream;
--- a/sidecar/src/test/java/dapplequay/net/BrokenAnswersTest.java
+++ b/sidecar/src/test/java/dapplequay/net/BrokenAnswersTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
+import dapplequay.ClosesWhatItOpened;
 import dapplequay.http.Head;
 import dapplequay.http.MessageReader;
 import dapplequay.http.Sockets;
@@ -23,7 +24,6 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicInteger;
-import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -32,22 +32,9 @@
 
 /** A sidecar before hosts whose answers break: a reset is no end, and what may have run is repeated by the rules. */
 @Timeout(60)
-class BrokenAnswersTest {
+class BrokenAnswersTest extends ClosesWhatItOpened {
     private static final AtomicInteger CALLS = new AtomicInteger();
 
-    private final List<AutoCloseable> toClose = new CopyOnWriteArrayList<>();
-
-    @AfterEach
-    void closeAll() throws Exception {
-        for (AutoCloseable one : toClose) {
-            one.close();
-        }
-    }
-
-    private <T extends AutoCloseable> T open(T one) {
-        toClose.add(one);
-        return one;
-    }
 
     /** A sidecar of the example's settings, with hosts of one cell at these ports. */
     private Sidecar sidecar(Map<String, Integer> changes, int... ports) throws IOException {
--- a/sidecar/src/test/java/dapplequay/net/ClientDepartureTest.java
+++ b/sidecar/src/test/java/dapplequay/net/ClientDepartureTest.java
@@ -2,22 +2,25 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import dapplequay.ClosesWhatItOpened;
 import dapplequay.http.Head;
 import dapplequay.http.MessageReader;
 import java.io.IOException;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketException;
 import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
-import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -26,23 +29,10 @@
 
 /** A client that has gone, at moments where nobody reads its connection or something lies before its end. */
 @Timeout(90)
-class ClientDepartureTest {
+class ClientDepartureTest extends ClosesWhatItOpened {
     /** Far less than the requests' own time, after which their attempts would end anyhow. */
     private static final int SOON_S = 6;
 
-    private final List<AutoCloseable> toClose = new ArrayList<>();
-
-    @AfterEach
-    void closeAll() throws Exception {
-        for (AutoCloseable one : toClose) {
-            one.close();
-        }
-    }
-
-    private <T extends AutoCloseable> T open(T one) {
-        toClose.add(one);
-        return one;
-    }
 
     private ClientRig rig(ClientRig.Hooks hooks, int... ports) throws IOException {
         return open(new ClientRig(hooks, 100, ports));
@@ -281,6 +271,124 @@
         assertThat(host.got).containsExactly("other");
     }
 
+    /**
+     * Its connections take in little of what is written to them. It answers each request but one that is to get stuck: of
+     * that it reads the head alone, until it breaks off.
+     */
+    private static final class StuckHost implements AutoCloseable {
+        private static final int BUFFER = 4_096;
+        final BlockingQueue<String> got;
+        private final CountDownLatch breaks;
+        private final ServerSocket listener = new ServerSocket();
+
+        StuckHost(BlockingQueue<String> got, CountDownLatch breaks) throws IOException {
+            this.got = got;
+            this.breaks = breaks;
+            listener.setReceiveBufferSize(BUFFER);
+            listener.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+            Host.daemon(() -> {
+                while (true) {
+                    Socket socket = listener.accept();
+                    Host.daemon(() -> serve(socket));
+                }
+            });
+        }
+
+        /** One that holds little of what is written to it. */
+        static Socket narrow() {
+            Socket socket = new Socket();
+            try {
+                socket.setSendBufferSize(BUFFER);
+            } catch (SocketException e) {
+                throw new AssertionError(e);
+            }
+            return socket;
+        }
+
+        private void serve(Socket socket) throws Exception {
+            try (socket) {
+                MessageReader reader = new MessageReader(socket.getInputStream());
+                while (reader.await()) {
+                    Head head = reader.request();
+                    got.add(head.get("Idempotency-Key"));
+                    if (head.get("Idempotency-Key").equals("held")) {
+                        breaks.await();
+                        socket.setSoLinger(true, 0);
+                        return;
+                    }
+                    reader.requestBody(head);
+                    socket.getOutputStream().write(Host.ok("done").getBytes(StandardCharsets.ISO_8859_1));
+                }
+            }
+        }
+
+        @Override
+        public void close() throws IOException {
+            listener.close();
+        }
+    }
+
+    /**
+     * Nobody reads the client's connection while its thread stands in the write. That ends with the host's connection,
+     * and the next attempt is due before the thread has read again.
+     */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void attemptThatBreaksWithinItsWriteIsNotFollowedByAnother(boolean withReset) throws Exception {
+        BlockingQueue<String> got = new LinkedBlockingQueue<>();
+        CountDownLatch breaks = new CountDownLatch(1);
+        StuckHost first = open(new StuckHost(got, breaks));
+        StuckHost second = open(new StuckHost(got, breaks));
+        ClientRig rig = open(new ClientRig(new ClientRig.Hooks() {
+            /** The thread reads again only once a second attempt has come, or none comes for long. */
+            @Override
+            void beforeRead() throws IOException {
+                long untilNs = System.nanoTime() + TimeUnit.SECONDS.toNanos(1);
+                while (breaks.getCount() == 0 && !got.contains("other") && Collections.frequency(got, "held") < 2
+                        && System.nanoTime() < untilNs) {
+                    Thread.onSpinWait();
+                }
+            }
+        }, 100, StuckHost::narrow, first.listener.getLocalPort(), second.listener.getLocalPort()));
+        Host.Client client = rig.client();
+        client.send(ClientRig.pay("before"));
+        assertThat(client.answer().status()).isEqualTo(200);
+        rig.stopClock(30_000);          // the connection has rested, so that it is used again
+        client.send(ClientRig.pay("held", 15_000, 60_000));
+        while (!got.contains("held")) {
+            Thread.onSpinWait();
+        }
+        leave(client, withReset);
+        rig.stopClock(200_000);
+        breaks.countDown();
+        assertThat(rig.accepted().isClosedInTime()).isTrue();
+        Host.Client other = rig.client();
+        other.send(ClientRig.pay("other"));
+        assertThat(other.answer().status()).isEqualTo(200);
+        assertThat(got).containsExactly("before", "held", "other");
+    }
+
+    /** The same where the connect ends long after it has left: not even the head goes out. */
+    @Test
+    void longRequestIsNotBegunForAClientThatLeftDuringItsConnect() throws Exception {
+        FullHost host = open(new FullHost());
+        ClientRig rig = rig(new ClientRig.Hooks(), host.port());
+        Host.Client client = rig.client();
+        client.send(ClientRig.pay("long", 15_000, 100_000));
+        ClientRig.Accepted accepted = rig.accepted();
+        while (accepted.read.get() < 10_000) {      // more than is held of it
+            Thread.sleep(1);
+        }
+        leave(client, false);
+        rig.stopClock(200_000);
+        host.opens();
+        assertThat(accepted.isClosedInTime()).isTrue();
+        Host.Client other = rig.client();
+        other.send(ClientRig.pay("other"));
+        assertThat(other.answer().status()).isEqualTo(200);
+        assertThat(host.got).containsExactly("other");
+    }
+
     /** The client's own thread is in the connect then, and all of the body lies in the socket when it comes back. */
     @Test
     void longRequestIsNotMadeWholeForAClientThatHasGone() throws Exception {
--- a/sidecar/src/test/java/dapplequay/net/ClientRig.java
+++ b/sidecar/src/test/java/dapplequay/net/ClientRig.java
@@ -27,6 +27,7 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Supplier;
 
 /**
  * The clients' side on real sockets before scripted hosts, with a clock that a test may stop, a timekeeper that it may
@@ -136,6 +137,11 @@
 
     /** {@code most}: client connections at the bound; {@code ports}: the hosts. */
     ClientRig(Hooks hooks, int most, int... ports) throws IOException {
+        this(hooks, most, Socket::new, ports);
+    }
+
+    /** {@code sockets}: for the connections to hosts. */
+    ClientRig(Hooks hooks, int most, Supplier<Socket> sockets, int... ports) throws IOException {
         deadlines = new Deadlines(() -> stoppedUs >= 0 ? stoppedUs : running.getAsLong());
         String text = Files.readString(Path.of("example/config.json"))
                 .replaceAll("\"connect_timeout_us\": \\d+", "\"connect_timeout_us\": 8000000")
@@ -150,7 +156,7 @@
         Counts counts = new Counts();
         counts.know(setup.classes().keySet());
         lifetime = new Lifetime(deadlines::now);
-        UpstreamSide upstreams = new UpstreamSide(table, deadlines, () -> setup, 100, counts);
+        UpstreamSide upstreams = new UpstreamSide(table, deadlines, () -> setup, 100, counts, sockets);
         Conductor conductor = new Conductor(facade, upstreams);
         upstreams.conductor(conductor);
         Door door = door(hooks, accepted);
--- a/sidecar/src/test/java/dapplequay/net/LongAnswerTest.java
+++ b/sidecar/src/test/java/dapplequay/net/LongAnswerTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.catchThrowable;
 
+import dapplequay.ClosesWhatItOpened;
 import dapplequay.http.Body;
 import dapplequay.http.Head;
 import dapplequay.http.MessageReader;
@@ -10,8 +11,6 @@
 import java.net.SocketException;
 import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
-import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
@@ -26,7 +25,7 @@
  * still where a test has not moved it: nothing ends by a time that the test has not set.
  */
 @Timeout(90)
-class LongAnswerTest {
+class LongAnswerTest extends ClosesWhatItOpened {
     private static final int SOON_S = 6;
     private static final int BUDGET_MS = 1_000;
     private static final long GRACE_US = 400_000;
@@ -34,7 +33,6 @@
     private static final long LOOKS_MS = 6 * LongAnswer.LOOK_MS;
     private static final int LENGTH = 100_000;
 
-    private final List<AutoCloseable> toClose = new ArrayList<>();
     private final CountDownLatch goOn = new CountDownLatch(1);
     private final CountDownLatch takenOver = new CountDownLatch(1);
     private final CountDownLatch ends = new CountDownLatch(1);
@@ -43,16 +41,8 @@
     private MessageReader reader;
 
     @AfterEach
-    void closeAll() throws Exception {
+    void letGoOn() {
         goOn.countDown();
-        for (AutoCloseable one : toClose) {
-            one.close();
-        }
-    }
-
-    private <T extends AutoCloseable> T open(T one) {
-        toClose.add(one);
-        return one;
     }
 
     private static void write(Host.Seen to, String text) throws IOException {
--- a/sidecar/src/test/java/dapplequay/net/OrderlyCloseTest.java
+++ b/sidecar/src/test/java/dapplequay/net/OrderlyCloseTest.java
@@ -2,11 +2,11 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import dapplequay.ClosesWhatItOpened;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
-import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -14,22 +14,9 @@
 
 /** How a client's connection ends, with bytes that come in the very moment. */
 @Timeout(90)
-class OrderlyCloseTest {
-    private final List<AutoCloseable> toClose = new ArrayList<>();
+class OrderlyCloseTest extends ClosesWhatItOpened {
     private volatile Host.Client sender;
 
-    @AfterEach
-    void closeAll() throws Exception {
-        for (AutoCloseable one : toClose) {
-            one.close();
-        }
-    }
-
-    private <T extends AutoCloseable> T open(T one) {
-        toClose.add(one);
-        return one;
-    }
-
     private Host host() throws IOException {
         return open(new Host((head, seen) -> Host.ok("done")));
     }
--- a/sidecar/src/test/java/dapplequay/net/SidecarTest.java
+++ b/sidecar/src/test/java/dapplequay/net/SidecarTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
+import dapplequay.ClosesWhatItOpened;
 import dapplequay.lifecycle.Ending;
 import dapplequay.settings.Json;
 import dapplequay.settings.SettingsReader;
@@ -23,7 +24,6 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
-import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -32,10 +32,9 @@
 
 /** A sidecar on real sockets between scripted hosts, a scripted discovery and clients: one test a rule. */
 @Timeout(60)
-class SidecarTest {
+class SidecarTest extends ClosesWhatItOpened {
     private static final AtomicInteger CALLS = new AtomicInteger();
 
-    private final List<AutoCloseable> toClose = new ArrayList<>();
     private final BlockingQueue<String> lists = new LinkedBlockingQueue<>();
     private int sockets = 1024;
     private boolean oneCell;
@@ -46,18 +45,6 @@
     private InetSocketAddress discoveryAt;
     private long connIdleUs = 30_000_000;
 
-    @AfterEach
-    void closeAll() throws Exception {
-        for (AutoCloseable one : toClose) {
-            one.close();
-        }
-    }
-
-    private <T extends AutoCloseable> T open(T one) {
-        toClose.add(one);
-        return one;
-    }
-
     private Host host(Host.Script script) throws IOException {
         return open(new Host(script));
     }
--- a/sidecar/src/test/java/dapplequay/net/UpstreamRig.java
+++ b/sidecar/src/test/java/dapplequay/net/UpstreamRig.java
@@ -41,6 +41,16 @@
     /** One attempt's end, in the order told. */
     record Ended(Attempt attempt, AttemptEnd end, String body) { }
 
+    /** An exchange without a client's connection: its client is there. */
+    static final class Listening extends Exchange {
+        Listening(long id, ClientRequest request) {
+            super(id, null, request, new Counts());
+        }
+
+        @Override
+        void lookForClient() { }
+    }
+
     final AtomicLong now = new AtomicLong(1_000_000_000);
     final Endpoints table = new Endpoints();
     final BlockingQueue<Ended> ends = new LinkedBlockingQueue<>();
@@ -123,7 +133,7 @@
             MessageReader reader = new MessageReader(new ByteArrayInputStream(new byte[0]), MessageReader.LONGEST_BODY);
             ClientRequest request = new ClientRequest(read, new byte[held], isLong ? reader.body(read) : null,
                     "pay", null, null, TIME_US);
-            return new Attempt(new Exchange(++ids, null, request, new Counts()),
+            return new Attempt(new Listening(++ids, request),
                     new Decision.Send(0, host, TIME_US, beginByUs), now.get());
         } catch (IOException e) {
             throw new AssertionError(e);
--- a/sidecar/src/test/java/dapplequay/net/UpstreamSideTest.java
+++ b/sidecar/src/test/java/dapplequay/net/UpstreamSideTest.java
@@ -50,7 +50,7 @@
     private static Attempt attempt(UpstreamSide side) throws IOException {
         Head head = Head.request("POST /pay HTTP/1.1".getBytes(StandardCharsets.US_ASCII));
         ClientRequest request = new ClientRequest(head, new byte[0], null, "pay", null, null, 10_000_000);
-        return new Attempt(new Exchange(1, null, request, new Counts()), new Decision.Send(0, "s1", 10_000_000), side.now());
+        return new Attempt(new UpstreamRig.Listening(1, request), new Decision.Send(0, "s1", 10_000_000), side.now());
     }
 
     /** What a host sends behind an answer would else be taken for the next one; a new connection costs the host. */
