--- a/core/src/main/java/dapplequay/Admission.java
+++ b/core/src/main/java/dapplequay/Admission.java
@@ -39,7 +39,7 @@
                 continue;
             }
             double figure = s.figure(now);
-            if (figure <= limit && (head == null || s.shares(now))) {
+            if (figure <= limit && (head == null || now >= s.flagSetAt)) {
                 return s;
             }
             head = head == null ? s : head;
--- a/core/src/main/java/dapplequay/BuddySet.java
+++ b/core/src/main/java/dapplequay/BuddySet.java
@@ -33,6 +33,7 @@
     double took;
     int answers = 1;              // the guess at the start counts as one
     double slowest = Double.MAX_VALUE;      // what an answer takes in the class that takes longest
+    double failures;              // share of sends that fail, at all servers: running mean
     ColdBudget cold;
     final SplittableRandom random;
     ZoneLoss zoneLoss;
@@ -42,7 +43,7 @@
 
     BuddySet(Settings settings, SplittableRandom random) {
         this.random = random;
-        zoneLoss = new ZoneLoss(settings.zones().size(), Suspects.SHUN_US);
+        zoneLoss = new ZoneLoss(settings.zones().size(), 3 * Suspects.SHUN_US);
     }
 
     /** Time per request held and unit of size (Little's law), us; where no count is told, no more than one takes. */
@@ -100,7 +101,7 @@
     void form(long now) {
         List<Server> ready = servers.values().stream().filter(s -> s.ready).toList();
         if (ready.stream().allMatch(s -> zoneLoss.isLost(s.zone))) {
-            zoneLoss = new ZoneLoss(settings.zones().size(), Suspects.SHUN_US);  // there is no other to turn to
+            zoneLoss = new ZoneLoss(settings.zones().size(), 3 * Suspects.SHUN_US);  // there is no other to turn to
         }
         Comparator<Server> permuted = Comparator.comparingDouble((Server s) -> s.orderKey / s.size)
                 .thenComparing(s -> s.host);
--- a/core/src/main/java/dapplequay/Held.java
+++ b/core/src/main/java/dapplequay/Held.java
@@ -60,9 +60,7 @@
         attempts.add(s);
         out++;
         sentAt = now;
-        if (firstMayHaveRun == null) {
-            firstMayHaveRun = new Sent(s, s.zone, s.cell, now);
-        }
+        firstMayHaveRun = firstMayHaveRun != null ? firstMayHaveRun : new Sent(s, s.zone, s.cell, now);
     }
 
     void ended(boolean neverRan) {
--- a/core/src/main/java/dapplequay/Server.java
+++ b/core/src/main/java/dapplequay/Server.java
@@ -56,7 +56,7 @@
     private double refresh = 1_000_000;   // usual time between two such, us, running mean
     private double heldSeen;      // requests held a unit of size as told with answers, running mean
     private double took;          // what those answers took, us, running mean
-    private long flagSetAt;       // the share flag: from then on it counts as set
+    long flagSetAt;               // the share flag: from then on it counts as set
     long shunUntil;
     boolean trial;                // failed, and not yet proved sound again
     double doubt = DOUBT_NONE;
@@ -154,10 +154,6 @@
         reportAt = now;
     }
 
-    boolean shares(long now) {
-        return now >= flagSetAt;
-    }
-
     void clearFlag(long now) {
         flagSetAt = now + FLAG_TIMER_US / 2 + set.random.nextLong(FLAG_TIMER_US);
     }
