The test of a long request's connect waits until that is under way, and for its connection's end

As it was, the client's departure could be seen before the connect began (a process just started looks at once), and the test passed without Presence.lookFor. Now its thread is in the connect when the client leaves; without the look it fails each time, with it it passes.

--- a/sidecar/src/test/java/dapplequay/net/ClientDepartureTest.java
+++ b/sidecar/src/test/java/dapplequay/net/ClientDepartureTest.java
@@ -14,6 +14,7 @@
 import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Collections;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
@@ -197,6 +198,7 @@
     /** A host whose queue is full, so that connects wait, until it is opened; what it gets then, key by key. */
     private static final class FullHost implements AutoCloseable {
         final BlockingQueue<String> got = new LinkedBlockingQueue<>();
+        final BlockingQueue<Boolean> ended = new LinkedBlockingQueue<>();
         private final ServerSocket listener = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
         private final List<Socket> queue = new ArrayList<>();
 
@@ -239,6 +241,8 @@
                     got.add(key);
                     socket.getOutputStream().write(Host.ok("done").getBytes(StandardCharsets.ISO_8859_1));
                 }
+            } finally {
+                ended.add(true);
             }
         }
 
@@ -376,13 +380,16 @@
         Host.Client client = rig.client();
         client.send(ClientRig.pay("long", 15_000, 100_000));
         ClientRig.Accepted accepted = rig.accepted();
-        while (accepted.read.get() < 10_000) {      // more than is held of it
-            Thread.sleep(1);
+        while (Thread.getAllStackTraces().entrySet().stream().noneMatch(e -> e.getKey().getName().equals("client")
+                && Arrays.stream(e.getValue()).anyMatch(f -> f.getClassName().equals(Socket.class.getName())
+                        && f.getMethodName().equals("connect")))) {
+            Thread.onSpinWait();
         }
         leave(client, false);
         rig.stopClock(200_000);
         host.opens();
         assertThat(accepted.isClosedInTime()).isTrue();
+        assertThat(host.ended.poll(SOON_S, TimeUnit.SECONDS)).as("its connection is closed").isTrue();
         Host.Client other = rig.client();
         other.send(ClientRig.pay("other"));
         assertThat(other.answer().status()).isEqualTo(200);
