An attempt that waits for its connection to have rested is no sign of a silent host

Cause: an attempt may wait up to 20 ms for a used connection to have rested (UpstreamSide.find), and the module counts its waiting from the decision (Balance.timer): eight that rest beside one another are 160 ms, which is more than sixteen times an answer of 5 ms.

--- a/core/src/test/java/dapplequay/SuspectsTest.java
+++ b/core/src/test/java/dapplequay/SuspectsTest.java
@@ -49,4 +49,27 @@
             b.outcome(send, Outcome.ERROR);
         }
     }
+
+    /**
+     * A used connection rests for 20 ms before it is used again, and an attempt may wait for that: eight that wait beside
+     * one another, for answers that take 5 ms, are no sign of a host that has fallen silent.
+     */
+    @Test
+    void attemptsThatWaitForTheirConnectionsAreNoSilence() {
+        Bench b = new Bench().fleet(2, 0);
+        for (int i = 0; i < 200; i++) {
+            Bench.Done send = b.request(Bench.SAFE);
+            b.pass(5_000).module.outcome(b.now, send.id(), 0, send.host(), Outcome.OK, 5_000, true, new LoadReport(1, 1));
+        }
+        int[] sent = new int[2];
+        for (int i = 0; i < 16; i++) {
+            sent[b.request(Bench.SAFE).host().charAt(1) - '0']++;
+        }
+        assertThat(sent).as("at each host").doesNotContain(0);
+        assertThat(Math.max(sent[0], sent[1])).isGreaterThanOrEqualTo(8);
+        b.pass(21_000).module.timer(b.now, 1);
+        assertThat(b.count("cancel")).isZero();
+        b.pass(100_000).module.timer(b.now, 1);
+        assertThat(b.count("cancel")).as("nothing came for long").isPositive();
+    }
 }
