--- a/core/src/main/java/dapplequay/Balance.java
+++ b/core/src/main/java/dapplequay/Balance.java
@@ -128,7 +128,6 @@
             learn(now, s, outcome, tookUs, report);
             if (outcome == Outcome.OK && h != null) {
                 usual.computeIfPresent(h.type.name(), (name, took) -> took + CLASS_GAIN * (tookUs - took));
-                set.slowest = usual.values().stream().mapToDouble(took -> took).max().getAsDouble();
             }
         }
         if (h == null || closed) {
@@ -167,8 +166,8 @@
     @Override
     public void timer(long now, long token) {
         set.servers.values().forEach(s -> s.awaited = 0);
-        held.values().stream().filter(h -> h.out > 0 && !h.uploading && now > h.sentAt + 2 * Held.WAY_US).forEach(h ->
-                h.last().awaited += (now - Math.max(h.sentAt, h.last().silentSince)) / usual.get(h.type.name()));
+        held.values().stream().filter(h -> h.out > 0 && !h.uploading).forEach(h -> h.last().awaited +=
+                (now - Math.max(h.sentAt, h.last().silentSince)) / usual.get(h.type.name()));
         set.servers.values().stream().filter(s -> now >= s.shunUntil && s.awaited >= SILENT_TIMES).forEach(s -> {
             suspects.silent(now, s);
             held.values().stream().filter(h -> h.out == 1 && !h.uploading && h.last() == s && h.cut < h.attempts.size()
--- a/core/src/main/java/dapplequay/BuddySet.java
+++ b/core/src/main/java/dapplequay/BuddySet.java
@@ -32,7 +32,6 @@
     double held = 1;              // of all answered sends, as per server
     double took;
     int answers = 1;              // the guess at the start counts as one
-    double slowest = Double.MAX_VALUE;      // what an answer takes in the class that takes longest
     double failures;              // share of sends that fail, at all servers: running mean
     ColdBudget cold;
     final SplittableRandom random;
@@ -46,9 +45,9 @@
         zoneLoss = new ZoneLoss(settings.zones().size(), 3 * Suspects.SHUN_US);
     }
 
-    /** Time per request held and unit of size (Little's law), us; where no count is told, no more than one takes. */
+    /** Time per request held and unit of size (Little's law), us. */
     double pace() {
-        return answers > 1 ? took / held : Math.min(took, slowest);
+        return took / held;
     }
 
     void use(Settings next) {
--- a/core/src/main/java/dapplequay/Held.java
+++ b/core/src/main/java/dapplequay/Held.java
@@ -6,8 +6,8 @@
 
 /** A request taken and not yet answered, and the rules on where it may go. */
 final class Held {
-    /** What an attempt's first byte may take to its server: for a used connection to rest, a thread to write it, us. */
-    static final long WAY_US = 20_000;
+    /** What a repeat's first byte may take to its server, and a thread to write it, us. */
+    private static final long WAY_US = 20_000;
 
     /** An attempt, and where its server was listed when it went out: the list may move it, or start it anew, since. */
     private record Sent(Server server, int zone, int cell, long at) { }
