One registry says of each server whether it may be sent new work, and until when

What callers saw: requests at servers that a list had left out or that drained, after the grace. Cause: whether a server may be used came out of three rules that were each thought through alone (a list that lost most servers, a list of a lower version, a new address), and one put off the other. Change: core.discovery.ServerRegistry, pure: a status for each server, its transitions and their causes, and one deadline, set by the first news and moved by no other event. Nothing uses it yet.

--- /dev/null
+++ b/core/src/main/java/dapplequay/discovery/ServerRegistry.java
@@ -0,0 +1,455 @@
+package dapplequay.discovery;
+
+import dapplequay.discovery.Transition.Cause;
+import dapplequay.facade.ListNews;
+import dapplequay.facade.ListNews.Line;
+import dapplequay.facade.ListNews.State;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * Whether new work may be sent to each server, until when at the latest, and why. All that discovery says goes through
+ * here, so that no two rules can put off a drain between them: <b>what takes a server out never waits longer than its
+ * deadline, what brings one in may wait</b>.
+ *
+ * <p>A drain or a deletion counts at once, whichever version, address or call it comes from. A server that a whole list
+ * leaves out is {@link ServerStatus#REMOVED} at once where the list is trusted, and else
+ * {@link ServerStatus#UNCONFIRMED} with a deadline that lies inside the drain's grace; once set, no other event moves
+ * it: only a trusted list that was asked for and names the server ends it. A list is trusted where it belongs to the
+ * count of versions that is followed, and does not lose more than half of the servers at once, as a discovery does that
+ * has lost its state.
+ *
+ * <p>Pure; times are microseconds of one monotonic clock. Not thread-safe.
+ */
+public final class ServerRegistry {
+    /** A process may be held up this long, us, between looking at a deadline and writing. */
+    public static final long HOLD_UP_US = 150_000;
+    /** For so long, us, what lists of a lower version bring in is taken for a mistake. */
+    public static final long REGRESSION_US = 30_000_000;
+    /** A server that was taken out is remembered for so long, us, against answers to calls made before. */
+    private static final long REMEMBERED_US = 30_000_000;
+    private static final int MOST_REMEMBERED = 4_096;
+    /** Losing a larger share of the servers than this at once is asked about again. */
+    private static final double MOST_LOST_SHARE = 0.5;
+    /** Of fewer servers than this, any share may go at once. */
+    private static final int FEWEST_FOR_DOUBT = 3;
+    /** Of the time until the next deadline: the pause before a doubtful list is asked about again. */
+    private static final double PAUSE_SHARE = 0.25;
+    private static final long NEVER = Long.MAX_VALUE;
+
+    /** A listed server. {@code statusUs}: since when; {@code lastSendUs}: its last send while unconfirmed, or 0. */
+    private static final class Entry {
+        private Line line;
+        private ServerStatus status;
+        private long statusUs;
+        private long deadlineUs = NEVER;
+        private long lastSendUs;
+    }
+
+    /** A server that is gone, and the start of the process that it was. */
+    private record Gone(long sinceUs, long bootMs) { }
+
+    private final Map<String, Entry> entries = new LinkedHashMap<>();
+    private final Map<String, Gone> gone = new LinkedHashMap<>();      // the first to have gone first
+    private int generation;
+    private long revision;
+    /** The version of the last list that was taken over with nothing left unconfirmed. */
+    private long confirmedRevision;
+    private boolean anyRevision;
+    private long newestCallUs = Long.MIN_VALUE;     // of the answers that were taken over in full
+    private boolean wholeListWanted;
+    private boolean isRegressed;                    // lists of a lower version come
+    private long regressedSinceUs;
+    private int regressedLists;
+    private long regressedRevision;
+    private long nextDeadlineUs = NEVER;
+    private Changes changes = new Changes();
+
+    /** What one event has changed. */
+    private static final class Changes {
+        private final List<Transition> transitions = new ArrayList<>();
+        private final List<Line> lines = new ArrayList<>();
+        private final List<SendAfterNews> takenOut = new ArrayList<>();
+    }
+
+    /** For a server that was taken out: how long after the news the last work was sent to it, microseconds. */
+    public record SendAfterNews(String uid, long lastSendUs) { }
+
+    /**
+     * What came of an event.
+     *
+     * @param news        for the decision module; no lines where it has nothing to learn
+     * @param transitions of servers' statuses
+     * @param takenOut    the servers that get no new work from now on
+     */
+    public record Outcome(ListNews news, List<Transition> transitions, List<SendAfterNews> takenOut) {
+        /** How many servers came to have that status for that cause. */
+        public long count(Cause cause, ServerStatus status) {
+            return transitions.stream().filter(t -> t.cause() == cause && t.to() == status).count();
+        }
+    }
+
+    /** {@code anyRevision}: the list that it begins with binds nobody, as the count of its versions may be another. */
+    public ServerRegistry(boolean anyRevision) {
+        this.anyRevision = anyRevision;
+    }
+
+    /** The list to begin with: taken over as it is. */
+    public void restore(long itsRevision, Collection<Line> lines) {
+        changes = new Changes();
+        entries.clear();
+        lines.forEach(line -> put(line, 0));
+        revision = itsRevision;
+        confirmedRevision = itsRevision;
+    }
+
+    /** Discovery is at another address from now on; deadlines that run stay. */
+    public void moved() {
+        generation++;
+        anyRevision = true;
+        wholeListWanted = true;
+        isRegressed = false;
+    }
+
+    /** The call to make next, at that time. */
+    public ListAnswer.Call nextCall(long nowUs) {
+        long after = wholeListWanted ? ListAnswer.WHOLE_LIST : isRegressed ? regressedRevision : revision;
+        return new ListAnswer.Call(generation, after, nowUs);
+    }
+
+    /**
+     * How long to wait after an answer before all is asked for again, microseconds: a discovery that has lost its state
+     * may find it again, and its second answer has to come before the first deadline.
+     */
+    public long pauseBeforeAskingAgainUs(long nowUs) {
+        return nextDeadlineUs == NEVER ? 0 : (long) (Math.max(0, nextDeadlineUs - nowUs) * PAUSE_SHARE);
+    }
+
+    /** Whether the next call has to ask for the whole list. */
+    public boolean wantsWholeList() {
+        return wholeListWanted;
+    }
+
+    /** The last list could not be used by others: all of it is asked for again. */
+    public void wantWholeList() {
+        wholeListWanted = true;
+    }
+
+    /** Whether lists of a lower version than the one known are coming. */
+    public boolean isRegressed() {
+        return isRegressed;
+    }
+
+    /** Takes in an answer; {@code graceLeftUs}: what is left of the drain's grace for what it brings, 0 or more. */
+    public Outcome answered(ListAnswer answer, long graceLeftUs) {
+        forgetOld(answer.receivedUs());
+        changes = new Changes();
+        boolean isCurrent = answer.call().generation() == generation;
+        if (isCurrent && answer.isWhole() && answer.call().begunUs() >= newestCallUs) {
+            wholeListWanted = false;
+        }
+        long deadlineUs = answer.receivedUs() + Math.max(0, graceLeftUs - HOLD_UP_US);
+        if (!isCurrent || answer.call().begunUs() < newestCallUs) {
+            takeOut(answer, deadlineUs);
+            wholeListWanted |= !changes.transitions.isEmpty();      // the newer word is asked for again
+            return outcome(ListNews.Kind.CHANGES, changes.lines);
+        }
+        if (belongsToNoList(answer) || !anyRevision && answer.revision() < revision) {
+            return regressed(answer, deadlineUs);
+        }
+        return takeOver(answer, deadlineUs);
+    }
+
+    /** Changes where the whole list was asked for, or of a lower version than the one asked after. */
+    private static boolean belongsToNoList(ListAnswer answer) {
+        long after = answer.call().after();
+        return !answer.isWhole() && (after == ListAnswer.WHOLE_LIST || answer.revision() < after);
+    }
+
+    /** An answer of a lower version: it takes out, and what it brings in waits. */
+    private Outcome regressed(ListAnswer answer, long deadlineUs) {
+        if (!isRegressed) {
+            isRegressed = true;
+            regressedSinceUs = answer.receivedUs();
+            regressedLists = 0;
+            regressedRevision = ListAnswer.WHOLE_LIST;
+        }
+        boolean isOver = answer.receivedUs() - regressedSinceUs >= REGRESSION_US;
+        if (isOver && answer.isWhole()) {
+            return takeOver(answer, deadlineUs);
+        }
+        takeOut(answer, deadlineUs);
+        boolean follows;
+        if (answer.isWhole()) {
+            regressedLists++;
+            regressedRevision = answer.revision();
+            follows = regressedLists > 1;       // the first may be a mistake that the next one shows
+        } else {
+            follows = !isOver && regressedLists > 0 && answer.call().after() == regressedRevision
+                    && answer.revision() >= regressedRevision;
+            regressedRevision = follows ? answer.revision() : regressedRevision;
+        }
+        wholeListWanted = !follows;
+        return outcome(ListNews.Kind.CHANGES, changes.lines);
+    }
+
+    /** Of an answer that is not trusted, what it takes out. */
+    private void takeOut(ListAnswer answer, long deadlineUs) {
+        Set<String> named = new HashSet<>();
+        for (Line line : answer.content().lines()) {
+            named.add(line.uid());
+            Entry entry = entries.get(line.uid());
+            if (entry == null) {
+                continue;
+            }
+            // A drain before a later start of the server is over.
+            if (line.state() == State.DRAINING && line.bootMs() >= entry.line.bootMs() && isUsable(entry)) {
+                drain(entry, entry.line, answer.receivedUs());
+            } else if (line.state() == State.DELETED) {
+                remove(entry, Cause.NAMED_DELETED, answer.receivedUs());
+            }
+        }
+        if (answer.isWhole()) {
+            for (Entry entry : List.copyOf(entries.values())) {
+                if (!named.contains(entry.line.uid()) && isUsable(entry)) {
+                    leftOut(entry, answer.receivedUs(), deadlineUs);
+                }
+            }
+        }
+    }
+
+    private static boolean isUsable(Entry entry) {
+        return entry.status == ServerStatus.SERVING || entry.status == ServerStatus.UNCONFIRMED;
+    }
+
+    /** A list that may be wrong leaves it out: the first time the deadline is set, the second time it is gone. */
+    private void leftOut(Entry entry, long nowUs, long deadlineUs) {
+        if (entry.status == ServerStatus.UNCONFIRMED || deadlineUs <= nowUs) {
+            remove(entry, entry.status == ServerStatus.UNCONFIRMED ? Cause.LEFT_OUT_AGAIN : Cause.LEFT_OUT, nowUs);
+            return;
+        }
+        change(entry, ServerStatus.UNCONFIRMED, Cause.LEFT_OUT, nowUs);
+        entry.deadlineUs = deadlineUs;
+        entry.lastSendUs = 0;
+        nextDeadlineUs = Math.min(nextDeadlineUs, deadlineUs);
+    }
+
+    private void findNextDeadline() {
+        nextDeadlineUs = entries.values().stream().mapToLong(entry -> entry.deadlineUs).min().orElse(NEVER);
+    }
+
+    /** All of an answer counts, but for servers that it seems to have lost. */
+    private Outcome takeOver(ListAnswer answer, long deadlineUs) {
+        boolean wasRegressed = isRegressed;
+        isRegressed = false;
+        anyRevision = false;
+        newestCallUs = answer.call().begunUs();
+        if (answer.isWhole()) {
+            takeOutLeftOut(answer, deadlineUs);
+        }
+        boolean isPartial = false;
+        for (Line line : answer.content().lines()) {
+            isPartial |= !takeOver(line, answer);
+        }
+        revision = answer.revision();
+        findNextDeadline();
+        boolean isConfirmed = nextDeadlineUs == NEVER;
+        confirmedRevision = isConfirmed ? revision : confirmedRevision;
+        // Changes to a list of which, while versions were lower, not all was taken over.
+        wholeListWanted |= !isConfirmed || isPartial || wasRegressed && !answer.isWhole();
+        boolean isAll = answer.isWhole() && isConfirmed && !isPartial;
+        return isAll ? outcome(ListNews.Kind.WHOLE, answer.content().lines())
+                : outcome(ListNews.Kind.CHANGES, changes.lines);
+    }
+
+    /** False where the line would bring back what was taken out after the call was made. */
+    private boolean takeOver(Line line, ListAnswer answer) {
+        Entry entry = entries.get(line.uid());
+        if (line.state() == State.DELETED) {
+            if (entry != null) {
+                remove(entry, Cause.NAMED_DELETED, answer.receivedUs());
+            }
+            return true;
+        }
+        if (line.state() == State.DRAINING) {
+            if (entry == null) {
+                put(line, answer.receivedUs());
+            } else {
+                drain(entry, line, answer.receivedUs());
+            }
+            return true;
+        }
+        if (isOlderWord(line, entry, answer.call().begunUs())) {
+            return false;
+        }
+        if (entry == null) {
+            put(line, answer.receivedUs());
+            return true;
+        }
+        entry.line = line;
+        entry.deadlineUs = NEVER;
+        if (entry.status != ServerStatus.SERVING) {
+            change(entry, ServerStatus.SERVING, Cause.NAMED_SERVING, answer.receivedUs());
+        }
+        changes.lines.add(line);
+        return true;
+    }
+
+    /** Whether the server, being the same process, was taken or left out after the call was made. */
+    private boolean isOlderWord(Line line, Entry entry, long begunUs) {
+        if (entry != null) {
+            return entry.status != ServerStatus.SERVING && entry.statusUs > begunUs
+                    && line.bootMs() <= entry.line.bootMs();
+        }
+        Gone left = gone.get(line.uid());
+        return left != null && left.sinceUs > begunUs && line.bootMs() <= left.bootMs;
+    }
+
+    /** The servers that a trusted list leaves out are gone; where they are most of all, they are unconfirmed first. */
+    private void takeOutLeftOut(ListAnswer answer, long deadlineUs) {
+        Set<String> named = new HashSet<>();
+        answer.content().lines().forEach(line -> named.add(line.uid()));
+        List<Entry> missing = entries.values().stream().filter(e -> !named.contains(e.line.uid())).toList();
+        long usable = entries.values().stream().filter(ServerRegistry::isUsable).count();
+        long lost = missing.stream().filter(ServerRegistry::isUsable).count();
+        boolean isDoubtful = usable >= FEWEST_FOR_DOUBT && lost > usable * MOST_LOST_SHARE;
+        for (Entry entry : missing) {
+            if (isDoubtful && isUsable(entry)) {
+                leftOut(entry, answer.receivedUs(), deadlineUs);
+            } else {
+                remove(entry, Cause.LEFT_OUT, answer.receivedUs());
+            }
+        }
+    }
+
+    private void put(Line line, long nowUs) {
+        Entry entry = new Entry();
+        entry.line = line;
+        entry.status = line.state() == State.SERVING ? ServerStatus.SERVING : ServerStatus.DRAINING;
+        entry.statusUs = nowUs;
+        entries.put(line.uid(), entry);
+        gone.remove(line.uid());
+        changes.lines.add(line);
+        boolean serves = entry.status == ServerStatus.SERVING;
+        changes.transitions.add(new Transition(line.uid(), ServerStatus.REMOVED, entry.status,
+                serves ? Cause.NAMED_SERVING : Cause.NAMED_DRAINING, 0));
+    }
+
+    private void drain(Entry entry, Line line, long nowUs) {
+        entry.line = in(State.DRAINING, line);
+        if (entry.status != ServerStatus.DRAINING) {
+            noteTakenOut(entry);
+            change(entry, ServerStatus.DRAINING, Cause.NAMED_DRAINING, nowUs);
+        }
+        entry.deadlineUs = NEVER;
+        changes.lines.add(entry.line);
+    }
+
+    private void remove(Entry entry, Cause cause, long nowUs) {
+        if (isUsable(entry)) {
+            noteTakenOut(entry);
+        }
+        entries.remove(entry.line.uid());
+        gone.remove(entry.line.uid());
+        gone.put(entry.line.uid(), new Gone(nowUs, entry.line.bootMs()));
+        changes.lines.add(in(State.DELETED, entry.line));
+        change(entry, ServerStatus.REMOVED, cause, nowUs);
+    }
+
+    private void noteTakenOut(Entry entry) {
+        boolean wasSentTo = entry.status == ServerStatus.UNCONFIRMED && entry.lastSendUs > 0;
+        changes.takenOut.add(new SendAfterNews(entry.line.uid(), wasSentTo ? entry.lastSendUs - entry.statusUs : 0));
+    }
+
+    private void change(Entry entry, ServerStatus to, Cause cause, long nowUs) {
+        changes.transitions.add(new Transition(entry.line.uid(), entry.status, to, cause, nowUs - entry.statusUs));
+        entry.status = to;
+        entry.statusUs = nowUs;
+    }
+
+    private static Line in(State state, Line line) {
+        return new Line(line.uid(), line.zone(), line.cell(), state, line.weight(), line.bootMs());
+    }
+
+    private Outcome outcome(ListNews.Kind kind, List<Line> lines) {
+        return new Outcome(new ListNews(kind, lines), List.copyOf(changes.transitions), List.copyOf(changes.takenOut));
+    }
+
+    private void forgetOld(long nowUs) {
+        Iterator<Gone> oldest = gone.values().iterator();
+        while (oldest.hasNext()) {
+            boolean isOld = nowUs - oldest.next().sinceUs > REMEMBERED_US;
+            if (!isOld && gone.size() <= MOST_REMEMBERED) {
+                return;
+            }
+            oldest.remove();
+        }
+    }
+
+    /** When {@link #expire} has something to do next; {@link Long#MAX_VALUE} where no deadline runs. */
+    public long nextDeadlineUs() {
+        return nextDeadlineUs;
+    }
+
+    /** Takes out the servers whose deadline has come. */
+    public Outcome expire(long nowUs) {
+        changes = new Changes();
+        if (nowUs >= nextDeadlineUs) {
+            for (Entry entry : List.copyOf(entries.values())) {
+                if (nowUs >= entry.deadlineUs) {
+                    remove(entry, Cause.DEADLINE, nowUs);
+                }
+            }
+            findNextDeadline();
+            confirmedRevision = nextDeadlineUs == NEVER ? revision : confirmedRevision;
+        }
+        return outcome(ListNews.Kind.CHANGES, changes.lines);
+    }
+
+    /** Whether new work may go to the server now: asked right before its first byte. */
+    public boolean maySend(String uid, long nowUs) {
+        Entry entry = entries.get(uid);
+        return entry != null && isUsable(entry) && nowUs < entry.deadlineUs;
+    }
+
+    /** Work went out to it. */
+    public void sent(String uid, long nowUs) {
+        Entry entry = entries.get(uid);
+        if (entry != null && entry.status == ServerStatus.UNCONFIRMED) {
+            entry.lastSendUs = nowUs;
+        }
+    }
+
+    /** Its status; {@link ServerStatus#REMOVED} where it is not listed. */
+    public ServerStatus statusOf(String uid) {
+        Entry entry = entries.get(uid);
+        return entry == null ? ServerStatus.REMOVED : entry.status;
+    }
+
+    /** The listed servers' lines, as last heard; of an unconfirmed one, as if it drained. */
+    public List<Line> lines() {
+        return entries.values().stream().map(entry -> isUsable(entry) && entry.status != ServerStatus.SERVING
+                ? in(State.DRAINING, entry.line) : entry.line).toList();
+    }
+
+    /** The version known. */
+    public long revision() {
+        return revision;
+    }
+
+    /** The version with which a later life may begin: changes after it tell of those that are unconfirmed now. */
+    public long confirmedRevision() {
+        return confirmedRevision;
+    }
+
+    /** How many servers are listed, those that drain included. */
+    public int size() {
+        return entries.size();
+    }
+}
