Answers to discovery calls that were superseded are read, and drains count from them

What callers saw: requests sent to draining servers up to 2.6 s after the grace, and after a row of new configurations later than 6 s after the change. Cause: a call was closed with its answer outstanding, at each move of discovery and each time-out (Watch.moveTo, failed); the answer counts as told once it is written, and a discovery that works calls through in turn had the closed ones before the next. Change: DiscoveryClient keeps a connection's thread for each call and goes on reading superseded ones for 8 s, three at most; what they take out counts at once, through the registry, which replaces Doubt and LostCount. A new address is asked for its whole list also before the first call; the 6 s of what was missed go on over a move; moves in a row are called for half a second apart. Each transition is logged with version, address and age of the call; figures: transitions, sends stopped by reason, time unconfirmed, time from news to last send.

Why it holds: no answer that can still come is thrown away within the time in which it could be the first with its news.

Tests changed, as they held what the rule forbids: a doubt was forgotten at a move (now its deadline holds wherever the move falls), a lower version's list took out missing servers after a second (now within the grace), a call before the first one asked a new address for changes (now for all).

--- a/core/src/main/java/dapplequay/membership/ListClock.java
+++ b/core/src/main/java/dapplequay/membership/ListClock.java
@@ -61,6 +61,8 @@
     /** The two in the time that a new address is left: 3.8 s of 4 together. */
     static final long MOVED_AGAIN_US = 1_950_000;
     static final long MOVED_CALL_US = 1_850_000;
+    /** The first calls to new addresses that follow on each other begin at least so far apart. */
+    static final long MOVES_APART_US = 500_000;
     /** That it has nothing to tell yet: what was missed counts as told after {@link #MISSED_US} all the same. */
     static final long AGENT_WAIT_US = MISSED_US - AFTER_WAIT_US;
     private static final double ASKED_SHARE = 0.75;
@@ -76,6 +78,7 @@
     private final SplittableRandom random;
     private boolean isMoved;
     private long movedUs = NEVER;   // the first call to the new address began then
+    private long lastMoveCallUs = Long.MIN_VALUE;
     private boolean isUnsure;       // the last call failed: what there is now is asked for, without a wait
     private boolean watchWasSilent;         // it was the last call
     private long beganUs;
@@ -102,7 +105,10 @@
         Discovery discovery = settings.get();
         beganUs = now;
         againUs = NEVER;
-        movedUs = isMoved && movedUs == NEVER ? now : movedUs;
+        if (isMoved && movedUs == NEVER) {
+            movedUs = now;
+            lastMoveCallUs = now;
+        }
         waitUs = all ? 0 : isUnsure ? 1 : longestWaitUs(discovery);
         if (waitUs > 1) {
             limitUs = now + waitUs + AFTER_WAIT_US / 3;
@@ -194,10 +200,19 @@
         isUnsure = true;
     }
 
-    /** Discovery is at another address: what was missed at the old one is of no use to anybody. */
+    /** Discovery is at another address, and has not failed yet; what was missed at the old one counts as it did. */
     public void moved() {
         isMoved = true;
-        settle();
+        isUnsure = false;
+        watchWasSilent = false;
+        movedUs = NEVER;
+        againUs = NEVER;
+    }
+
+    /** When the first call to a new address may begin: right after another such call it would only crowd a service. */
+    public long moveCallFromUs() {
+        boolean isLimited = settings.get().onRequest() && lastMoveCallUs != Long.MIN_VALUE;
+        return isLimited ? lastMoveCallUs + MOVES_APART_US : Long.MIN_VALUE;
     }
 
     /**
--- /dev/null
+++ b/sidecar/src/main/java/dapplequay/management/DiscoveryFigures.java
@@ -0,0 +1,66 @@
+package dapplequay.management;
+
+import java.util.Map;
+import java.util.TreeMap;
+
+/**
+ * What discovery's news did to the servers, and to the sends that they stopped. Thread-safe.
+ */
+public final class DiscoveryFigures {
+    /** Upper bounds of the histograms' buckets, microseconds. */
+    private static final long[] BOUNDS_US = {0, 10_000, 50_000, 100_000, 250_000, 500_000, 1_000_000, 5_000_000};
+
+    private final Map<String, Long> transitions = new TreeMap<>();
+    private final Map<String, Long> stoppedSends = new TreeMap<>();
+    private final Histogram unconfirmed = new Histogram();
+    private final Histogram lastSends = new Histogram();
+
+    /** Spans of time, counted by {@link #BOUNDS_US}. */
+    private static final class Histogram {
+        private final long[] counts = new long[BOUNDS_US.length + 1];
+        private long sumUs;
+
+        void add(long us) {
+            int bucket = 0;
+            while (bucket < BOUNDS_US.length && us > BOUNDS_US[bucket]) {
+                bucket++;
+            }
+            counts[bucket]++;
+            sumUs += us;
+        }
+    }
+
+    /** A server came to have that status. */
+    public synchronized void transition(String status) {
+        transitions.merge(status, 1L, Long::sum);
+    }
+
+    /** A send was stopped before its first byte, for that reason. */
+    public synchronized void stopped(String reason) {
+        stoppedSends.merge(reason, 1L, Long::sum);
+    }
+
+    /** A list left a server unconfirmed for so long, microseconds. */
+    public synchronized void unconfirmed(long us) {
+        unconfirmed.add(us);
+    }
+
+    /** From the news that took a server out to the last send to it, microseconds; 0 where there was none after it. */
+    public synchronized void lastSend(long us) {
+        lastSends.add(us);
+    }
+
+    /** All of it in the exposition format. */
+    public synchronized String text() {
+        Exposition text = new Exposition();
+        text.labelled("server_transitions_total", "Changes of servers' status by discovery's news.", "to", transitions);
+        text.labelled("stopped_sends_total", "Sends stopped before their first byte.", "reason", stoppedSends);
+        add(text, "unconfirmed_seconds", "For how long a list left servers unconfirmed.", unconfirmed);
+        add(text, "last_send_after_news_seconds", "From news that took a server out to the last send to it.", lastSends);
+        return text.toString();
+    }
+
+    private static void add(Exposition text, String name, String help, Histogram histogram) {
+        text.histogram(name, help, BOUNDS_US, histogram.counts, histogram.sumUs);
+    }
+}
--- a/sidecar/src/main/java/dapplequay/management/Exposition.java
+++ b/sidecar/src/main/java/dapplequay/management/Exposition.java
@@ -10,7 +10,12 @@
 
     private final StringBuilder out = new StringBuilder(2048);
 
-    private Exposition() { }
+    Exposition() { }
+
+    @Override
+    public String toString() {
+        return out.toString();
+    }
 
     /** What is known beside the counts, as it stands now. */
     public record Gauges(int registryEntries, int outOfRotation, long cfgAccepted, long cfgInvalid, long faults) { }
@@ -28,7 +33,7 @@
         text.one("cfg_accepted_total", "counter", "Configurations taken at SIGHUP.", gauges.cfgAccepted());
         text.one("cfg_invalid_total", "counter", "Configurations turned down at SIGHUP.", gauges.cfgInvalid());
         text.one("module_faults_total", "counter", "Times that the decision module threw.", gauges.faults());
-        return text.out.toString();
+        return text.toString();
     }
 
     private void head(String name, String type, String help) {
@@ -41,6 +46,27 @@
         out.append(PREFIX).append(name).append(' ').append(value).append('\n');
     }
 
+    /** A counter for each value of the label, in the order of the map. */
+    void labelled(String name, String help, String label, Map<String, Long> counts) {
+        head(name, "counter", help);
+        counts.forEach((value, count) -> out.append(PREFIX).append(name).append('{').append(label).append("=\"")
+                .append(escaped(value)).append("\"} ").append(count).append('\n'));
+    }
+
+    /** Counts by buckets, the last of them without a bound; bounds and sum in microseconds, shown in seconds. */
+    void histogram(String name, String help, long[] boundsUs, long[] counts, long sumUs) {
+        head(name, "histogram", help);
+        long below = 0;
+        for (int i = 0; i < counts.length; i++) {
+            below += counts[i];
+            String bound = i < boundsUs.length ? String.valueOf(boundsUs[i] / 1e6) : "+Inf";
+            out.append(PREFIX).append(name).append("_bucket{le=\"").append(bound).append("\"} ").append(below)
+                    .append('\n');
+        }
+        out.append(PREFIX).append(name).append("_sum ").append(sumUs / 1e6).append('\n');
+        out.append(PREFIX).append(name).append("_count ").append(below).append('\n');
+    }
+
     private void byClass(String name, String help, Counts.Reading counts, End end) {
         head(name, "counter", help);
         for (Map.Entry<String, long[]> entry : counts.ended().entrySet()) {
--- a/sidecar/src/main/java/dapplequay/net/Endpoints.java
+++ b/sidecar/src/main/java/dapplequay/net/Endpoints.java
@@ -1,5 +1,8 @@
 package dapplequay.net;
 
+import dapplequay.discovery.ListAnswer;
+import dapplequay.discovery.ServerRegistry;
+import dapplequay.discovery.ServerStatus;
 import dapplequay.facade.ListNews;
 import dapplequay.facade.ListNews.Line;
 import dapplequay.facade.ListNews.State;
@@ -17,12 +20,12 @@
 import java.util.Set;
 
 /**
- * Discovery's list as last heard: which endpoint belongs to a host's uid, and whether it wants new work. Only
- * the network asks for endpoints; they differ from one sidecar to the next and may change.
+ * The servers' addresses, beside the {@link ServerRegistry}, which says whether each may be sent new work. Only the
+ * network asks for addresses; they differ from one sidecar to the next and may change.
  */
 final class Endpoints {
-    private final Map<String, Listed> endpoints = new HashMap<>();
-    private long revision;
+    private final Map<String, Endpoint> endpoints = new HashMap<>();
+    private final ServerRegistry registry;
 
     /**
      * The way to one process: a host that restarts, moves or comes up at the address of a gone one is
@@ -30,15 +33,22 @@
      */
     record Endpoint(String uid, InetSocketAddress address, long bootMs) { }
 
-    private record Listed(Endpoint endpoint, Line line) {
-        State state() {
-            return line.state();
-        }
-    }
-
     /** One text of discovery's, read and checked as a whole before any of it counts. */
     record Update(long revision, ListNews news, Map<String, InetSocketAddress> addresses) { }
 
+    /** What came of an answer, and the endpoints that take no new work any more. */
+    record Applied(ServerRegistry.Outcome outcome, Set<Endpoint> closed) { }
+
+    /** One that begins with no list; the first that comes is trusted whatever its version. */
+    Endpoints() {
+        this(true);
+    }
+
+    /** {@code anyRevision}: see {@link ServerRegistry}. */
+    Endpoints(boolean anyRevision) {
+        registry = new ServerRegistry(anyRevision);
+    }
+
     static Update read(byte[] text) throws IOException {
         return read(Json.parse(text));
     }
@@ -50,6 +60,7 @@
             boolean whole = (Boolean) map.get("all");
             List<Line> lines = new ArrayList<>();
             Map<String, InetSocketAddress> addresses = new HashMap<>();
+            Set<String> uids = new HashSet<>();
             for (Object target : (List<?>) map.get("targets")) {
                 Map<?, ?> entry = (Map<?, ?>) target;
                 State state = State.valueOf((String) entry.get("state"));
@@ -57,6 +68,9 @@
                 if (uid.isEmpty()) {
                     throw new IOException("list entry without uid");
                 }
+                if (!uids.add(uid)) {
+                    throw new IOException("list with two entries of " + uid);
+                }
                 if (state != State.DELETED) {
                     addresses.put(uid, address((String) entry.get("endpoint")));
                 }
@@ -64,12 +78,20 @@
                         state, number(entry, "capacity_hint", 1), (long) number(entry, "boot_ms", 0)));
             }
             ListNews.Kind kind = whole ? ListNews.Kind.WHOLE : ListNews.Kind.CHANGES;
-            return new Update(((Number) map.get("rev")).longValue(), new ListNews(kind, lines), addresses);
+            return new Update(revision(map.get("rev")), new ListNews(kind, lines), addresses);
         } catch (ClassCastException | NullPointerException | IllegalArgumentException e) {
             throw new IOException("not a list of servers: " + e.getMessage(), e);
         }
     }
 
+    /** A version: a whole number from 0 to the greatest long. */
+    private static long revision(Object value) throws IOException {
+        if (!(value instanceof Integer || value instanceof Long) || ((Number) value).longValue() < 0) {
+            throw new IOException("not a version of a list: " + value);
+        }
+        return ((Number) value).longValue();
+    }
+
     private static double number(Map<?, ?> entry, String field, double absent) {
         Object value = entry.get(field);
         return value == null ? absent : ((Number) value).doubleValue();
@@ -88,84 +110,104 @@
     }
 
     synchronized long revision() {
-        return revision;
+        return registry.revision();
     }
 
-    /** Takes an update over; returns the endpoints that take no new work any more. */
-    synchronized Set<Endpoint> take(Update update) {
+    /** Takes a list over as it is; returns the endpoints that take no new work any more. */
+    synchronized Set<Endpoint> restore(Update update) {
         Set<Endpoint> before = serving();
-        if (update.news().kind() != ListNews.Kind.CHANGES) {
-            endpoints.clear();
-        }
-        for (Line line : update.news().lines()) {
-            if (line.state() == State.DELETED) {
-                endpoints.remove(line.uid());
-            } else {
-                Endpoint endpoint = new Endpoint(line.uid(), update.addresses().get(line.uid()), line.bootMs());
-                endpoints.put(line.uid(), new Listed(endpoint, line));
-            }
-        }
-        revision = update.revision();
+        endpoints.clear();
+        learn(update);
+        registry.restore(update.revision(), update.news().lines());
         before.removeAll(serving());
         return before;
     }
 
-    /**
-     * What an update with an older version takes out, as changes to the version known: hosts that it says drain or are
-     * deleted, and, with {@code ends}, those that it does not name. A drain before a later start of the host is over.
-     */
-    synchronized Update outsOf(Update older, boolean ends) {
-        List<Line> outs = new ArrayList<>();
-        Map<String, InetSocketAddress> addresses = new HashMap<>();
-        Set<String> named = new HashSet<>();
-        for (Line line : older.news().lines()) {
-            named.add(line.uid());
-            Listed listed = endpoints.get(line.uid());
-            boolean drains = line.state() == State.DRAINING && listed != null && listed.state() == State.SERVING
-                    && line.bootMs() >= listed.line().bootMs();
-            if (drains || line.state() == State.DELETED && listed != null) {
-                outs.add(in(line.state(), listed.line()));
-                addresses.put(line.uid(), listed.endpoint().address());
-            }
-        }
-        for (Listed listed : endpoints.values()) {
-            if (ends && !named.contains(listed.line().uid())) {
-                outs.add(in(State.DELETED, listed.line()));
-            }
+    /** Takes in an answer to that call; {@code graceLeftUs}: of the drain's grace for what it brings. */
+    synchronized Applied apply(Update update, ListAnswer.Call call, long receivedUs, long graceLeftUs) {
+        Set<Endpoint> before = serving();
+        var outcome = registry.answered(new ListAnswer(update.revision(), update.news(), call, receivedUs), graceLeftUs);
+        Set<String> takenOver = new HashSet<>();
+        outcome.news().lines().forEach(line -> takenOver.add(line.uid()));
+        Map<String, InetSocketAddress> addresses = new HashMap<>(update.addresses());
+        addresses.keySet().retainAll(takenOver);
+        learn(new Update(update.revision(), outcome.news(), addresses));
+        return applied(outcome, before);
+    }
+
+    /** Takes out the servers whose deadline has come. */
+    synchronized Applied expire(long nowUs) {
+        if (nowUs < registry.nextDeadlineUs()) {
+            return new Applied(registry.expire(nowUs), Set.of());
         }
-        return new Update(revision, new ListNews(ListNews.Kind.CHANGES, outs), addresses);
+        Set<Endpoint> before = serving();
+        return applied(registry.expire(nowUs), before);
+    }
+
+    private Applied applied(ServerRegistry.Outcome outcome, Set<Endpoint> before) {
+        endpoints.keySet().removeIf(uid -> registry.statusOf(uid) == ServerStatus.REMOVED);
+        before.removeAll(serving());
+        return new Applied(outcome, before);
     }
 
-    private static Line in(State state, Line known) {
-        return new Line(known.uid(), known.zone(), known.cell(), state, known.weight(), known.bootMs());
+    /** Of lines that were taken over, the addresses; where a line names none, or drains, the one known stays. */
+    private void learn(Update update) {
+        for (Line line : update.news().lines()) {
+            Endpoint known = endpoints.get(line.uid());
+            InetSocketAddress address = update.addresses().getOrDefault(line.uid(),
+                    known == null ? null : known.address());
+            if (address != null && line.state() != State.DELETED) {
+                endpoints.put(line.uid(), new Endpoint(line.uid(), address, line.bootMs()));
+            }
+        }
     }
 
     private Set<Endpoint> serving() {
         Set<Endpoint> serving = new HashSet<>();
-        for (Listed listed : endpoints.values()) {
-            if (listed.state() == State.SERVING) {
-                serving.add(listed.endpoint());
+        for (String uid : endpoints.keySet()) {
+            Endpoint endpoint = endpointOf(uid);
+            if (endpoint != null) {
+                serving.add(endpoint);
             }
         }
         return serving;
     }
 
-    /** How many hosts serve, and how many of them a whole list does not name any more. */
-    synchronized int[] servingAndMissing(Update whole) {
-        Set<Endpoint> before = serving();
-        Set<String> named = new HashSet<>();
-        whole.news().lines().forEach(line -> named.add(line.uid()));
-        return new int[] {before.size(), (int) before.stream().filter(r -> !named.contains(r.uid())).count()};
+    /** Discovery is at another address from now on. */
+    synchronized void moved() {
+        registry.moved();
+    }
+
+    /** The call to make next. */
+    synchronized ListAnswer.Call nextCall(long nowUs) {
+        return registry.nextCall(nowUs);
+    }
+
+    synchronized boolean wantsWholeList() {
+        return registry.wantsWholeList();
+    }
+
+    /** See {@link ServerRegistry#pauseBeforeAskingAgainUs}. */
+    synchronized long pauseBeforeAskingAgainUs(long nowUs) {
+        return registry.pauseBeforeAskingAgainUs(nowUs);
+    }
+
+    /** The decision module could not take over what this table has: both need all of it. */
+    synchronized void wantWholeList() {
+        registry.wantWholeList();
+    }
+
+    synchronized boolean isRegressed() {
+        return registry.isRegressed();
     }
 
     /** The list in discovery's form, so that a later life can begin with it. */
     synchronized Map<String, Object> tree() {
         List<Object> targets = new ArrayList<>();
-        for (Listed listed : endpoints.values()) {
-            Line line = listed.line();
+        for (Line line : registry.lines()) {
             Map<String, Object> target = new LinkedHashMap<>();
             target.put("uid", line.uid());
-            target.put("endpoint", Sockets.text(listed.endpoint().address()));
+            target.put("endpoint", Sockets.text(endpoints.get(line.uid()).address()));
             target.put("az", line.zone());
             target.put("pod_group", line.cell());
             target.put("state", line.state().name());
@@ -174,7 +216,7 @@
             targets.add(target);
         }
         Map<String, Object> tree = new LinkedHashMap<>();
-        tree.put("rev", revision);
+        tree.put("rev", registry.confirmedRevision());
         tree.put("all", true);
         tree.put("targets", targets);
         return tree;
@@ -182,12 +224,25 @@
 
     /** Hosts in the list, those that drain included. */
     synchronized int size() {
-        return endpoints.size();
+        return registry.size();
     }
 
-    /** How to reach the host, or null where it wants no new work or is not listed. */
+    /** How to reach the server, or null where it takes no new work; a deadline is looked at by {@link #endpointToSend}. */
     synchronized Endpoint endpointOf(String uid) {
-        Listed listed = endpoints.get(uid);
-        return listed == null || listed.state() != State.SERVING ? null : listed.endpoint();
+        ServerStatus status = registry.statusOf(uid);
+        return status == ServerStatus.SERVING || status == ServerStatus.UNCONFIRMED ? endpoints.get(uid) : null;
+    }
+
+    /** The same for work whose first byte goes out now: null also where the server's deadline is over. */
+    synchronized Endpoint endpointToSend(String uid, long nowUs) {
+        if (!registry.maySend(uid, nowUs)) {
+            return null;
+        }
+        registry.sent(uid, nowUs);
+        return endpoints.get(uid);
+    }
+
+    synchronized ServerStatus statusOf(String uid) {
+        return registry.statusOf(uid);
     }
 }
--- a/sidecar/src/main/java/dapplequay/net/Sidecar.java
+++ b/sidecar/src/main/java/dapplequay/net/Sidecar.java
@@ -5,6 +5,7 @@
 import dapplequay.http.Sockets;
 import dapplequay.lifecycle.Ending;
 import dapplequay.management.Counts;
+import dapplequay.management.DiscoveryFigures;
 import dapplequay.management.Exposition;
 import dapplequay.management.ManagementSide;
 import dapplequay.membership.ListClock;
@@ -29,7 +30,7 @@
 public final class Sidecar {
     private static final Logger LOG = Logger.getLogger(Sidecar.class.getName());
     /** Descriptors kept for the program itself, the listener and discovery; the JVM has two dozen open. */
-    private static final int OWN_DESCRIPTORS = 32;
+    private static final int OWN_DESCRIPTORS = 32 + DiscoveryClient.MOST_SUPERSEDED;
     /** Clients' share of the others. */
     private static final double CLIENT_SHARE = 0.55;
     /** Of all descriptors: once clients hold so many there is a crowd. */
@@ -52,7 +53,8 @@
     private final Plan plan;
     private final Conductor conductor;
     private final Endpoints table;
-    private final Watch watch;
+    private final DiscoveryClient discovery;
+    private final DiscoveryFigures figures = new DiscoveryFigures();
     private final UpstreamSide upstreams;
     private final Counts counts = new Counts();
     private final Lifetime lifetime;
@@ -128,7 +130,7 @@
 
     /** For so long after it was heard, us, a kept list's version counts. */
     public static long versionCountsUs() {
-        return Watch.VERSION_COUNTS_US;
+        return DiscoveryClient.VERSION_COUNTS_US;
     }
 
     /** One that keeps nothing. */
@@ -152,24 +154,24 @@
         lifetime = new Lifetime(clock);
         headroom = new Headroom(plan.cores());
         counts.know(setup.classes().keySet());
-        table = restored(plan, facade);
-        upstreams = new UpstreamSide(table, deadlines, () -> setup, plan.mostUpstreams(), counts);
+        table = restored(plan, facade, memory.binds());
+        upstreams = new UpstreamSide(table, deadlines, () -> setup, plan.mostUpstreams(), counts, figures);
         conductor = new Conductor(facade, upstreams);
         upstreams.conductor(conductor);
         ListClock listClock = new ListClock(() -> setup.settings().discovery(), new SplittableRandom(plan.seed()));
-        watch = new Watch(plan.discovery(), table, facade, upstreams, memory, listClock, clock);
+        discovery = new DiscoveryClient(plan.discovery(), table, facade, upstreams, memory, listClock, clock, figures);
     }
 
     private static void tell(String line) {
         LOG.log(line.startsWith(Facade.FAULT) ? Level.SEVERE : Level.INFO, "{0}", line);
     }
 
-    private static Endpoints restored(Plan plan, Facade facade) throws IOException {
-        Endpoints table = new Endpoints();
+    private static Endpoints restored(Plan plan, Facade facade, boolean binds) throws IOException {
+        Endpoints table = new Endpoints(!binds);
         List<ListNews.Line> lines = List.of();
         if (plan.known() != null) {
             Endpoints.Update known = Endpoints.read(plan.known());
-            table.take(known);
+            table.restore(known);
             lines = known.news().lines();
         }
         facade.news(new ListNews(ListNews.Kind.RESTORED, lines));
@@ -178,7 +180,7 @@
 
     /** Whether a sidecar could be made of this, as far as that shows without listening. */
     public static void check(Plan plan) throws IOException {
-        restored(plan, new Facade(plan.setup(), plan.seed(), new UnixClock(), Sidecar::tell));
+        restored(plan, new Facade(plan.setup(), plan.seed(), new UnixClock(), Sidecar::tell), false);
     }
 
     public InetSocketAddress address() {
@@ -209,7 +211,7 @@
             }
             clients = new ClientSide(opener.open(), () -> setup, facade, conductor, deadlines, counts, lifetime,
                     headroom, plan.mostClients(), plan.crowd(), plan.mostUploads());
-            daemon(watch, "watch");
+            daemon(discovery, "discovery");
             new Thread(clients, "listener").start();
             lifetime.listening();
         }
@@ -227,7 +229,7 @@
         public String figures() {
             return Exposition.text(counts.read(),
                     new Exposition.Gauges(table.size(), passedOver, cfgAccepted.get(), cfgInvalid.get(),
-                            facade.faults()));
+                            facade.faults())) + figures.text();
         }
 
         @Override
@@ -257,7 +259,7 @@
         facade.retune(next.setup());            // before the clients' side: no class is let in that is not known
         counts.know(next.setup().classes().keySet());
         setup = next.setup();
-        watch.moveTo(next.discovery());
+        discovery.moveTo(next.discovery());
         List<String> kept = new ArrayList<>();
         if (!next.listen().equals(plan.listen())) {
             kept.add("listen");
@@ -283,6 +285,7 @@
             try {
                 conductor.cut(facade.tick());
                 deadlines.sweep();
+                discovery.turn(deadlines.now());
                 if (management != null && turn % PASSED_OVER_TURNS == 0) {
                     passedOver = facade.passedOver();
                 }
@@ -355,7 +358,7 @@
             side.awaitEmpty(now + ending.lateUs(), now + ending.heldUs(), now + ending.closedUs());
         }
         // A process whose threads stay in their reads is gone only a third of a second later.
-        watch.end();
+        discovery.end();
         upstreams.closeAllIdle();
         if (management != null) {
             management.close();
--- a/sidecar/src/main/java/dapplequay/net/UpstreamSide.java
+++ b/sidecar/src/main/java/dapplequay/net/UpstreamSide.java
@@ -6,6 +6,7 @@
 import dapplequay.http.Head;
 import dapplequay.http.Sockets;
 import dapplequay.management.Counts;
+import dapplequay.management.DiscoveryFigures;
 import dapplequay.settings.SettingsReader.Setup;
 import dapplequay.time.Deadlines;
 import java.net.Socket;
@@ -15,6 +16,7 @@
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.Executor;
 import java.util.concurrent.SynchronousQueue;
@@ -53,6 +55,7 @@
     private final Map<Endpoints.Endpoint, Deque<UpstreamConnection>> idle = new HashMap<>();
     private final IdleRisk risk;
     private final Counts counts;
+    private final DiscoveryFigures figures;
     private final Supplier<Socket> sockets;
     /** They wait for connections to have rested: no more at once than there are such connections. */
     private final Executor waiters = new ThreadPoolExecutor(0, Integer.MAX_VALUE, WAITER_MS, TimeUnit.MILLISECONDS,
@@ -60,18 +63,20 @@
     private int open;
     private Conductor conductor;
 
-    UpstreamSide(Endpoints table, Deadlines deadlines, Supplier<Setup> setup, int most, Counts counts) {
-        this(table, deadlines, setup, most, counts, Socket::new);
+    UpstreamSide(Endpoints table, Deadlines deadlines, Supplier<Setup> setup, int most, Counts counts,
+            DiscoveryFigures figures) {
+        this(table, deadlines, setup, most, counts, figures, Socket::new);
     }
 
     /** {@code sockets}: where its connections get theirs, not connected yet. */
     UpstreamSide(Endpoints table, Deadlines deadlines, Supplier<Setup> setup, int most, Counts counts,
-            Supplier<Socket> sockets) {
+            DiscoveryFigures figures, Supplier<Socket> sockets) {
         this.table = table;
         this.deadlines = deadlines;
         this.setup = setup;
         this.most = most;
         this.counts = counts;
+        this.figures = figures;
         this.sockets = sockets;
         risk = new IdleRisk(deadlines::now);
     }
@@ -100,6 +105,9 @@
     /** Starts an attempt. Its end is told to the conductor, by this thread if nothing went out at all. */
     void send(Attempt attempt) {
         Endpoints.Endpoint endpoint = table.endpointOf(attempt.order.host());
+        if (endpoint == null) {
+            figures.stopped(stoppedBy(attempt));
+        }
         if (endpoint == null || attempt.isUploading() && !attempt.exchange.from.hasRoom()) {
             conductor.attemptEnded(attempt, AttemptEnd.NOT_SENT, null, null, null);
             return;
@@ -204,12 +212,19 @@
      */
     boolean mayBegin(Attempt attempt, Endpoints.Endpoint endpoint) {
         long now = now();
-        boolean may = !attempt.isCut() && !attempt.exchange.isOver() && attempt.mayBeginAt(now)
-                && endpoint.equals(table.endpointOf(attempt.order.host()));
-        if (!may) {
+        String reason = attempt.isCut() ? "cut" : attempt.exchange.isOver() ? "answered"
+                : !attempt.mayBeginAt(now) ? "late"
+                : !endpoint.equals(table.endpointToSend(attempt.order.host(), now)) ? stoppedBy(attempt) : null;
+        if (reason != null) {
+            figures.stopped(reason);
             attempt.answered(AttemptEnd.NOT_SENT);      // unless it has ended otherwise
         }
-        return may;
+        return reason == null;
+    }
+
+    /** Why its server takes no new work: its status, which is "serving" where it is another process by now. */
+    private String stoppedBy(Attempt attempt) {
+        return table.statusOf(attempt.order.host()).name().toLowerCase(Locale.ROOT);
     }
 
     /** Nothing of the attempt went out, and no connection has it. */
--- a/sidecar/src/test/java/dapplequay/cli/LateDrainTest.java
+++ b/sidecar/src/test/java/dapplequay/cli/LateDrainTest.java
@@ -28,6 +28,12 @@
 /**
  * What users saw: requests sent to servers that were draining or gone, after the grace. The order of events: new
  * configurations in a row move discovery from address to address, and servers begin to drain in between.
+ *
+ * <p>The cause: a call was closed while its answer was outstanding, at each move and each time-out. Discovery writes
+ * such an answer all the same, which makes it known, or works the call through before the next one; the news came with
+ * a later call, after seconds. The evidence: with the answer held back on its way, all four processes sent on for up to
+ * 2.6 s after the grace; with calls worked through in turn, up to the end of the run. The cases of lower versions have
+ * the same class of cause: what takes a server out waited for another answer, with no deadline over all such waits.
  */
 @Timeout(120)
 class LateDrainTest {
--- a/sidecar/src/test/java/dapplequay/net/WatchTest.java
+++ b/sidecar/src/test/java/dapplequay/net/DiscoveryClientTest.java
@@ -5,6 +5,7 @@
 import dapplequay.facade.Facade;
 import dapplequay.facade.ListNews;
 import dapplequay.management.Counts;
+import dapplequay.management.DiscoveryFigures;
 import dapplequay.membership.ListClock;
 import dapplequay.settings.Json;
 import dapplequay.settings.SettingsReader;
@@ -38,15 +39,15 @@
  * wherever the watch reads it, or logs a line, a test can make another event fall.
  */
 @Timeout(60)
-class WatchTest {
+class DiscoveryClientTest {
     private static final int HOSTS = 4;
 
     private final List<AutoCloseable> toClose = new ArrayList<>();
-    private final Endpoints table = new Endpoints();
+    private final Endpoints table = new Endpoints(false);
     private final AtomicLong clock = new AtomicLong(System.nanoTime() / 1_000);
     private volatile Runnable atClock = () -> { };
     private volatile Consumer<String> atLog = line -> { };
-    private final Logger logger = Logger.getLogger(Watch.class.getName());
+    private final Logger logger = Logger.getLogger(DiscoveryClient.class.getName());
     private final Handler handler = new Handler() {
         @Override
         public void publish(LogRecord line) {
@@ -59,7 +60,7 @@
         @Override
         public void close() { }
     };
-    private Watch watch;
+    private DiscoveryClient watch;
     private Thread thread;
 
     @BeforeEach
@@ -126,15 +127,17 @@
         Setup setup = SettingsReader.of(((Map<?, ?>) Json.parse(text.getBytes())).get("settings"), "example");
         Facade facade = new Facade(setup, 7, clock::get, line -> { });
         Endpoints.Update known = Endpoints.read(known().getBytes());
-        table.take(known);
+        table.restore(known);
         facade.news(new ListNews(ListNews.Kind.RESTORED, known.news().lines()));
         facade.watchAnew();
-        UpstreamSide upstreams = new UpstreamSide(table, new Deadlines(clock::get), () -> setup, 4, new Counts());
+        UpstreamSide upstreams = new UpstreamSide(table, new Deadlines(clock::get), () -> setup, 4, new Counts(),
+                new DiscoveryFigures());
         ListClock listClock = new ListClock(() -> setup.settings().discovery(), new SplittableRandom(7));
-        watch = new Watch(at(first), table, facade, upstreams, new Sidecar.Memory(true, list -> { }), listClock, () -> {
-            atClock.run();
-            return clock.get();
-        });
+        watch = new DiscoveryClient(at(first), table, facade, upstreams, new Sidecar.Memory(true, list -> { }), listClock,
+                () -> {
+                    atClock.run();
+                    return clock.get();
+                }, new DiscoveryFigures());
         thread = new Thread(watch, "watch");
         thread.setDaemon(true);
         thread.start();
@@ -166,21 +169,10 @@
         Host second = silent();
         start(first, 250_000);
         assertThat(query(first.next())).contains("after=6");
-        CountDownLatch stands = new CountDownLatch(1);
-        CountDownLatch go = new CountDownLatch(1);
-        atClock = () -> {
-            stands.countDown();
-            try {
-                go.await();
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-            }
-        };
-        watch.moveTo(at(second));
-        stands.await();
-        watch.moveTo(at(first));
-        atClock = () -> { };
-        go.countDown();
+        synchronized (watch) {              // so that it looks only when both have come
+            watch.moveTo(at(second));
+            watch.moveTo(at(first));
+        }
         assertThat(query(first.next())).isEqualTo("/v1/servers");
         assertThat(second.seen).isEmpty();
     }
@@ -199,12 +191,8 @@
             }
         };
         start(old, 250_000);
-        String query = query(next.next());
-        if (reading < 3) {              // before the first call: nothing was asked elsewhere
-            assertThat(query).contains("after=6");
-        } else {
-            assertThat(query).isEqualTo("/v1/servers");
-        }
+        // Also before the first call: the known version may be of another count than the new address's.
+        assertThat(query(next.next())).isEqualTo("/v1/servers");
     }
 
     /** Half a minute of pause would be left; what the old address had lost is not believed at the new one. */
@@ -226,14 +214,13 @@
         assertThat(table.endpointOf("s0")).as("the drain counts").isNull();
     }
 
-    /** From the doubt on to the reading of the second answer: it confirms nothing once the address has changed. */
+    /** From the doubt on to the reading of the second answer: the move puts off no deadline, and brings nobody back. */
     @ParameterizedTest
     @ValueSource(ints = {1, 2, 3, 4, 6, 8, 10, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22})
-    void aDoubtIsForgottenWhereverANewAddressFalls(int reading) throws Exception {
+    void aDeadlineHoldsWhereverANewAddressFalls(int reading) throws Exception {
         Host old = discovery((head, seen) -> Host.ok(list(7, true, target(0, "DRAINING"))));
         Host next = silent();
         AtomicInteger readings = new AtomicInteger(-1);         // since the doubt began
-        AtomicInteger sizeThen = new AtomicInteger();
         atLog = line -> {
             if (line.startsWith("a list without") && readings.get() < 0) {
                 readings.set(0);
@@ -242,13 +229,67 @@
         atClock = () -> {
             clock.addAndGet(5_000);
             if (readings.get() >= 0 && readings.incrementAndGet() == reading) {
-                sizeThen.set(table.size());
                 watch.moveTo(at(next));
             }
         };
         start(old, 250_000);
         next.next();
-        assertThat(table.size()).as("as it was when the address changed").isEqualTo(sizeThen.get());
+        for (int i = 0; i < HOSTS; i++) {
+            assertThat(table.endpointToSend("s" + i, clock.get() + 100_000)).as("s%d: 100 ms of the grace", i).isNull();
+        }
+    }
+
+    /** What callers saw: requests to a draining server, as its news came on a call that SIGHUP had closed. */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void anAnswerToASupersededCallIsHeard(boolean byAMove) throws Exception {
+        CountDownLatch go = new CountDownLatch(1);
+        Host old = discovery((head, seen) -> {
+            if (query(seen).contains("after=6&")) {
+                go.await();
+                return Host.ok(list(7, false, target(0, "DRAINING"), target(1, "DELETED"), target(9, "SERVING")));
+            }
+            new CountDownLatch(1).await();
+            return null;
+        });
+        Host next = silent();
+        start(old, 250_000);
+        old.next();
+        if (byAMove) {
+            watch.moveTo(at(next));
+            next.next();
+        } else {
+            clock.addAndGet(ListClock.LONGEST_WAIT_US + ListClock.AFTER_WAIT_US);
+            atClock = () -> clock.addAndGet(1_000);
+            watch.moveTo(at(old));          // no move: it looks at its clock
+            assertThat(query(old.next())).contains("after=6&");
+        }
+        go.countDown();
+        while (table.endpointOf("s0") != null || table.endpointOf("s1") != null) {
+            Thread.onSpinWait();
+        }
+        assertThat(table.endpointOf("s2")).isNotNull();
+        assertThat(table.endpointOf("s9") != null).as("brought in where it is the address that counts").isEqualTo(!byAMove);
+        assertThat(table.nextCall(0).after()).isEqualTo(byAMove ? -1 : 7);
+    }
+
+    /** Each holds a descriptor: the oldest are closed. */
+    @Test
+    void fewSupersededCallsAreKept() throws Exception {
+        List<Host> hosts = new ArrayList<>();
+        for (int i = 0; i < DiscoveryClient.MOST_SUPERSEDED + 3; i++) {
+            hosts.add(silent());
+        }
+        start(hosts.get(0), 250_000);
+        hosts.get(0).next();
+        for (Host host : hosts.subList(1, hosts.size())) {
+            clock.addAndGet(ListClock.MOVED_US);
+            watch.moveTo(at(host));
+            host.next();
+        }
+        assertThat(watch.superseded()).isEqualTo(DiscoveryClient.MOST_SUPERSEDED);
+        watch.turn(clock.get() + DiscoveryClient.SUPERSEDED_US);
+        assertThat(watch.superseded()).isZero();
     }
 
     @Test
@@ -300,7 +341,7 @@
         assertThat(query(lost.next())).isEqualTo("/v1/servers");
         assertThat(query(lost.next())).isEqualTo("/v1/servers");
         assertThat(table.endpointOf("s0")).as("a drain counts at once").isNull();
-        assertThat(table.endpointOf("s1")).as("missing once").isNotNull();
+        assertThat(table.endpointToSend("s1", clock.get())).as("missing once, past its deadline").isNull();
         missedOnce.countDown();
         assertThat(query(lost.next())).contains("after=2&");
         assertThat(table.endpointOf("s1")).as("missing again").isNull();
--- a/sidecar/src/test/java/dapplequay/net/EndpointsTest.java
+++ b/sidecar/src/test/java/dapplequay/net/EndpointsTest.java
@@ -5,6 +5,7 @@
 
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -21,20 +22,25 @@
                 + "\"state\":\"" + state + "\",\"capacity_hint\":1.0,\"boot_ms\":0}";
     }
 
+    /** The answer to a call that nothing crossed; the endpoints that take no new work any more. */
+    private static Set<Endpoints.Endpoint> apply(Endpoints table, Endpoints.Update update) {
+        return table.apply(update, table.nextCall(0), 0, 0).closed();
+    }
+
     @Test
     void onlyServingHostsHaveAnEndpointAndChangesKeepTheRest() throws IOException {
         Endpoints table = new Endpoints();
-        table.take(list(1, true, target("s1", 1, "SERVING"), target("s2", 2, "SERVING"),
+        apply(table, list(1, true, target("s1", 1, "SERVING"), target("s2", 2, "SERVING"),
                 target("s3", 3, "DRAINING")));
         assertThat(table.endpointOf("s1").address().getPort()).isEqualTo(1);
         assertThat(table.endpointOf("s3")).isNull();
-        assertThat(table.take(list(2, false, target("s1", 1, "DRAINING"), target("s2", 9, "SERVING"))))
+        assertThat(apply(table, list(2, false, target("s1", 1, "DRAINING"), target("s2", 9, "SERVING"))))
                 .extracting(a -> a.address().getPort()).containsExactlyInAnyOrder(1, 2);
         assertThat(table.endpointOf("s1")).isNull();
         assertThat(table.endpointOf("s2").address().getPort()).isEqualTo(9);
-        table.take(list(3, false, "{\"uid\":\"s2\",\"state\":\"DELETED\"}"));
+        apply(table, list(3, false, "{\"uid\":\"s2\",\"state\":\"DELETED\"}"));
         assertThat(table.endpointOf("s2")).isNull();
-        table.take(list(7, true, target("s4", 4, "SERVING")));
+        apply(table, list(7, true, target("s4", 4, "SERVING")));
         assertThat(table.endpointOf("s3")).isNull();
         assertThat(table.revision()).isEqualTo(7);
     }
@@ -43,15 +49,18 @@
     @Test
     void anotherProcessIsAnotherRoute() throws IOException {
         Endpoints table = new Endpoints();
-        table.take(list(1, true, target("s1", 1, "SERVING")));
-        assertThat(table.take(list(2, true, target("s2", 1, "SERVING")))).extracting(Endpoints.Endpoint::uid)
+        apply(table, list(1, true, target("s1", 1, "SERVING")));
+        assertThat(apply(table, list(2, true, target("s2", 1, "SERVING")))).extracting(Endpoints.Endpoint::uid)
                 .containsExactly("s1");
-        assertThat(table.take(list(3, false, target("s2", 1, "SERVING").replace("boot_ms\":0", "boot_ms\":9"))))
+        assertThat(apply(table, list(3, false, target("s2", 1, "SERVING").replace("boot_ms\":0", "boot_ms\":9"))))
                 .extracting(Endpoints.Endpoint::uid).containsExactly("s2");
     }
 
     @ParameterizedTest
     @ValueSource(strings = {"", "{}", "[]", "{\"rev\":1,\"all\":true,\"targets\":[{}]}", "{\"rev\":1} x",
+        "{\"rev\":-1,\"all\":true,\"targets\":[]}", "{\"rev\":9223372036854775808,\"all\":true,\"targets\":[]}",
+        "{\"rev\":1.5,\"all\":true,\"targets\":[]}",
+        "{\"rev\":1,\"all\":true,\"targets\":[{\"uid\":\"a\",\"state\":\"DELETED\"},{\"uid\":\"a\",\"state\":\"DELETED\"}]}",
         "{\"rev\":\"1\",\"all\":true,\"targets\":[]}", "{\"rev\":1,\"all\":true,\"targets\":[7]}",
         "{\"rev\":1,\"all\":true,\"targets\":[{\"uid\":\"a\",\"state\":\"LOST\",\"endpoint\":\"127.0.0.1:1\"}]}",
         "{\"rev\":1,\"all\":true,\"targets\":[{\"uid\":\"a\",\"state\":\"SERVING\",\"endpoint\":\"host:1\"}]}",
--- a/sidecar/src/test/java/dapplequay/net/UpstreamRig.java
+++ b/sidecar/src/test/java/dapplequay/net/UpstreamRig.java
@@ -6,6 +6,7 @@
 import dapplequay.http.Head;
 import dapplequay.http.MessageReader;
 import dapplequay.management.Counts;
+import dapplequay.management.DiscoveryFigures;
 import dapplequay.settings.SettingsReader;
 import dapplequay.time.Deadlines;
 import java.io.ByteArrayInputStream;
@@ -66,7 +67,7 @@
 
     UpstreamRig(int most) {
         SettingsReader.Setup setup = new SettingsReader.Setup(null, Map.of(), Map.of(), TIME_US, 3 * TIME_US);
-        side = new UpstreamSide(table, deadlines, () -> setup, most, new Counts());
+        side = new UpstreamSide(table, deadlines, () -> setup, most, new Counts(), new DiscoveryFigures());
         side.conductor(new Conductor(null, side) {
             @Override
             void attemptEnded(Attempt attempt, AttemptEnd end, HostLoad load, Head head, byte[] body) {
@@ -106,7 +107,7 @@
                     + "\"boot_ms\":" + bootMs + ",\"state\":\"" + state + "\"}");
         }
         try {
-            table.take(Endpoints.read(("{\"rev\":1,\"all\":true,\"targets\":[" + String.join(",", targets) + "]}")
+            table.restore(Endpoints.read(("{\"rev\":1,\"all\":true,\"targets\":[" + String.join(",", targets) + "]}")
                     .getBytes(StandardCharsets.UTF_8)));
         } catch (IOException e) {
             throw new AssertionError(e);
--- a/sidecar/src/test/java/dapplequay/net/UpstreamSideTest.java
+++ b/sidecar/src/test/java/dapplequay/net/UpstreamSideTest.java
@@ -7,6 +7,7 @@
 import dapplequay.facade.AttemptEnd;
 import dapplequay.http.Head;
 import dapplequay.management.Counts;
+import dapplequay.management.DiscoveryFigures;
 import dapplequay.settings.SettingsReader;
 import dapplequay.time.Deadlines;
 import java.io.IOException;
@@ -29,7 +30,7 @@
 
     private static void list(Endpoints table, int port, String state) {
         try {
-            table.take(Endpoints.read(("{\"rev\":1,\"all\":true,\"targets\":[{\"uid\":\"s1\",\"endpoint\":\"127.0.0.1:"
+            table.restore(Endpoints.read(("{\"rev\":1,\"all\":true,\"targets\":[{\"uid\":\"s1\",\"endpoint\":\"127.0.0.1:"
                     + port + "\",\"az\":\"a\",\"state\":\"" + state + "\"}]}").getBytes(StandardCharsets.UTF_8)));
         } catch (IOException e) {
             throw new UncheckedIOException(e);
@@ -37,7 +38,7 @@
     }
 
     private static UpstreamSide side(Endpoints table, Deadlines deadlines, BlockingQueue<AttemptEnd> ends) {
-        UpstreamSide side = new UpstreamSide(table, deadlines, () -> SETUP, 10, new Counts());
+        UpstreamSide side = new UpstreamSide(table, deadlines, () -> SETUP, 10, new Counts(), new DiscoveryFigures());
         side.conductor(new Conductor(null, side) {
             @Override
             void attemptEnded(Attempt attempt, AttemptEnd end, HostLoad load, Head head, byte[] body) {
