--- a/sidecar/src/main/java/dapplequay/management/DiscoveryFigures.java
+++ b/sidecar/src/main/java/dapplequay/management/DiscoveryFigures.java
@@ -56,7 +56,7 @@
         text.labelled("server_transitions_total", "Changes of servers' status by discovery's news.", "to", transitions);
         text.labelled("stopped_sends_total", "Sends stopped before their first byte.", "reason", stoppedSends);
         add(text, "unconfirmed_seconds", "For how long a list left servers unconfirmed.", unconfirmed);
-        add(text, "last_send_after_news_seconds", "From news that took a server out to the last send to it.", lastSends);
+        add(text, "last_send_after_news_seconds", "From news that took a server out to its last send.", lastSends);
         return text.toString();
     }
 
--- a/sidecar/src/main/java/dapplequay/net/DiscoveryClient.java
+++ b/sidecar/src/main/java/dapplequay/net/DiscoveryClient.java
@@ -71,7 +71,8 @@
     private final Deque<Call> superseded = new ArrayDeque<>();
     private int supersededAnswers;              // that were taken over in full
     private long notBeforeUs = NEVER;
-    private long wholeListUs = NEVER;           // when the last call began for a whole list that an answer made necessary
+    /** When the last call for a whole list began that an answer had made necessary. */
+    private long wholeListUs = NEVER;
     private String fault;
     private boolean isEnded;
 
--- a/sidecar/src/main/java/dapplequay/net/Endpoints.java
+++ b/sidecar/src/main/java/dapplequay/net/Endpoints.java
@@ -126,7 +126,8 @@
     /** Takes in an answer to that call; {@code graceLeftUs}: of the drain's grace for what it brings. */
     synchronized Applied apply(Update update, ListAnswer.Call call, long receivedUs, long graceLeftUs) {
         Set<Endpoint> before = serving();
-        var outcome = registry.answered(new ListAnswer(update.revision(), update.news(), call, receivedUs), graceLeftUs);
+        ListAnswer answer = new ListAnswer(update.revision(), update.news(), call, receivedUs);
+        ServerRegistry.Outcome outcome = registry.answered(answer, graceLeftUs);
         Set<String> takenOver = new HashSet<>();
         outcome.news().lines().forEach(line -> takenOver.add(line.uid()));
         Map<String, InetSocketAddress> addresses = new HashMap<>(update.addresses());
@@ -227,7 +228,7 @@
         return registry.size();
     }
 
-    /** How to reach the server, or null where it takes no new work; a deadline is looked at by {@link #endpointToSend}. */
+    /** How to reach the server, or null where it takes no new work; {@link #endpointToSend} looks at deadlines. */
     synchronized Endpoint endpointOf(String uid) {
         ServerStatus status = registry.statusOf(uid);
         return status == ServerStatus.SERVING || status == ServerStatus.UNCONFIRMED ? endpoints.get(uid) : null;
--- /dev/null
+++ b/sidecar/src/test/java/dapplequay/cli/DrainFleet.java
@@ -0,0 +1,175 @@
+package dapplequay.cli;
+
+import dapplequay.net.Host;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import org.assertj.core.api.SoftAssertions;
+
+/**
+ * Sidecar processes under load before servers that discovery takes out, and the judge of the rule on drains: no request
+ * begins at a server later than the grace after its drain or end was told.
+ */
+final class DrainFleet implements AutoCloseable {
+    static final int SIDECARS = 4;
+    static final int SERVERS = 8;
+    private static final long MS = 1_000_000;
+    private static final long GRACE_MS = 250;
+    /** The protocol's allowance on sockets, beyond each of its times. */
+    private static final long ALLOWANCE_MS = 50;
+    /** For so long after the last moment allowed, a request that comes too late is looked for. */
+    private static final long WATCHED_MS = 1_500;
+    private static final int ENOUGH = 40;
+    private static final long LOAD_PAUSE_MS = 5;
+
+    private record Arrival(int sidecar, int server, long ns) { }
+
+    final List<Sidecar> sidecars = new ArrayList<>();
+    final SharedDiscovery discovery;
+    private final Queue<Arrival> arrivals = new ConcurrentLinkedQueue<>();
+    private final Hosts servers = new Hosts(SERVERS, (server, head) -> {
+        String path = head.start[1];
+        arrivals.add(new Arrival(path.charAt(path.length() - 1) - '0', server, System.nanoTime()));
+        return "";
+    });
+    private final HttpClient client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+    private volatile boolean stopped;
+
+    /** Starts all, each with its load; {@code folder}: for their configurations. */
+    DrainFleet(Path folder, long askWithinMs) throws Exception {
+        discovery = new SharedDiscovery(servers.ports(), SIDECARS);
+        for (int i = 0; i < SIDECARS; i++) {
+            sidecars.add(new Sidecar(i, folder, askWithinMs));
+        }
+        for (Sidecar sidecar : sidecars) {
+            sidecar.program.awaitReady();
+            Host.daemon(sidecar::load);
+        }
+    }
+
+    /** One process with its load. */
+    final class Sidecar {
+        final int number;
+        final Program program;
+        private final Path config;
+        private final ServerSocketChannel door = Program.platformSocket();
+        private final Queue<String> served = new ConcurrentLinkedQueue<>();
+        private final Queue<String> unserved = new ConcurrentLinkedQueue<>();
+        private String address;
+
+        private Sidecar(int number, Path folder, long askWithinMs) throws Exception {
+            this.number = number;
+            address = discovery.address(number);
+            String text = Files.readString(Path.of("example/config.json"))
+                    .replace("127.0.0.1:8500", address)
+                    .replace("\"balancers\": 1", "\"balancers\": " + SIDECARS)
+                    .replace("\"position\": 0", "\"position\": " + number)
+                    .replace("\"quota_per_s\": 20.0", "\"quota_per_s\": 2000.0")
+                    .replace("\"ask_within_us\": 10000000", "\"drain_grace_us\": " + GRACE_MS
+                            + "000, \"ask_within_us\": " + askWithinMs + "000")
+                    .replaceAll("(?s)\"known\": \\{.*?]},", "\"known\": " + discovery.whole() + ",");
+            config = Files.writeString(folder.resolve(number + ".json"), text);
+            program = new Program(config, door, Program.freePort());
+        }
+
+        private void load() throws Exception {
+            int port = ((InetSocketAddress) door.getLocalAddress()).getPort();
+            URI uri = URI.create("http://127.0.0.1:" + port + "/quote/" + number);
+            while (!stopped) {
+                HttpRequest quote = HttpRequest.newBuilder(uri).timeout(Duration.ofSeconds(5))
+                        .headers("X-Caller", "shop-a", "X-Budget-Ms", "1000", "X-Call-Id",
+                                Long.toHexString(System.nanoTime())).build();
+                try {
+                    int status = client.send(quote, HttpResponse.BodyHandlers.ofString()).statusCode();
+                    (status == 200 ? served : unserved).add(String.valueOf(status));
+                } catch (IOException e) {
+                    unserved.add(e.toString());
+                }
+                Thread.sleep(LOAD_PAUSE_MS);
+            }
+        }
+
+        /** Discovery is at a further address for it from now on. */
+        void move() throws Exception {
+            String next = discovery.address(number);
+            Files.writeString(config, Files.readString(config).replace(address, next));
+            address = next;
+            program.signal("HUP");
+        }
+
+        /** The last moment at which a request may begin at that server; {@link Long#MAX_VALUE}: it is in. */
+        private long lastMomentNs(int server) {
+            long told = discovery.toldNs(number, server);
+            return told == Long.MAX_VALUE ? told : told + (GRACE_MS + ALLOWANCE_MS) * MS;
+        }
+
+        private boolean isPast(int server) {
+            long last = lastMomentNs(server);
+            return last == Long.MAX_VALUE || System.nanoTime() - last > WATCHED_MS * MS;
+        }
+
+        private void check(SoftAssertions softly) {
+            for (int server = 0; server < SERVERS; server++) {
+                int its = server;
+                List<Long> late = arrivals.stream().filter(a -> a.sidecar == number && a.server == its)
+                        .filter(a -> a.ns > lastMomentNs(its)).map(a -> (a.ns - lastMomentNs(its)) / MS).toList();
+                softly.assertThat(late).as("sidecar %d, server %d: late requests, ms", number, server).isEmpty();
+            }
+            softly.assertThat(served).as("sidecar %d: served", number).hasSizeGreaterThan(ENOUGH);
+            softly.assertThat(unserved).as("sidecar %d: not served", number)
+                    .hasSizeLessThanOrEqualTo(served.size() / 50);
+        }
+    }
+
+    /** Until all wait for changes, and send. */
+    void awaitWatches() throws Exception {
+        Program.await("all watch", discovery::isWatched);
+        arrivals.clear();
+        Program.await("all serve", () -> sidecars.stream().allMatch(sidecar ->
+                arrivals.stream().filter(arrival -> arrival.sidecar == sidecar.number).count() >= ENOUGH));
+    }
+
+    void moveAll() throws Exception {
+        for (Sidecar sidecar : sidecars) {
+            sidecar.move();
+        }
+    }
+
+    /** Waits until late requests would have been seen, and fails where there were any, or too few were served. */
+    void judge() throws Exception {
+        for (int server = 0; server < SERVERS; server++) {
+            int its = server;
+            Program.await("every last moment is past", () -> sidecars.stream().allMatch(s -> s.isPast(its)));
+        }
+        SoftAssertions softly = new SoftAssertions();
+        sidecars.forEach(sidecar -> sidecar.check(softly));
+        softly.assertAll();
+    }
+
+    /** How many requests have come to servers. */
+    int arrivals() {
+        return arrivals.size();
+    }
+
+    @Override
+    public void close() throws IOException {
+        stopped = true;
+        for (Sidecar sidecar : sidecars) {
+            sidecar.program.close();
+            sidecar.door.close();
+        }
+        discovery.close();
+        servers.close();
+    }
+}
--- /dev/null
+++ b/sidecar/src/test/java/dapplequay/cli/DrainSoakTest.java
@@ -0,0 +1,128 @@
+package dapplequay.cli;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import dapplequay.cli.SharedDiscovery.UnknownVersion;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.stream.LongStream;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/**
+ * The rule on drains under faults drawn by seed: moves by SIGHUP, resets, lower versions, slow calls and a slow network,
+ * processes held by SIGSTOP, and servers that drain or go meanwhile. {@code -Ddrain.seeds=50} plays that many,
+ * {@code -Ddrain.first=N} begins with the N-th.
+ */
+@Timeout(120)
+class DrainSoakTest {
+    private static final int SEEDS = Integer.getInteger("drain.seeds", 3);
+    private static final int FIRST = Integer.getInteger("drain.first", 1);
+    private static final int STEPS = 12;
+    /** As long as a process may be held up, less what the signals take. */
+    private static final int HELD_MS = 140;
+    /** Between two hold-ups of a process: the rule covers one. */
+    private static final int BETWEEN_MS = 600;
+    private static final int MOST_OUT = 6;
+    private static final List<Integer> MOST_OF_ALL = List.of(0, 1, 2, 3, 4);
+
+    private enum Fault { DRAIN, LEAVE_OUT, MOVE, MOVE_ONE, MOVES, RESET, LOSE_COUNT, SLOW, HOLD_UP, LOSE_MOST }
+
+    @TempDir
+    private Path folder;
+    private final Map<Fault, Integer> injected = new EnumMap<>(Fault.class);
+    private final List<Integer> servers = new ArrayList<>();
+    private int out;
+
+    static LongStream seeds() {
+        return LongStream.range(FIRST, FIRST + SEEDS);
+    }
+
+    private List<Integer> next(int count) {
+        int most = Math.min(count, MOST_OUT - out);
+        List<Integer> taken = servers.subList(out, out + Math.max(0, most));
+        out += taken.size();
+        return taken;
+    }
+
+    private static UnknownVersion either(Random random) {
+        return random.nextBoolean() ? UnknownVersion.WHOLE_LIST : UnknownVersion.NO_CHANGES;
+    }
+
+    private void inject(Fault fault, DrainFleet fleet, Random random) throws Exception {
+        SharedDiscovery discovery = fleet.discovery;
+        switch (fault) {
+            case DRAIN -> discovery.takeOut(next(1 + random.nextInt(2)), false);
+            case LEAVE_OUT -> discovery.takeOut(next(1 + random.nextInt(2)), true);
+            case MOVE -> fleet.moveAll();
+            case MOVE_ONE -> fleet.sidecars.get(random.nextInt(DrainFleet.SIDECARS)).move();
+            case MOVES -> {
+                for (int i = 0; i < 3; i++) {
+                    fleet.moveAll();
+                    Thread.sleep(random.nextInt(120));
+                }
+            }
+            case RESET -> {
+                discovery.reset(true);
+                Thread.sleep(100 + random.nextInt(500));
+                discovery.reset(false);
+            }
+            case LOSE_COUNT -> {
+                discovery.reset(true);
+                Thread.sleep(random.nextInt(300));
+                discovery.loseCount(either(random));
+                discovery.reset(false);
+            }
+            case SLOW -> discovery.take(random.nextInt(200), random.nextInt(60));
+            case HOLD_UP -> {
+                for (DrainFleet.Sidecar sidecar : fleet.sidecars) {
+                    sidecar.program.signal("STOP");
+                }
+                Thread.sleep(HELD_MS - 40);
+                for (DrainFleet.Sidecar sidecar : fleet.sidecars) {
+                    sidecar.program.signal("CONT");
+                }
+                Thread.sleep(BETWEEN_MS);
+            }
+            default -> {
+                discovery.loseCount(either(random));
+                if (out == 0) {
+                    out = MOST_OUT;
+                    discovery.takeOut(MOST_OF_ALL, true);
+                }
+                fleet.moveAll();
+            }
+        }
+    }
+
+    @ParameterizedTest
+    @MethodSource("seeds")
+    void drainsHoldUnderFaults(long seed) throws Exception {
+        Random random = new Random(seed);
+        for (int server = 0; server < DrainFleet.SERVERS; server++) {
+            servers.add(server);
+        }
+        Collections.shuffle(servers, random);
+        try (DrainFleet fleet = new DrainFleet(folder, 4_000)) {
+            fleet.awaitWatches();
+            Fault[] faults = Fault.values();
+            for (int step = 0; step < STEPS; step++) {
+                Fault fault = faults[random.nextInt(faults.length)];
+                inject(fault, fleet, random);
+                injected.merge(fault, 1, Integer::sum);
+                Thread.sleep(random.nextInt(400));
+            }
+            fleet.discovery.take(0, 0);
+            fleet.judge();
+            assertThat(fleet.arrivals()).isPositive();
+            System.out.println("seed " + seed + ": " + fleet.arrivals() + " requests, " + injected);
+        }
+    }
+}
