--- a/sidecar/src/main/java/dapplequay/net/DiscoveryClient.java
+++ b/sidecar/src/main/java/dapplequay/net/DiscoveryClient.java
@@ -40,7 +40,7 @@
     /** A superseded call is read for so long, us: by then what it could bring is known in other ways. */
     static final long SUPERSEDED_US = ListClock.MISSED_US + ListClock.AFTER_WAIT_US;
     /** More than so many superseded calls are not kept: each holds a descriptor. */
-    static final int MOST_SUPERSEDED = 3;
+    static final int MOST_SUPERSEDED = 6;
     /** Calls for a whole list that an answer has made necessary begin at least so long apart, us. */
     static final long WHOLE_LISTS_APART_US = 1_000_000;
     /** For so long, us, after it was heard a version counts: a quiet watch, and as long as an older one is refused. */
