--- a/core/src/main/java/dapplequay/discovery/ServerRegistry.java
+++ b/core/src/main/java/dapplequay/discovery/ServerRegistry.java
@@ -166,10 +166,11 @@
         return takeOver(answer, deadlineUs);
     }
 
-    /** Changes where the whole list was asked for, or of a lower version than the one asked after. */
-    private static boolean belongsToNoList(ListAnswer answer) {
+    /** Changes to a list that is not known: of a lower version than the one asked after, or, asked for all, of any. */
+    private boolean belongsToNoList(ListAnswer answer) {
         long after = answer.call().after();
-        return !answer.isWhole() && (after == ListAnswer.WHOLE_LIST || answer.revision() < after);
+        boolean isUnknown = after == ListAnswer.WHOLE_LIST ? anyRevision : answer.revision() < after;
+        return !answer.isWhole() && isUnknown;
     }
 
     /** An answer of a lower version: it takes out, and what it brings in waits. */
--- /dev/null
+++ b/sidecar/src/test/java/dapplequay/cli/QuoteLoad.java
@@ -0,0 +1,51 @@
+package dapplequay.cli;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.channels.ServerSocketChannel;
+import java.time.Duration;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+
+/** One client's load on a sidecar: one request after the other, and how each ended. */
+final class QuoteLoad {
+    private static final HttpClient CLIENT = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+    private static final Duration PATIENCE = Duration.ofSeconds(5);
+
+    final Queue<String> served = new ConcurrentLinkedQueue<>();
+    final Queue<String> unserved = new ConcurrentLinkedQueue<>();
+    private final URI uri;
+    private final long pauseMs;
+    private volatile boolean stopped;
+
+    /** Requests to the sidecar behind that socket, which servers know by the last part of their path. */
+    QuoteLoad(ServerSocketChannel door, int sidecar, long pauseMs) throws IOException {
+        int port = ((InetSocketAddress) door.getLocalAddress()).getPort();
+        uri = URI.create("http://127.0.0.1:" + port + "/quote/" + sidecar);
+        this.pauseMs = pauseMs;
+    }
+
+    /** Sends until it is stopped. */
+    Void run() throws InterruptedException {
+        while (!stopped) {
+            HttpRequest quote = HttpRequest.newBuilder(uri).timeout(PATIENCE).headers("X-Caller", "shop-a",
+                    "X-Budget-Ms", "1000", "X-Call-Id", Long.toHexString(System.nanoTime())).build();
+            try {
+                int status = CLIENT.send(quote, HttpResponse.BodyHandlers.ofString()).statusCode();
+                (status == 200 ? served : unserved).add(String.valueOf(status));
+            } catch (IOException e) {
+                unserved.add(e.toString());
+            }
+            Thread.sleep(pauseMs);
+        }
+        return null;
+    }
+
+    void stop() {
+        stopped = true;
+    }
+}
