--- a/sidecar/src/main/java/dapplequay/net/DiscoveryClient.java
+++ b/sidecar/src/main/java/dapplequay/net/DiscoveryClient.java
@@ -120,7 +120,9 @@
         if (pauseUs != Long.MAX_VALUE) {
             rest(begunUs + pauseUs, () -> clock.keepsPause() && supersededAnswers == answers);
         }
-        rest(notBeforeUs, () -> true);
+        synchronized (this) {
+            rest(notBeforeUs, () -> true);
+        }
         awaitMovesApart();
     }
 
