--- a/sidecar/src/test/java/dapplequay/management/ExpositionTest.java
+++ b/sidecar/src/test/java/dapplequay/management/ExpositionTest.java
@@ -26,6 +26,25 @@
         assertThat(text).endsWith("\n");
     }
 
+    @Test
+    void showsWhatDiscoverysNewsDid() {
+        DiscoveryFigures figures = new DiscoveryFigures();
+        figures.transition("draining");
+        figures.transition("draining");
+        figures.stopped("removed");
+        figures.unconfirmed(100_000);
+        figures.lastSend(0);
+        figures.lastSend(60_000);
+        figures.lastSend(9_000_000);
+        assertThat(figures.text().lines()).contains("svc_server_transitions_total{to=\"draining\"} 2",
+                "svc_stopped_sends_total{reason=\"removed\"} 1", "# TYPE svc_unconfirmed_seconds histogram",
+                "svc_unconfirmed_seconds_bucket{le=\"0.05\"} 0", "svc_unconfirmed_seconds_bucket{le=\"0.1\"} 1",
+                "svc_last_send_after_news_seconds_bucket{le=\"0.0\"} 1",
+                "svc_last_send_after_news_seconds_bucket{le=\"0.1\"} 2",
+                "svc_last_send_after_news_seconds_bucket{le=\"+Inf\"} 3", "svc_last_send_after_news_seconds_count 3",
+                "svc_last_send_after_news_seconds_sum 9.06");
+    }
+
     /** At each reading, what was taken has ended or is open, whoever counts meanwhile. */
     @Test
     void readingsAddUpWhileOthersCount() throws InterruptedException {
--- a/sidecar/src/test/java/dapplequay/net/DiscoveryClientTest.java
+++ b/sidecar/src/test/java/dapplequay/net/DiscoveryClientTest.java
@@ -35,8 +35,8 @@
 import org.junit.jupiter.params.provider.ValueSource;
 
 /**
- * The watch on real sockets, its clock in the test's hand: where it stands still no pause ever ends by itself, and
- * wherever the watch reads it, or logs a line, a test can make another event fall.
+ * The client on real sockets, its clock in the test's hand: where it stands still no pause ever ends by itself, and
+ * wherever the client reads it, or logs a line, a test can make another event fall.
  */
 @Timeout(60)
 class DiscoveryClientTest {
@@ -60,7 +60,7 @@
         @Override
         public void close() { }
     };
-    private DiscoveryClient watch;
+    private DiscoveryClient discoveryClient;
     private Thread thread;
 
     @BeforeEach
@@ -73,8 +73,8 @@
         atClock = () -> { };
         atLog = line -> { };
         logger.removeHandler(handler);
-        if (watch != null) {
-            watch.end();
+        if (discoveryClient != null) {
+            discoveryClient.end();
             thread.interrupt();
             thread.join();
         }
@@ -111,7 +111,7 @@
         return "{\"rev\":" + revision + ",\"all\":" + all + ",\"targets\":[" + String.join(",", targets) + "]}";
     }
 
-    /** The list with which the watch begins: all serve, at version 6. */
+    /** The list with which the client begins: all serve, at version 6. */
     private static String known() {
         String[] targets = new String[HOSTS];
         for (int i = 0; i < HOSTS; i++) {
@@ -120,7 +120,7 @@
         return list(6, true, targets);
     }
 
-    /** Starts a watch at that address; the next call is due at once. */
+    /** Starts a client at that address; the next call is due at once. */
     private void start(Host first, long graceUs) throws Exception {
         String text = Files.readString(Path.of("example/config.json"))
                 .replace("\"ask_within_us\"", "\"drain_grace_us\": " + graceUs + ", \"ask_within_us\"");
@@ -133,17 +133,18 @@
         UpstreamSide upstreams = new UpstreamSide(table, new Deadlines(clock::get), () -> setup, 4, new Counts(),
                 new DiscoveryFigures());
         ListClock listClock = new ListClock(() -> setup.settings().discovery(), new SplittableRandom(7));
-        watch = new DiscoveryClient(at(first), table, facade, upstreams, new Sidecar.Memory(true, list -> { }), listClock,
+        Sidecar.Memory memory = new Sidecar.Memory(true, list -> { });
+        discoveryClient = new DiscoveryClient(at(first), table, facade, upstreams, memory, listClock,
                 () -> {
                     atClock.run();
                     return clock.get();
                 }, new DiscoveryFigures());
-        thread = new Thread(watch, "watch");
+        thread = new Thread(discoveryClient, "discovery");
         thread.setDaemon(true);
         thread.start();
     }
 
-    /** Starts a watch whose first answer leaves out most servers, with a long grace. */
+    /** Starts a client whose first answer leaves out most servers, with a long grace. */
     private void startDoubting(Host first) throws Exception {
         CountDownLatch doubted = new CountDownLatch(1);
         atLog = line -> {
@@ -166,7 +167,7 @@
         Host next = silent();
         atLog = line -> {
             if (line.startsWith("discovery call failed")) {
-                watch.moveTo(at(next));         // before the module is told of the failure
+                discoveryClient.moveTo(at(next));         // before the module is told of the failure
             }
         };
         start(old, 250_000);
@@ -174,22 +175,22 @@
         assertThat(old.seen).hasSize(1);
     }
 
-    /** The address is the same again when the watch looks, but its call was cut: a failure, as it seemed. */
+    /** The address is the same again when the client looks, but its call was cut: a failure, as it seemed. */
     @Test
     void anAddressThatComesBackIsAskedAtOnceAndForAll() throws Exception {
         Host first = silent();
         Host second = silent();
         start(first, 250_000);
         assertThat(query(first.next())).contains("after=6");
-        synchronized (watch) {              // so that it looks only when both have come
-            watch.moveTo(at(second));
-            watch.moveTo(at(first));
+        synchronized (discoveryClient) {              // so that it looks only when both have come
+            discoveryClient.moveTo(at(second));
+            discoveryClient.moveTo(at(first));
         }
         assertThat(query(first.next())).isEqualTo("/v1/servers");
         assertThat(second.seen).isEmpty();
     }
 
-    /** Whatever the watch is at: connecting, writing, reading, taking over, or between two calls. */
+    /** Whatever the client is at: connecting, writing, reading, taking over, or between two calls. */
     @ParameterizedTest
     @ValueSource(ints = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12})
     void aNewAddressIsAskedAtOnceWhereverItsConfigurationFalls(int reading) throws Exception {
@@ -199,7 +200,7 @@
         AtomicInteger readings = new AtomicInteger();
         atClock = () -> {
             if (readings.incrementAndGet() == reading) {
-                watch.moveTo(at(next));
+                discoveryClient.moveTo(at(next));
             }
         };
         start(old, 250_000);
@@ -213,7 +214,7 @@
         Host old = discovery((head, seen) -> Host.ok(list(7, true, target(0, "DRAINING"))));
         Host next = silent();
         startDoubting(old);
-        watch.moveTo(at(next));
+        discoveryClient.moveTo(at(next));
         next.next();
         assertThat(table.size()).as("none is gone").isEqualTo(HOSTS);
         assertThat(table.endpointOf("s0")).as("the drain counts").isNull();
@@ -234,7 +235,7 @@
         atClock = () -> {
             clock.addAndGet(5_000);
             if (readings.get() >= 0 && readings.incrementAndGet() == reading) {
-                watch.moveTo(at(next));
+                discoveryClient.moveTo(at(next));
             }
         };
         start(old, 250_000);
@@ -261,12 +262,12 @@
         start(old, 250_000);
         old.next();
         if (byAMove) {
-            watch.moveTo(at(next));
+            discoveryClient.moveTo(at(next));
             next.next();
         } else {
             clock.addAndGet(ListClock.LONGEST_WAIT_US + ListClock.AFTER_WAIT_US);
             atClock = () -> clock.addAndGet(1_000);
-            watch.moveTo(at(old));          // no move: it looks at its clock
+            discoveryClient.moveTo(at(old));          // no move: it looks at its clock
             assertThat(query(old.next())).contains("after=6&");
         }
         go.countDown();
@@ -289,19 +290,19 @@
         hosts.get(0).next();
         for (Host host : hosts.subList(1, hosts.size())) {
             clock.addAndGet(ListClock.MOVED_US);
-            watch.moveTo(at(host));
+            discoveryClient.moveTo(at(host));
             host.next();
         }
-        assertThat(watch.superseded()).isEqualTo(DiscoveryClient.MOST_SUPERSEDED);
-        watch.turn(clock.get() + DiscoveryClient.SUPERSEDED_US);
-        assertThat(watch.superseded()).isZero();
+        assertThat(discoveryClient.superseded()).isEqualTo(DiscoveryClient.MOST_SUPERSEDED);
+        discoveryClient.turn(clock.get() + DiscoveryClient.SUPERSEDED_US);
+        assertThat(discoveryClient.superseded()).isZero();
     }
 
     @Test
     void anEndCutsTheDoubtShort() throws Exception {
         Host old = discovery((head, seen) -> Host.ok(list(7, true)));
         startDoubting(old);
-        watch.end();
+        discoveryClient.end();
         thread.join(20_000);
         assertThat(thread.isAlive()).isFalse();
     }
