Silence of a server counts from the start of an attempt, not from its decision

Cause: an attempt may wait up to 20 ms for a used connection to have rested (UpstreamSide.find). Balance.timer counted what it waited for from the decision on, and so took this side's own wait for the upstream's silence: eight attempts that rest beside one another are 160 ms, more than sixteen times an answer of 5 ms. The host was passed over, its attempts cut, having run by then, and repeated in their pod and window.

Change: the network tells the module when an attempt is held back no longer (BalancerApi.attemptStarted): right before it is written to a used connection, or connects. Silence counts from then; while no start is told, an attempt counts for nothing for 40 ms and then from its decision, so that a lost message hides no silent server.

The same fault elsewhere: a long request was waited for from its decision, too, where the host can answer from its last byte on (timer); a server's figure took an attempt that still rested for a queue (Server.figure, silentSince). Looked at and right already: what answers take (from the last byte written), time-outs that mean silence (from the end of the rest), pace and usual time. The window for repeats counts from the decision, which is the safe side. There is no hedge, and no share of time is kept for a retry.

--- a/core/src/main/java/dapplequay/Admission.java
+++ b/core/src/main/java/dapplequay/Admission.java
@@ -44,8 +44,9 @@
             }
             head = head == null ? s : head;
             least = least == null || figure < least.figure(now) ? s : least;
-            if (s.own == 0 && now - Math.max(s.silentSince, s.reportAt) > h.type.aimUs() && h.worthShare > ASKING_WORTH
-                    && (unasked == null || s.silentSince < unasked.silentSince)) {
+            if (s.own == 0 && now - Math.max(s.silentSince(), s.reportAt) > h.type.aimUs()
+                    && h.worthShare > ASKING_WORTH
+                    && (unasked == null || s.silentSince() < unasked.silentSince())) {
                 unasked = s;
             }
         }
--- a/core/src/main/java/dapplequay/Balance.java
+++ b/core/src/main/java/dapplequay/Balance.java
@@ -93,7 +93,7 @@
     private void send(long now, Held h, Server s) {
         actions.send(h.request.id(), s.host, Math.max(MIN_ATTEMPT_US, h.usefulUntil - now), h.beginBy());
         h.sent(now, s);
-        s.silentSince = s.own++ == 0 ? now : s.silentSince;
+        s.sent(now);
         set.zoneLoss.sent(now, s.zone);
         s.turnsFrom = now;
         s.turnPhase = 0;
@@ -113,6 +113,15 @@
         }
     }
 
+    @Override
+    public void attemptStarted(long now, long id) {
+        Held h = held.get(id);
+        if (h != null && h.out > 0) {
+            h.started(now);
+            h.last().started(now);
+        }
+    }
+
     @Override
     public void streamStarted(long now, long id, int attempt) {
         held.remove(id);              // the attempt is the client's now; nothing more is owed
@@ -144,7 +153,7 @@
         boolean silent = outcome == Outcome.TIMEOUT && s.answeredAt <= now - tookUs && (s.own > 0 || s.trial);
         boolean answered = outcome == Outcome.OK || outcome == Outcome.ERROR || outcome == Outcome.REFUSED;
         s.answeredAt = answered ? now : s.answeredAt;
-        s.silentSince = now;
+        s.outcomeAt = now;
         s.turnPhase -= outcome == Outcome.OK ? 0 : 1;     // a cold one that did not serve misses a turn
         boolean nobody = silent || outcome == Outcome.CONNECT_FAILED && tookUs < LATE_SHARE * set.leastAim;
         boolean met = answered || outcome == Outcome.RESET;     // what was given up met nobody, nor did it not
@@ -167,7 +176,7 @@
     public void timer(long now, long token) {
         set.servers.values().forEach(s -> s.awaited = 0);
         held.values().stream().filter(h -> h.out > 0 && !h.uploading).forEach(h -> h.last().awaited +=
-                (now - Math.max(h.sentAt, h.last().silentSince)) / usual.get(h.type.name()));
+                Math.max(0, h.awaitedUs(now)) / usual.get(h.type.name()));
         set.servers.values().stream().filter(s -> now >= s.shunUntil && s.awaited >= SILENT_TIMES).forEach(s -> {
             suspects.silent(now, s);
             held.values().stream().filter(h -> h.out == 1 && !h.uploading && h.last() == s && h.cut < h.attempts.size()
@@ -208,7 +217,9 @@
         } else if (h.uploading) {
             h.uploading = false;
             h.usefulUntil = now + h.request.leftUs();
-            s.silentSince = s.own++ == 0 ? now : s.silentSince;
+            h.started(now);
+            s.sent(now);
+            s.started(now);
         }
     }
 
--- a/core/src/main/java/dapplequay/BalancerApi.java
+++ b/core/src/main/java/dapplequay/BalancerApi.java
@@ -126,6 +126,12 @@
 
     void request(long now, Request request);
 
+    /**
+     * The request's last attempt is held back on this side no longer: it is connected for, or written, from now on.
+     * Comes after the decision and before the attempt's outcome, or not at all.
+     */
+    void attemptStarted(long now, long id);
+
     /** The answer of a streamed class has begun: this attempt is the client's from here on. */
     void streamStarted(long now, long id, int attempt);
 
--- a/core/src/main/java/dapplequay/Held.java
+++ b/core/src/main/java/dapplequay/Held.java
@@ -8,6 +8,10 @@
 final class Held {
     /** What a repeat's first byte may take to its server, and a thread to write it, us. */
     private static final long WAY_US = 20_000;
+    /** So long an attempt may be held back here: for a used connection to rest, and for a thread to write it, us. */
+    static final long HELD_BACK_US = 40_000;
+
+    private static final long NOT_YET = Long.MAX_VALUE;
 
     /** An attempt, and where its server was listed when it went out: the list may move it, or start it anew, since. */
     private record Sent(Server server, int zone, int cell, long at) { }
@@ -22,7 +26,8 @@
     int out;
     int cut;                      // attempts of which the last was given up as its server is silent
     private Sent firstMayHaveRun; // out counts as may have run, until its outcome proves that it did not
-    long sentAt;
+    private long sentAt;
+    private long startedAt;       // of its last attempt; NOT_YET: it may be held back on this side
 
     Held(Request request, ServiceClass type, double worthShare, long usefulUntil, int sendCap) {
         this.request = request;
@@ -60,9 +65,20 @@
         attempts.add(s);
         out++;
         sentAt = now;
+        startedAt = NOT_YET;
         firstMayHaveRun = firstMayHaveRun != null ? firstMayHaveRun : new Sent(s, s.zone, s.cell, now);
     }
 
+    void started(long now) {
+        startedAt = now;
+    }
+
+    /** How long its last attempt's server is waited for, us; one whose start nobody tells began when it was sent. */
+    long awaitedUs(long now) {
+        long since = startedAt != NOT_YET ? startedAt : now - sentAt > HELD_BACK_US ? sentAt : now;
+        return now - Math.max(since, last().outcomeAt);
+    }
+
     void ended(boolean neverRan) {
         out--;
         if (neverRan && out == 0 && firstMayHaveRun.server == last() && firstMayHaveRun.at == sentAt) {
--- a/core/src/main/java/dapplequay/Server.java
+++ b/core/src/main/java/dapplequay/Server.java
@@ -48,7 +48,8 @@
     int own;                      // own attempts out
     long answeredAt;              // the last answer of any kind
     double awaited;               // by the attempts that are out, in times that their answers usually take
-    long silentSince;             // while any is out: the last outcome, or the send that ended its idleness
+    long outcomeAt;               // the last outcome of an own attempt
+    private long awaitedFrom;     // the start of the attempt that ended its idleness
     double reported = Double.NaN;
     private double others;        // held for others, as told, running mean
     long reportAt;
@@ -88,6 +89,21 @@
         turnPhase = 1 + set.random.nextDouble();
     }
 
+    /** An own attempt was sent to it, which may still be held back on this side. */
+    void sent(long now) {
+        awaitedFrom = own++ == 0 ? now + Held.HELD_BACK_US : awaitedFrom;
+    }
+
+    /** An own attempt is held back no longer. */
+    void started(long now) {
+        awaitedFrom = Math.min(awaitedFrom, now);
+    }
+
+    /** Since when nothing has come of the attempts that are out. */
+    long silentSince() {
+        return Math.max(outcomeAt, awaitedFrom);
+    }
+
     /** Requests held, as last reported, with own sends since; where good answers tell no count, others do the same. */
     double held(long now) {
         double alike = answeredAt > 0 && doubt <= DOUBT_NONE && Double.isNaN(reported) ? set.senders : 1;
@@ -97,7 +113,7 @@
     double figure(long now) {
         double time = (held(now) + 1) / size * pace() / warmth(now);
         // No outcome for so long while own requests are out: a hanging server sends no report to say so.
-        return own > 0 ? Math.max(time, now - silentSince) : time;
+        return own > 0 ? Math.max(time, now - silentSince()) : time;
     }
 
     /** As the set's, on which it leans where little was sent. */
--- a/core/src/main/java/dapplequay/facade/Facade.java
+++ b/core/src/main/java/dapplequay/facade/Facade.java
@@ -164,6 +164,12 @@
         return faults;
     }
 
+    /** The request's attempt is held back no longer: what it waits for from now on is its upstream's doing. */
+    public synchronized void attemptStarted(long id) {
+        begin(0, 0);
+        guarded(() -> module.attemptStarted(clock.getAsLong(), id));
+    }
+
     /** The last byte of a long request was written to its attempt: its time begins now. */
     public synchronized void uploaded(long id) {
         begin(0, 0);
--- a/core/src/test/java/dapplequay/SuspectsTest.java
+++ b/core/src/test/java/dapplequay/SuspectsTest.java
@@ -2,9 +2,16 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import dapplequay.BalancerApi.BodyStage;
+import dapplequay.BalancerApi.FleetEntry;
+import dapplequay.BalancerApi.HostState;
+import dapplequay.BalancerApi.ListKind;
 import dapplequay.BalancerApi.LoadReport;
 import dapplequay.BalancerApi.Outcome;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.SplittableRandom;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 
 /** Who is passed over for failures, and for how long. */
@@ -72,4 +79,46 @@
         b.pass(100_000).module.timer(b.now, 1);
         assertThat(b.count("cancel")).as("nothing came for long").isPositive();
     }
+
+    /** An attempt is waited for from the moment at which it is held back no longer, however late that is. */
+    @Test
+    void silenceCountsFromTheStartOfAnAttempt() {
+        Bench b = new Bench().fleet(2, 0);
+        answeredIn5Ms(b, Bench.SAFE);
+        List<Bench.Done> sent = new ArrayList<>();
+        for (int i = 0; i < 16; i++) {
+            sent.add(b.request(Bench.SAFE));
+        }
+        b.pass(60_000);
+        sent.forEach(send -> b.module.attemptStarted(b.now, send.id()));
+        b.pass(9_000).module.timer(b.now, 1);
+        assertThat(b.count("cancel")).isZero();
+        b.pass(100_000).module.timer(b.now, 1);
+        assertThat(b.count("cancel")).as("nothing came for long").isPositive();
+    }
+
+    /** A long request can be answered from its last byte on: the time in which it came was taken for its host's silence. */
+    @Test
+    void silenceCountsFromTheLastByteOfALongRequest() {
+        Bench b = new Bench();
+        b.module.fleet(b.now, ListKind.RESTORED, Stream.of("a0", "a1", "a2")
+                .map(name -> new FleetEntry(name, 0, 0, HostState.READY, 4, 0)).toList());
+        answeredIn5Ms(b, Bench.SAFE);
+        Bench.Done slower = b.request(Bench.KEYED_ALL);
+        Bench.Done upload = b.request(Bench.SAFE);
+        assertThat(upload.host()).isEqualTo(slower.host());
+        b.module.body(b.now, upload.id(), BodyStage.COMING);
+        b.pass(300_000).module.body(b.now, upload.id(), BodyStage.WHOLE);
+        b.pass(5_000).module.timer(b.now, 1);
+        assertThat(b.lines).noneMatch(line -> line.startsWith("passed over"));
+        b.pass(200_000).module.timer(b.now, 1);
+        assertThat(b.lines).as("nothing came for long").anyMatch(line -> line.startsWith("passed over for silence"));
+    }
+
+    private static void answeredIn5Ms(Bench b, int type) {
+        for (int i = 0; i < 200; i++) {
+            Bench.Done send = b.request(type);
+            b.pass(5_000).module.outcome(b.now, send.id(), 0, send.host(), Outcome.OK, 5_000, true, new LoadReport(1, 1));
+        }
+    }
 }
--- a/sidecar/src/main/java/dapplequay/benchlink/Instances.java
+++ b/sidecar/src/main/java/dapplequay/benchlink/Instances.java
@@ -28,7 +28,7 @@
     private final Sheet[] sheets = new Sheet[SHEETS];
     private long turn;
 
-    private record Instance(BalancerApi module, Asking asking, SettingsReader.Setup setup) { }
+    private record Instance(BalancerApi module, Asking asking, SettingsReader.Setup setup, WireActions actions) { }
 
     /** A sheet as read, and as translated for the zones of the instances that used it last. */
     private static final class Sheet {
@@ -77,6 +77,9 @@
             case "CALL", "UNDER_WAY", "DONE", "VANISHED", "TIMEOUT_FIRED", "PROBE_RESULT", "NOTE_FROM" -> {
                 Instance instance = instance(e);
                 guarded(e.instance, translate(now, e, instance));
+                // The simulator holds no attempt back: each starts at the moment of its decision.
+                instance.actions().takeIssued().forEach(id ->
+                        guarded(e.instance, () -> instance.module().attemptStarted(now, id)));
             }
             default -> throw bad("unknown kind " + e.kind);
         }
@@ -120,7 +123,7 @@
         long seed = need(e.seed, "seed", e);
         WireActions actions = new WireActions(out, name);
         guarded(name, () -> instances.put(name, new Instance(new Balance(setup.settings(), seed, actions),
-                new Asking(setup.settings(), seed, actions), setup)));
+                new Asking(setup.settings(), seed, actions), setup, actions)));
     }
 
     private void sync(long now, Event e) {
--- a/sidecar/src/main/java/dapplequay/benchlink/WireActions.java
+++ b/sidecar/src/main/java/dapplequay/benchlink/WireActions.java
@@ -1,12 +1,15 @@
 package dapplequay.benchlink;
 
+import java.util.ArrayList;
 import java.util.Base64;
+import java.util.List;
 import dapplequay.BalancerApi;
 
 /** Writes one instance's actions as the wire's. */
 final class WireActions implements BalancerApi.Actions {
     private final WireWriter out;
     private final String instance;
+    private final List<Long> issued = new ArrayList<>();
 
     WireActions(WireWriter out, String instance) {
         this.out = out;
@@ -16,10 +19,18 @@
     /** {@code beginBy} says nothing here: the simulator issues the attempt at the moment of the decision. */
     @Override
     public void send(long id, String host, long timeoutUs, long beginBy) {
+        issued.add(id);
         out.action("ISSUE", instance).field("req", id).field("within_us", timeoutUs)
                 .field("host", host).end();
     }
 
+    /** The requests of which an attempt was sent since this was last asked. */
+    List<Long> takeIssued() {
+        List<Long> taken = List.copyOf(issued);
+        issued.clear();
+        return taken;
+    }
+
     @Override
     public void cancel(long id, int attempt) {
         out.action("RETRACT", instance).field("req", id).field("shot", attempt).end();
--- a/sidecar/src/main/java/dapplequay/net/Conductor.java
+++ b/sidecar/src/main/java/dapplequay/net/Conductor.java
@@ -53,6 +53,11 @@
         exchange.from.answer(answer);
     }
 
+    /** An attempt is held back no longer: it is connected for or written from now on. */
+    void attemptStarted(Attempt attempt) {
+        facade.attemptStarted(attempt.exchange.id);
+    }
+
     /** An attempt has ended; {@code load}, {@code head} and {@code body} are there only if it was answered. */
     void attemptEnded(Attempt attempt, AttemptEnd end, HostLoad load, Head head, byte[] body) {
         Exchange exchange = attempt.exchange;
--- a/sidecar/src/main/java/dapplequay/net/UpstreamSide.java
+++ b/sidecar/src/main/java/dapplequay/net/UpstreamSide.java
@@ -137,6 +137,7 @@
         while (begin == UpstreamConnection.Begin.UNFIT) {
             Found found = find(endpoint, attempt);
             if (found == null) {
+                conductor.attemptStarted(attempt);
                 open(endpoint, attempt);
                 return;
             }
@@ -144,6 +145,7 @@
                 waitFor(endpoint, attempt, now() + found.restUs());
                 return;
             }
+            conductor.attemptStarted(attempt);
             begin = found.connection().write(attempt);
             if (begin != UpstreamConnection.Begin.TAKEN) {
                 found.connection().close();
--- a/sidecar/src/test/java/dapplequay/net/UpstreamRig.java
+++ b/sidecar/src/test/java/dapplequay/net/UpstreamRig.java
@@ -55,6 +55,8 @@
     final AtomicLong now = new AtomicLong(1_000_000_000);
     final Endpoints table = new Endpoints();
     final BlockingQueue<Ended> ends = new LinkedBlockingQueue<>();
+    /** The attempts that are held back no longer, in the order told. */
+    final BlockingQueue<Attempt> started = new LinkedBlockingQueue<>();
     final Deadlines deadlines = new Deadlines(this::look);
     final UpstreamSide side;
     volatile Consumer<Ended> atEnd = ended -> { };
@@ -69,6 +71,11 @@
         SettingsReader.Setup setup = new SettingsReader.Setup(null, Map.of(), Map.of(), TIME_US, 3 * TIME_US);
         side = new UpstreamSide(table, deadlines, () -> setup, most, new Counts(), new DiscoveryFigures());
         side.conductor(new Conductor(null, side) {
+            @Override
+            void attemptStarted(Attempt attempt) {
+                started.add(attempt);
+            }
+
             @Override
             void attemptEnded(Attempt attempt, AttemptEnd end, HostLoad load, Head head, byte[] body) {
                 Ended ended = new Ended(attempt, end, body == null ? null : new String(body, StandardCharsets.ISO_8859_1));
--- a/sidecar/src/test/java/dapplequay/net/UpstreamSideTest.java
+++ b/sidecar/src/test/java/dapplequay/net/UpstreamSideTest.java
@@ -40,6 +40,9 @@
     private static UpstreamSide side(Endpoints table, Deadlines deadlines, BlockingQueue<AttemptEnd> ends) {
         UpstreamSide side = new UpstreamSide(table, deadlines, () -> SETUP, 10, new Counts(), new DiscoveryFigures());
         side.conductor(new Conductor(null, side) {
+            @Override
+            void attemptStarted(Attempt attempt) { }
+
             @Override
             void attemptEnded(Attempt attempt, AttemptEnd end, HostLoad load, Head head, byte[] body) {
                 ends.add(end);
