A pause of a few milliseconds is no silence of a quick upstream

What callers saw: 12 of 9,277 keyed requests ran twice before sound upstreams that answer in 1 ms (experiments/ClosedLoad.java, 16 clients a process, beside other tests), two "passed over for silence" in the log, with silence counted from the start of attempts.

Cause: a server is silent once its attempts have been waited for 16 times as long as answers usually take, summed over them. Where an answer takes 1 ms and four are out, that is 4 ms in which nothing comes: a pause of this process, of its core's other users or of the machine. Nothing bounded it from below, and each verdict cuts attempts that have run.

Change: besides, nothing has come for as long as lies between two looks of the module (a tenth of the shortest aim, 30 to 60 ms in the deployments at hand). A server that answers in 10 ms or more with few attempts out is judged as before.

SuspectsTest#aShortPauseIsNoSilenceOfAQuickHost: fails without the change (16 attempts were cut after 30 ms), and holds that after 50 ms they are cut. MechanismTest and RulesTest pass unchanged.

--- a/core/src/main/java/dapplequay/Balance.java
+++ b/core/src/main/java/dapplequay/Balance.java
@@ -18,7 +18,10 @@
     private static final long MIN_ATTEMPT_US = 2_000;
     /** A connect that failed after a greater share of the aim than this may be this process's own lateness. */
     private static final double LATE_SHARE = 0.5;
-    /** A server is silent once its attempts have been waited for so many times as long as answers usually take. */
+    /**
+     * A server is silent once its attempts have been waited for so many times as long as answers usually take, and
+     * nothing has come for as long as lies between two looks.
+     */
     private static final double SILENT_TIMES = 16;
     /** How often that is looked at, as a share of the aim. */
     private static final double WATCH_SHARE = 0.1;
@@ -177,7 +180,7 @@
         set.servers.values().forEach(s -> s.awaited = 0);
         held.values().stream().filter(h -> h.out > 0 && !h.uploading).forEach(h -> h.last().awaited +=
                 Math.max(0, h.awaitedUs(now)) / usual.get(h.type.name()));
-        set.servers.values().stream().filter(s -> now >= s.shunUntil && s.awaited >= SILENT_TIMES).forEach(s -> {
+        set.servers.values().stream().filter(s -> isSilent(now, s)).forEach(s -> {
             suspects.silent(now, s);
             held.values().stream().filter(h -> h.out == 1 && !h.uploading && h.last() == s && h.cut < h.attempts.size()
                     && set.buddies.stream().anyMatch(o -> !o.trial && admission.usable(now, h, o))).forEach(h -> {
@@ -189,6 +192,11 @@
         watch(!held.isEmpty());
     }
 
+    /** A pause of this process or of the machine is no silence: a short one is many times a quick answer. */
+    private boolean isSilent(long now, Server s) {
+        return now >= s.shunUntil && s.awaited >= SILENT_TIMES && now - s.silentSince() >= WATCH_SHARE * set.leastAim;
+    }
+
     private void watch(boolean wanted) {
         watching = wanted;
         if (wanted) {
--- a/core/src/test/java/dapplequay/SuspectsTest.java
+++ b/core/src/test/java/dapplequay/SuspectsTest.java
@@ -84,7 +84,7 @@
     @Test
     void silenceCountsFromTheStartOfAnAttempt() {
         Bench b = new Bench().fleet(2, 0);
-        answeredIn5Ms(b, Bench.SAFE);
+        answered(b, Bench.SAFE, 5_000);
         List<Bench.Done> sent = new ArrayList<>();
         for (int i = 0; i < 16; i++) {
             sent.add(b.request(Bench.SAFE));
@@ -103,7 +103,7 @@
         Bench b = new Bench();
         b.module.fleet(b.now, ListKind.RESTORED, Stream.of("a0", "a1", "a2")
                 .map(name -> new FleetEntry(name, 0, 0, HostState.READY, 4, 0)).toList());
-        answeredIn5Ms(b, Bench.SAFE);
+        answered(b, Bench.SAFE, 5_000);
         Bench.Done slower = b.request(Bench.KEYED_ALL);
         Bench.Done upload = b.request(Bench.SAFE);
         assertThat(upload.host()).isEqualTo(slower.host());
@@ -115,10 +115,24 @@
         assertThat(b.lines).as("nothing came for long").anyMatch(line -> line.startsWith("passed over for silence"));
     }
 
-    private static void answeredIn5Ms(Bench b, int type) {
+    /** A pause of some milliseconds, of this process or of the machine, was a silence of hosts that answer in one. */
+    @Test
+    void aShortPauseIsNoSilenceOfAQuickHost() {
+        Bench b = new Bench().fleet(2, 0);
+        answered(b, Bench.SAFE, 1_000);
+        for (int i = 0; i < 16; i++) {
+            b.module.attemptStarted(b.now, b.request(Bench.SAFE).id());
+        }
+        b.pass(30_000).module.timer(b.now, 1);
+        assertThat(b.count("cancel")).isZero();
+        b.pass(20_000).module.timer(b.now, 1);
+        assertThat(b.count("cancel")).as("nothing came for long").isPositive();
+    }
+
+    private static void answered(Bench b, int type, long tookUs) {
         for (int i = 0; i < 200; i++) {
             Bench.Done send = b.request(type);
-            b.pass(5_000).module.outcome(b.now, send.id(), 0, send.host(), Outcome.OK, 5_000, true, new LoadReport(1, 1));
+            b.pass(tookUs).module.outcome(b.now, send.id(), 0, send.host(), Outcome.OK, tookUs, true, new LoadReport(1, 1));
         }
     }
 }
