At a steady pace a further connection is opened, where attempts waited 20 ms for one to rest

What callers saw: half or more of each request's time went into a wait.

Cause: a connection rests 20 ms after an answer, as a second answer may come late, and an attempt that finds only resting ones waits. It opened none, so that the number of connections never grew to what the pace needs.

Change: where the last eight attempts at an upstream came within 400 ms (SendPace), one that has to wait also has a spare connection opened, by that connection's own thread. Nothing was asked on it, so that it needs no rest; whoever waits the longest, or comes next, takes it. The rest itself is as it was, and at a slower pace attempts wait as before: a spare one would be closed again unused (spare ones end after 0.5 s of idleness), and handshakes are work for upstreams. Four at most come up at once at an upstream; after one that failed none is opened for 0.5 s; all count within the connections that the limits allow, and none replaces another.

A shorter rest: what it protects would be lost.

StrayBytesTest and the other tests of dapplequay.net pass unchanged; SpareConnectionsTest's first case does not end without the change.

--- a/sidecar/src/main/java/dapplequay/net/UpstreamConnection.java
+++ b/sidecar/src/main/java/dapplequay/net/UpstreamConnection.java
@@ -34,6 +34,8 @@
     private final Socket socket;
     private volatile Drive drive;
     private volatile boolean isConnected;
+    /** The upstream's name where it is opened for no attempt; else null. */
+    private final String spareFor;
     /** This and the next three: under this connection's own lock. */
     private Attempt attempt;
     /** The attempt was handed over by another thread, which is about to write it and owns it until it does. */
@@ -54,6 +56,16 @@
         this.endpoint = endpoint;
         socket = side.newSocket();
         attempt = first;
+        spareFor = null;
+    }
+
+    /** A spare one, opened before an attempt needs it; {@code host}: its upstream's name in the list. */
+    UpstreamConnection(UpstreamSide side, Endpoints.Endpoint endpoint, String host) {
+        drive = Drive.OWN;
+        this.side = side;
+        this.endpoint = endpoint;
+        socket = side.newSocket();
+        spareFor = host;
     }
 
     /**
@@ -259,7 +271,7 @@
     @Override
     public void run() {
         try {
-            if (isConnected || connect()) {
+            if (isConnected || (spareFor == null ? connect() : connectSpare())) {
                 MessageReader reader = new MessageReader(new Noting(socket.getInputStream()),
                         MessageReader.LONGEST_BODY);
                 while (reader.await() && serve(reader)) { }
@@ -300,6 +312,24 @@
         return isConnected;
     }
 
+    /** There was no thread for it. */
+    void notStarted() {
+        if (spareFor != null) {
+            side.spareOpened(this, spareFor, false);
+        }
+    }
+
+    private boolean connectSpare() throws IOException {
+        try {
+            socket.setTcpNoDelay(true);
+            socket.connect(endpoint.address(), (int) Math.max(1, side.connectTimeoutUs() / 1000));
+            isConnected = true;
+        } finally {
+            isConnected = side.spareOpened(this, spareFor, isConnected);
+        }
+        return isConnected;
+    }
+
     /** Reads what came; false where the connection is of no more use. */
     private boolean serve(MessageReader reader) throws IOException {
         Attempt served = begunAttempt();
--- a/sidecar/src/main/java/dapplequay/net/UpstreamSide.java
+++ b/sidecar/src/main/java/dapplequay/net/UpstreamSide.java
@@ -46,6 +46,9 @@
      */
     static final long SPARE_US = 500_000;
 
+    /** Spare connections to one upstream that may come up at once: some come up late. */
+    private static final int SPARES_AT_ONCE = 4;
+
     private static final Deque<UpstreamConnection> NONE = new ArrayDeque<>();
 
     private final Endpoints table;
@@ -60,7 +63,9 @@
     /** They wait for connections to have rested: no more at once than there are such connections. */
     private final Executor waiters = new ThreadPoolExecutor(0, Integer.MAX_VALUE, WAITER_MS, TimeUnit.MILLISECONDS,
             new SynchronousQueue<>(), UpstreamSide::waiter);
+    private final SendPace pace = new SendPace();
     private int open;
+    private boolean isClosing;
     private Conductor conductor;
 
     UpstreamSide(Endpoints table, Deadlines deadlines, Supplier<Setup> setup, int most, Counts counts,
@@ -119,6 +124,9 @@
         // The time of a long request begins with its last byte.
         attempt.endsWith(attempt.isUploading() ? null
                 : deadlines.after(attempt.untilUs() - now(), () -> attempt.cut(AttemptEnd.TIMED_OUT)));
+        synchronized (this) {
+            pace.sent(endpoint, now());
+        }
         goOut(endpoint, attempt);
     }
 
@@ -130,7 +138,9 @@
 
     /**
      * Writes the attempt to a connection that has rested, passing over those that prove unfit, has it wait for one that
-     * rests, or opens one, in this order: a new one is work for the host, and may be slow to come up.
+     * rests, or opens one, in this order: a new one is work for the host, and may be slow to come up. Where attempts
+     * follow on each other so fast that a further connection would be used, one is opened meanwhile, and whichever is
+     * fit first is taken.
      */
     private void goOut(Endpoints.Endpoint endpoint, Attempt attempt) {
         UpstreamConnection.Begin begin = UpstreamConnection.Begin.UNFIT;
@@ -142,6 +152,7 @@
                 return;
             }
             if (found.restUs() > 0) {
+                openSpare(endpoint, attempt.order.host());
                 waitFor(endpoint, attempt, now() + found.restUs());
                 return;
             }
@@ -207,6 +218,50 @@
         }
     }
 
+    /** Opens a connection that no attempt has yet, where the pace of attempts is worth one and there is room. */
+    private void openSpare(Endpoints.Endpoint endpoint, String host) {
+        UpstreamConnection spare;
+        synchronized (this) {
+            if (isClosing || open >= most || !pace.wantsSpare(endpoint, now(), SPARES_AT_ONCE)) {
+                return;
+            }
+            spare = new UpstreamConnection(this, endpoint, host);
+            pace.opening(endpoint);
+            open++;
+        }
+        start(spare);
+    }
+
+    /** A spare connection is open, or has failed; whether it stays. Nothing was asked on it: it needs no rest. */
+    boolean spareOpened(UpstreamConnection spare, String host, boolean isOpen) {
+        synchronized (this) {
+            pace.opened(spare.endpoint, isOpen, now());
+            if (!isOpen || isClosing || !spare.endpoint.equals(table.endpointOf(host))) {
+                return false;
+            }
+            keepIdle(spare, now() - REST_US);
+            // Whoever would wait the longest looks anew.
+            Iterator<UpstreamConnection> last = idle.get(spare.endpoint).descendingIterator();
+            while (last.hasNext()) {
+                UpstreamConnection resting = last.next();
+                if (resting.promisedTo() != null) {
+                    resting.promisedTo().stopResting();
+                    return true;
+                }
+            }
+            return true;
+        }
+    }
+
+    /** Among the idle ones from now on; under the lock. */
+    private void keepIdle(UpstreamConnection connection, long sinceUs) {
+        Deque<UpstreamConnection> ready = idle.computeIfAbsent(connection.endpoint, e -> new ArrayDeque<>());
+        long idleUs = (long) (setup.get().connIdleUs() * IDLE_SHARE);
+        long stayUs = ready.isEmpty() ? idleUs : Math.min(idleUs, SPARE_US);
+        connection.idle(sinceUs, deadlines.after(stayUs, () -> retire(connection)));
+        ready.addLast(connection);
+    }
+
     /**
      * Asked right before an attempt's first byte, on a used connection as on a new one: whether it may still go out.
      * While it waited, above all for its connect, the client may have left or been answered, the window for repeats or
@@ -247,6 +302,7 @@
             if (owed != null && owed.isWriting()) {
                 owed.writeEnded(false, now());
             }
+            connection.notStarted();
             connection.close();
             ended(connection);
         }
@@ -345,11 +401,7 @@
             // news are in the table before the idle connections on the endpoints that are gone are closed.
             stays = connection.endpoint.equals(table.endpointOf(host));
             if (stays) {
-                Deque<UpstreamConnection> ready = idle.computeIfAbsent(connection.endpoint, e -> new ArrayDeque<>());
-                long idleUs = (long) (setup.get().connIdleUs() * IDLE_SHARE);
-                long stayUs = ready.isEmpty() ? idleUs : Math.min(idleUs, SPARE_US);
-                connection.idle(now(), deadlines.after(stayUs, () -> retire(connection)));
-                ready.addLast(connection);
+                keepIdle(connection, now());
             }
         }
         if (!stays) {
@@ -395,6 +447,7 @@
     void closeAllIdle() {
         List<Endpoints.Endpoint> endpoints;
         synchronized (this) {
+            isClosing = true;
             endpoints = List.copyOf(idle.keySet());
         }
         closeIdle(endpoints);
--- /dev/null
+++ b/sidecar/src/test/java/dapplequay/net/SpareConnectionsTest.java
@@ -0,0 +1,97 @@
+package dapplequay.net;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import dapplequay.facade.AttemptEnd;
+import java.net.Socket;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** Attempts that follow on each other so fast that the connection to their host has not rested yet. */
+@Timeout(60)
+class SpareConnectionsTest {
+    private final UpstreamRig rig = new UpstreamRig(10);
+
+    /** Attempts that are served one after the other, each so long after the last; their one connection. */
+    private Socket servedInARow(Host host, long gapUs) throws Exception {
+        Socket used = null;
+        for (int i = 0; i < SendPace.WINDOW; i++) {
+            rig.now.addAndGet(gapUs);
+            rig.side.send(rig.attempt("s0", Long.MAX_VALUE));
+            assertThat(rig.next().end()).isEqualTo(AttemptEnd.SERVED);
+            Socket next = host.next().socket();
+            assertThat(used == null ? next : used).as("no other one").isSameAs(next);
+            used = next;
+        }
+        return used;
+    }
+
+    /** Requests at a steady pace waited 20 ms each, as the one connection had just been answered on. */
+    @Test
+    void atASteadyPaceAnAttemptTakesAConnectionThatIsOpenedMeanwhile() throws Exception {
+        try (Host host = new Host((head, seen) -> Host.ok("done"))) {
+            rig.list("SERVING", host.port());
+            Socket first = servedInARow(host, UpstreamSide.REST_US);
+            for (int i = 0; i < 2; i++) {
+                Attempt attempt = rig.attempt("s0", Long.MAX_VALUE);
+                rig.side.send(attempt);         // and the clock stands still
+                assertThat(rig.next()).isEqualTo(new UpstreamRig.Ended(attempt, AttemptEnd.SERVED, "done"));
+                assertThat(host.next().socket()).as("an answer has just come there").isNotSameAs(first);
+            }
+        }
+    }
+
+    /** A handshake for each short wait would cost hosts more than it gives. */
+    @Test
+    void atASlowPaceAnAttemptWaits() throws Exception {
+        try (Host host = new Host((head, seen) -> Host.ok("done"))) {
+            rig.list("SERVING", host.port());
+            Socket first = servedInARow(host, 2 * SendPace.STEADY_GAP_US);
+            rig.side.send(rig.attempt("s0", Long.MAX_VALUE));
+            rig.awaitResting(1);
+            rig.passWithNobodyRested(UpstreamSide.REST_US - 1);
+            rig.now.addAndGet(1);
+            assertThat(rig.next().end()).isEqualTo(AttemptEnd.SERVED);
+            assertThat(host.next().socket()).isSameAs(first);
+        }
+    }
+
+    /** The drain is told while the spare connection comes up. */
+    @Test
+    void aSpareConnectionToAHostThatBeginsToDrainIsClosed() throws Exception {
+        try (Host host = new Host((head, seen) -> Host.ok("done"))) {
+            rig.list("SERVING", host.port());
+            servedInARow(host, UpstreamSide.REST_US);
+            Attempt attempt = rig.attempt("s0", Long.MAX_VALUE);
+            synchronized (rig.side) {
+                rig.side.send(attempt);
+                rig.awaitBlocked();             // it is open, and not taken in yet
+                rig.list("DRAINING", host.port());
+            }
+            assertThat(host.closed.poll(Host.PATIENCE_S, TimeUnit.SECONDS)).isTrue();
+            rig.now.addAndGet(UpstreamSide.REST_US);
+            assertThat(rig.next()).isEqualTo(new UpstreamRig.Ended(attempt, AttemptEnd.NOT_SENT, null));
+            assertThat(host.seen).isEmpty();
+        }
+    }
+
+    /** The module took the wait for a connection for its host's silence, and had what had run repeated elsewhere. */
+    @Test
+    void anAttemptCountsAsStartedWhenItsWaitIsOver() throws Exception {
+        try (Host host = new Host((head, seen) -> Host.ok("done"))) {
+            rig.list("SERVING", host.port());
+            rig.served("s0", host);
+            rig.side.send(rig.attempt("s0", Long.MAX_VALUE));
+            rig.next();
+            assertThat(rig.started).as("a new connection, and a rested one").hasSize(2);
+            Attempt attempt = rig.attempt("s0", Long.MAX_VALUE);
+            rig.side.send(attempt);
+            rig.awaitResting(1);
+            assertThat(rig.started).hasSize(2);
+            rig.now.addAndGet(UpstreamSide.REST_US);
+            rig.next();
+            assertThat(rig.started).last().isSameAs(attempt);
+        }
+    }
+}
