Upstreams that tell no load are taken to be as quick as they answer, and UntoldLoadTest passes

What callers saw: 425 of 3,584 requests refused (503) while upstreams were idle: four that answer in 5 ms and tell no load, bursts of 16 requests a process each 45 ms (experiments/ClosedLoad.java 5 16 told=false burst=45).

Cause: BuddySet.pace is learnt from reports alone. Without them it stays the first guess, a tenth of the shortest aim (30 ms here), and three requests a process fill an upstream that could do twenty.

Change: an answer takes at least its work, so that the pace of such upstreams is at most what answers take, in the class whose answers take longest of those that were answered; the guess stays where that is more. AnswerTimes keeps the means: the slow one that silence is told by, as it was, and one of answers alone that learns at once.

Why it can't overload them: the pace never goes above the guess, never below the mean of the slowest class, and as queues build, answers take longer. Where loads are told nothing changes.

UntoldLoadTest, unchanged, failed before and passes; so do the other tests of core (ColdRampTest among them).

--- a/core/src/main/java/dapplequay/Balance.java
+++ b/core/src/main/java/dapplequay/Balance.java
@@ -25,8 +25,6 @@
     private static final double SILENT_TIMES = 16;
     /** How often that is looked at, as a share of the aim. */
     private static final double WATCH_SHARE = 0.1;
-    /** Weight of the newest answer in what its class takes. */
-    private static final double CLASS_GAIN = 0.03;
     private static final long WATCH_TOKEN = 1;
 
     private final Actions actions;
@@ -35,7 +33,7 @@
     private final Suspects suspects;
     private final Map<Long, Held> held = new LinkedHashMap<>();
     private final Map<String, Long> longestLeft = new HashMap<>();  // per class: the try that clients grant
-    private final Map<String, Double> usual = new HashMap<>();      // per class: what an answer takes, us, running mean
+    private final AnswerTimes answerTimes = new AnswerTimes();
     private Settings settings;
     private TenantMix tenants;
     private boolean watching;
@@ -54,7 +52,7 @@
         settings = next;
         set.use(next);
         admission.use(next);
-        next.classes().forEach(c -> usual.putIfAbsent(c.name(), BuddySet.GUESS_SHARE * c.aimUs()));
+        answerTimes.use(next.classes());
         tenants = new TenantMix(next.tenants(), next.overShareWorth());
     }
 
@@ -139,7 +137,8 @@
             s.own = Math.max(0, s.own - (h != null && h.uploading ? 0 : 1));
             learn(now, s, outcome, tookUs, report);
             if (outcome == Outcome.OK && h != null) {
-                usual.computeIfPresent(h.type.name(), (name, took) -> took + CLASS_GAIN * (tookUs - took));
+                answerTimes.answered(h.type.name(), tookUs);
+                set.slowestAnswer = answerTimes.slowestUs();
             }
         }
         if (h == null || closed) {
@@ -179,7 +178,7 @@
     public void timer(long now, long token) {
         set.servers.values().forEach(s -> s.awaited = 0);
         held.values().stream().filter(h -> h.out > 0 && !h.uploading).forEach(h -> h.last().awaited +=
-                Math.max(0, h.awaitedUs(now)) / usual.get(h.type.name()));
+                Math.max(0, h.awaitedUs(now)) / answerTimes.usualUs(h.type.name()));
         set.servers.values().stream().filter(s -> isSilent(now, s)).forEach(s -> {
             suspects.silent(now, s);
             held.values().stream().filter(h -> h.out == 1 && !h.uploading && h.last() == s && h.cut < h.attempts.size()
--- a/core/src/main/java/dapplequay/BuddySet.java
+++ b/core/src/main/java/dapplequay/BuddySet.java
@@ -22,8 +22,6 @@
     // In a key's order another zone's lie further away by this, over the square of what is held for each worked on.
     private static final double FOREIGN_LEAN = 0.7;
     private static final double LEAST_BUSY = 0.05;
-    /** The first guess at what an answer takes, as a share of the aim. */
-    static final double GUESS_SHARE = 0.1;
 
     final Map<String, Server> servers = new LinkedHashMap<>();    // all that are listed, in the order met
     List<Server> buddies = List.of();
@@ -32,6 +30,7 @@
     double held = 1;              // of all answered sends, as per server
     double took;
     int answers = 1;              // the guess at the start counts as one
+    double slowestAnswer;         // what answers take in the class that takes longest, us; 0: there was none
     double failures;              // share of sends that fail, at all servers: running mean
     ColdBudget cold;
     final SplittableRandom random;
@@ -45,15 +44,19 @@
         zoneLoss = new ZoneLoss(settings.zones().size(), 3 * Suspects.SHUN_US);
     }
 
-    /** Time per request held and unit of size (Little's law), us. */
+    /**
+     * Time per request held and unit of size (Little's law), us. Where no count is told it is a guess, but no more than
+     * an answer takes: that is at least its work.
+     */
     double pace() {
-        return took / held;
+        boolean isGuess = answers == 1;
+        return isGuess && slowestAnswer > 0 ? Math.min(took, slowestAnswer) : took / held;
     }
 
     void use(Settings next) {
         settings = next;
         leastAim = next.classes().stream().mapToLong(ServiceClass::aimUs).min().getAsLong();
-        took = took == 0 ? GUESS_SHARE * leastAim : took;
+        took = took == 0 ? AnswerTimes.GUESS_SHARE * leastAim : took;
         cold = new ColdBudget(next.coldStart());
     }
 
--- a/core/src/main/java/dapplequay/Server.java
+++ b/core/src/main/java/dapplequay/Server.java
@@ -118,7 +118,7 @@
 
     /** As the set's, on which it leans where little was sent. */
     private double pace() {
-        return (took + PACE_PRIOR * set.took) / (heldSeen + PACE_PRIOR * set.held);
+        return (took + PACE_PRIOR * set.held * set.pace()) / (heldSeen + PACE_PRIOR * set.held);
     }
 
     boolean hasRoom(long now, double worthShare) {
