Silence is measured by the wait for whole answers, not for their first line

What callers saw: sound upstreams passed over. An upstream that was the most used for a moment, while the first in order was passed over, loses its traffic when that comes back.

Cause: these upstreams write an answer's head and body apart, and the body waits 40 ms for the acknowledgement of the head. What an answer usually takes is measured up to its head (Attempt.tookUs), 1 ms; silence is what an attempt waits for until its outcome, 43 ms: more than sixteen times. The log of attempts shows both (SERVED 43,000 us; usual falls from its guess to 1 ms).

Change: AnswerTimes keeps what attempts wait for, from their start to their outcome, beside what answers take; silence is measured by the first, the pace by the second, as before.

SuspectsTest#silenceIsMeasuredByTheWaitForWholeAnswers fails without and passes.

--- a/core/src/main/java/dapplequay/AnswerTimes.java
+++ b/core/src/main/java/dapplequay/AnswerTimes.java
@@ -15,19 +15,19 @@
     private final Map<String, Times> byClass = new HashMap<>();
 
     private static final class Times {
-        /** A guess at first, and slow to leave it: silence is told by it. */
-        private double usualUs;
-        /** The mean of answers alone. */
-        private double seenUs;
+        /** Of the waits for them, from a guess on: silence is told by it. */
+        private double waitUs;
+        /** Of answers alone. */
+        private double tookUs;
         private int answers;
 
         private Times(double guessUs) {
-            usualUs = guessUs;
+            waitUs = guessUs;
         }
 
-        private void add(long tookUs) {
-            usualUs += GAIN * (tookUs - usualUs);
-            seenUs += Math.max(GAIN, 1.0 / ++answers) * (tookUs - seenUs);
+        private void add(long answerTookUs, long waitedUs) {
+            waitUs += GAIN * (waitedUs - waitUs);
+            tookUs += Math.max(GAIN, 1.0 / ++answers) * (answerTookUs - tookUs);
         }
     }
 
@@ -36,17 +36,18 @@
         classes.forEach(c -> byClass.putIfAbsent(c.name(), new Times(GUESS_SHARE * c.aimUs())));
     }
 
-    void answered(String serviceClass, long tookUs) {
-        byClass.get(serviceClass).add(tookUs);
+    /** An answer took so long by its server's doing; for the whole of it this side waited longer, or as long. */
+    void answered(String serviceClass, long tookUs, long waitedUs) {
+        byClass.get(serviceClass).add(tookUs, waitedUs);
     }
 
-    /** What an answer usually takes in the class: the guess while none has come. */
-    double usualUs(String serviceClass) {
-        return byClass.get(serviceClass).usualUs;
+    /** How long an attempt usually waits for its whole answer, from its start on; the guess while none has come. */
+    double usualWaitUs(String serviceClass) {
+        return byClass.get(serviceClass).waitUs;
     }
 
     /** The mean of the class whose answers take longest, of those that were answered; 0: none was. */
     double slowestUs() {
-        return byClass.values().stream().mapToDouble(times -> times.seenUs).max().orElse(0);
+        return byClass.values().stream().mapToDouble(times -> times.tookUs).max().orElse(0);
     }
 }
--- a/core/src/main/java/dapplequay/Balance.java
+++ b/core/src/main/java/dapplequay/Balance.java
@@ -137,7 +137,7 @@
             s.own = Math.max(0, s.own - (h != null && h.uploading ? 0 : 1));
             learn(now, s, outcome, tookUs, report);
             if (outcome == Outcome.OK && h != null) {
-                answerTimes.answered(h.type.name(), tookUs);
+                answerTimes.answered(h.type.name(), tookUs, h.waitedUs(now, tookUs));
                 set.slowestAnswer = answerTimes.slowestUs();
             }
         }
@@ -178,7 +178,7 @@
     public void timer(long now, long token) {
         set.servers.values().forEach(s -> s.awaited = 0);
         held.values().stream().filter(h -> h.out > 0 && !h.uploading).forEach(h -> h.last().awaited +=
-                Math.max(0, h.awaitedUs(now)) / answerTimes.usualUs(h.type.name()));
+                Math.max(0, h.awaitedUs(now)) / answerTimes.usualWaitUs(h.type.name()));
         set.servers.values().stream().filter(s -> isSilent(now, s)).forEach(s -> {
             suspects.silent(now, s);
             held.values().stream().filter(h -> h.out == 1 && !h.uploading && h.last() == s && h.cut < h.attempts.size()
--- a/core/src/main/java/dapplequay/Held.java
+++ b/core/src/main/java/dapplequay/Held.java
@@ -79,6 +79,11 @@
         return now - Math.max(since, last().outcomeAt);
     }
 
+    /** How long its last attempt has waited for its answer, which is here; where no start was told, what it took. */
+    long waitedUs(long now, long tookUs) {
+        return startedAt != NOT_YET ? now - startedAt : tookUs;
+    }
+
     void ended(boolean neverRan) {
         out--;
         if (neverRan && out == 0 && firstMayHaveRun.server == last() && firstMayHaveRun.at == sentAt) {
--- a/core/src/test/java/dapplequay/SuspectsTest.java
+++ b/core/src/test/java/dapplequay/SuspectsTest.java
@@ -129,6 +129,25 @@
         assertThat(b.count("cancel")).as("nothing came for long").isPositive();
     }
 
+    /**
+     * Answers whose first line is quick and whose rest comes late, as of hosts that write twice and wait for an
+     * acknowledgement between, 40 ms: each was waited for as if it was over with its first line.
+     */
+    @Test
+    void silenceIsMeasuredByTheWaitForWholeAnswers() {
+        Bench b = new Bench().fleet(2, 0);
+        for (int i = 0; i < 200; i++) {
+            Bench.Done send = b.request(Bench.SAFE);
+            b.module.attemptStarted(b.now, send.id());
+            b.pass(40_000).module.outcome(b.now, send.id(), 0, send.host(), Outcome.OK, 1_000, true, new LoadReport(1, 1));
+        }
+        b.module.attemptStarted(b.now, b.request(Bench.SAFE).id());
+        b.pass(45_000).module.timer(b.now, 1);
+        assertThat(b.lines).isEmpty();
+        b.pass(700_000).module.timer(b.now, 1);
+        assertThat(b.lines).as("nothing came for long").hasSize(1).allMatch(l -> l.startsWith("passed over for silence"));
+    }
+
     private static void answered(Bench b, int type, long tookUs) {
         for (int i = 0; i < 200; i++) {
             Bench.Done send = b.request(type);
