The pause before a watch leaves the drain's grace time for its call

Cause: after a failure, an answer that took more than 0.5 s shows that others queue, and the watch that follows then began 3.25 s after that call, however short the queue was (ListClock.watchFromUs).

Change: the pause is five times what the answer had to queue beyond one call's work, and leaves 0.65 s of the grace, for the call and a hold-up of this process; the former bounds hold besides. A long queue is given way to as before, a short one for half a second to 1.8 s.

ListClockReturnTest: theWatchAfterAFailureLeavesTheGraceItsCall fails in six of seven cases without the change. Two cases there took a grace of 0.25 s for a fleet that shares one discovery, in which no queue can be given way to; they have the deployments' 2.5 s now, with every assertion as it was: a fleet of 6 to 100 that comes back is no stampede within the same times.

--- a/core/src/main/java/dapplequay/membership/ListClock.java
+++ b/core/src/main/java/dapplequay/membership/ListClock.java
@@ -28,7 +28,9 @@
  *     at one moment, and from its second half after further ones, as fewer calls do then. How soon an agent is asked
  *     again, the module says, within the same bound;
  * <li>the watch after the first success: at once where discovery is idle. Where the answer shows that others queue,
- *     it begins {@link #AGAIN_US} after the call that was answered, behind the first calls of those;
+ *     it leaves them their turn, for longer the more they are: up to {@link #AGAIN_US} after the call that was answered,
+ *     which is behind the first calls of all. What discovery has meanwhile may count at once, so that the pause leaves
+ *     of the drain's grace what the watch then needs;
  * <li>the limit of one that waits: its wait and a third of {@link #AFTER_WAIT_US}, which leaves two thirds and the
  *     grace for connecting anew, asking what there is now, and acting on it;
  * <li>an answer that has begun to come has a quarter of {@link #MISSED_US} for the rest, within the limit: it is
@@ -56,8 +58,14 @@
     static final long AGAIN_US = 3_250_000;
     /** What a call after a failure has for connect and answer, at the least. */
     static final long CALL_US = 2_350_000;
-    /** Discovery works for a quarter of a second on a call: an answer that takes longer than two had to queue. */
-    private static final long QUEUED_US = 500_000;
+    /** Discovery works for so long on a call, us. */
+    private static final long WORK_US = 250_000;
+    /** An answer that takes longer than two calls had to queue, us. */
+    private static final long QUEUED_US = 2 * WORK_US;
+    /** The pause before a watch, in times of what the answer before it had to queue. */
+    private static final long PAUSE_PER_QUEUED = 5;
+    /** Of the drain's grace, kept for the call that follows on such a pause, and for a hold-up of this process, us. */
+    private static final long GRACE_FOR_CALL_US = QUEUED_US + 150_000;
     /** The two in the time that a new address is left: 3.8 s of 4 together. */
     static final long MOVED_AGAIN_US = 1_950_000;
     static final long MOVED_CALL_US = 1_850_000;
@@ -146,14 +154,19 @@
 
     /**
      * When the watch may begin that follows on the answer which has just come: at once, but after a failure that has
-     * met others, too, where the answer shows that they queue. Then it leaves them their turn: it begins as late as a
-     * further call of one that had not been heard yet, and within half of the time for which none is needed. To be
-     * asked before {@link #heard}.
+     * met others, too, where the answer shows that they queue. Then it leaves them their turn: it begins no later than
+     * a further call of one that had not been heard yet would, within half of the time for which none is needed, and
+     * early enough for what the grace has to cover. To be asked before {@link #heard}.
      */
     public long watchFromUs(long now) {
         Discovery discovery = settings.get();
-        boolean queued = isUnsure && discovery.onRequest() && now - beganUs > QUEUED_US;
-        return queued ? beganUs + Math.min(AGAIN_US, discovery.askWithinUs() / 2) : now;
+        long tookUs = now - beganUs;
+        if (!isUnsure || !discovery.onRequest() || tookUs <= QUEUED_US) {
+            return now;
+        }
+        long pauseUs = Math.min(PAUSE_PER_QUEUED * (tookUs - WORK_US),
+                Math.max(0, discovery.drainGraceUs() - GRACE_FOR_CALL_US));
+        return Math.min(now + pauseUs, beganUs + Math.min(AGAIN_US, discovery.askWithinUs() / 2));
     }
 
     /** It was answered whole, and that was taken over. */
--- a/core/src/test/java/dapplequay/membership/ListClockReturnTest.java
+++ b/core/src/test/java/dapplequay/membership/ListClockReturnTest.java
@@ -40,6 +40,9 @@
         return new Discovery(askWithinUs > 0, askWithinUs, 250_000);
     }
 
+    /** What fleets are set to whose sidecars all ask one discovery: a grace in which more than one call fits. */
+    private static final Discovery FLEET = new Discovery(true, 10 * S, 2_500_000);
+
     /** The calls of one instance, with one fate after the other and then silence; {@code moved}: at a new address. */
     private static List<Call> play(Discovery discovery, List<Fate> fates, boolean moved) {
         SplittableRandom random = new SplittableRandom(fates.hashCode());
@@ -195,7 +198,7 @@
             workUs = (long) (S / callsPerS);
             for (int i = 0; i < fleet; i++) {
                 Sidecar one = new Sidecar();
-                one.clock = new ListClock(() -> discovery(10 * S), new SplittableRandom(i));
+                one.clock = new ListClock(() -> FLEET, new SplittableRandom(i));
                 one.clock.begin(0, false);
                 one.clock.failed(1, false);
                 one.nextUs = 1 + one.clock.longestPauseUs(1);
@@ -276,7 +279,7 @@
 
     @Test
     void theWatchAfterAFailureWaitsOnlyWhereOthersQueue() {
-        ListClock clock = new ListClock(() -> discovery(10 * S), new SplittableRandom(1));
+        ListClock clock = new ListClock(() -> FLEET, new SplittableRandom(1));
         clock.begin(0, false);
         assertThat(clock.watchFromUs(5 * S)).as("no failure came before").isEqualTo(5 * S);
         clock.failed(5 * S, false);
@@ -285,6 +288,19 @@
         assertThat(clock.watchFromUs(8 * S)).isEqualTo(6 * S + ListClock.AGAIN_US);
     }
 
+    /** A drain that discovery had just after the answer was met 2.7 s later, at a grace of 2.5 s. */
+    @ParameterizedTest
+    @CsvSource({"510, 2500", "550, 2500", "750, 2500", "1000, 2500", "2350, 2500", "550, 700", "2000, 250"})
+    void theWatchAfterAFailureLeavesTheGraceItsCall(long answeredMs, long graceMs) {
+        ListClock clock = new ListClock(() -> new Discovery(true, 10 * S, graceMs * 1_000), new SplittableRandom(1));
+        clock.begin(0, false);
+        clock.failed(5 * S, false);
+        clock.begin(6 * S, false);
+        long answeredUs = 6 * S + answeredMs * 1_000;
+        long pauseUs = clock.watchFromUs(answeredUs) - answeredUs;
+        assertThat(pauseUs).isBetween(0L, Math.max(0, graceMs * 1_000 - S / 2 - 150_000));
+    }
+
     /** One event resets all watches: the next calls are spread over all of the time that there is. */
     @Test
     void watchesThatWereResetTogetherDoNotComeBackTogether() {
