Threads are kept in reserve for signals and the ending, and a lost SIGHUP is made up for

What callers saw: requests to draining servers, 2.7 to 3.0 s after they were told (rule drain), beside a crowd of idle clients: a process that goes on asking the address which discovery has left.

Cause: the JVM starts a thread for each signal. Where idle clients, each of which has one, have taken all that the system gives, the signal is lost, and nothing reads the new configuration. SIGTERM is lost in the same way: shown, the process goes on until it is killed. ThreadShortageTest has a real process under a limit of 80 threads and 150 clients that send nothing: without this change the first configuration is not read within 4 s, and SIGTERM ends nothing within 30 s.

Change: eight threads wait in reserve (ThreadReserve). At the first thread that can't be had they end, so that their places are free for signals, the ending and discovery; a look once a second finds the last thread taken, too. Clients, who hold the others, are then bound to four fifths of their number for a minute, and idle ones make room as at any bound. A configuration that has changed while threads were short and that no signal had read within a second is read (MissedHangup); without a shortage nothing is read unasked.

Left: a signal that comes in the second in which the last thread is taken and nobody has seen it. For SIGHUP the file is read then.

--- a/sidecar/src/main/java/dapplequay/cli/ChangedFile.java
+++ b/sidecar/src/main/java/dapplequay/cli/ChangedFile.java
@@ -41,8 +41,13 @@
         }
     }
 
+    /** The file as it is now counts as read. */
+    synchronized void taken() {
+        read = before = look();
+    }
+
     /** One look at the file: whether it is another, and whole as far as that shows. */
-    boolean hasChanged() {
+    synchronized boolean hasChanged() {
         Look now = look();
         boolean changed = now != null && now.equals(before) && !now.equals(read);
         read = changed ? now : read;
--- a/sidecar/src/main/java/dapplequay/cli/Main.java
+++ b/sidecar/src/main/java/dapplequay/cli/Main.java
@@ -113,17 +113,31 @@
                 Logs.awaitWritten(LAST_LINES_MS);
             }, "ending"));
             Reload reload = new Reload(file, environment, sidecar, fields);
-            hangup.sets(reload::run);
+            MissedHangup missed = new MissedHangup(changed, () -> System.nanoTime() / 1_000_000,
+                    () -> sidecar.sinceThreadShortageUs() / 1_000, reload::run);
+            hangup.sets(() -> {
+                missed.heard();
+                reload.run();
+            });
             if (hangup.isIgnored()) {
                 Logger.getLogger(Main.class.getName()).warning("SIGHUP was ignored by who started this process: "
                         + file + " is read again when it changes");
-                Thread watch = new Thread(() -> changed.watch(reload::run), "changed-file");
-                watch.setDaemon(true);
-                watch.start();
             }
+            boolean isIgnored = hangup.isIgnored();
+            Thread watch = new Thread(() -> watch(isIgnored, changed, reload, missed), "changed-file");
+            watch.setDaemon(true);
+            watch.start();
             sidecar.start();
             return 0;
         }
+
+        private static void watch(boolean isIgnored, ChangedFile changed, Reload reload, MissedHangup missed) {
+            if (isIgnored) {
+                changed.watch(reload::run);
+            } else {
+                missed.watch();
+            }
+        }
     }
 
     /** Hosts instances of the decision module for the simulator, on standard input and output. */
--- a/sidecar/src/main/java/dapplequay/net/ClientSide.java
+++ b/sidecar/src/main/java/dapplequay/net/ClientSide.java
@@ -31,6 +31,13 @@
     private static final long LINGER_US = 100_000;
     private static final long SHORT_LINGER_US = 10_000;
 
+    /** Of the clients that there are when threads are short, so many may stay. */
+    private static final double KEPT_SHARE = 0.8;
+    /** So many there may always be. */
+    private static final int FEWEST = 4;
+    /** So long after the last shortage there may be as many as before, us. */
+    private static final long BOUND_US = 60_000_000;
+
     private final Supplier<Setup> setup;
     private final Facade facade;
     private final Conductor conductor;
@@ -48,10 +55,13 @@
     private volatile boolean isOver;
     private final Headroom headroom;
     private final Punctuality punctuality;
+    private final ThreadReserve threads;
+    /** How many there may be at present: fewer than {@link #most} after threads were short. Under the lock. */
+    private int bound;
 
     ClientSide(Door door, Supplier<Setup> setup, Facade facade, Conductor conductor,
                  Deadlines deadlines, Counts counts, Lifetime lifetime, Headroom headroom, int most,
-                 int crowd, int mostUploads) {
+                 int crowd, int mostUploads, ThreadReserve threads) {
         this.mostUploads = mostUploads;
         this.door = door;
         this.setup = setup;
@@ -62,6 +72,9 @@
         this.lifetime = lifetime;
         this.headroom = headroom;
         this.most = most;
+        this.threads = threads;
+        bound = most;
+        threads.onShortage(this::giveThreadsBack);
         this.crowd = crowd;
         punctuality = new Punctuality(deadlines.now());
     }
@@ -176,10 +189,25 @@
             new Thread(connection, "client").start();
         } catch (OutOfMemoryError e) {
             ended(connection);
+            threads.shortage();
             throw e;
         }
     }
 
+    /** Each client has a thread: from now on there may be fewer of them, and idle ones make room. */
+    private synchronized void giveThreadsBack() {
+        bound = Math.max(FEWEST, Math.min(bound, (int) (connections.size() * KEPT_SHARE)));
+        notifyAll();
+    }
+
+    /** After a while without a shortage there may be as many as before. */
+    private synchronized void raiseBound() {
+        long shortUs = threads.lastShortageUs();
+        if (bound < most && shortUs != Long.MIN_VALUE && deadlines.now() - shortUs > BOUND_US) {
+            bound = most;
+        }
+    }
+
     private static void pause() {
         try {
             Thread.sleep(PAUSE_MS);
@@ -190,11 +218,11 @@
 
     /** At the bound the next connection waits until another has ended. */
     private synchronized void awaitRoom() throws InterruptedException {
-        if (connections.size() < most) {
+        if (connections.size() < bound) {
             return;
         }
         long sinceUs = deadlines.now();
-        while (connections.size() >= most && !door.isShut()) {
+        while (connections.size() >= bound && !door.isShut()) {
             boolean someAreEnding = false;
             for (ClientConnection connection : connections) {
                 someAreEnding |= connection.hurry(SHORT_LINGER_US);
@@ -214,7 +242,7 @@
      * hold up the others.
      */
     private void makeRoom() {
-        boolean flood = connections.stream().filter(ClientConnection::isStranger).count() >= most * FLOOD;
+        boolean flood = connections.stream().filter(ClientConnection::isStranger).count() >= bound * FLOOD;
         if (connections.stream().noneMatch(c -> c.closeIfStranger(flood)) && !flood) {
             connections.stream().anyMatch(c -> c.closeIfIdle(SHORT_LINGER_US));
         }
@@ -228,6 +256,7 @@
     /** The timekeeper's turn. While the sidecar is being emptied, idle connections are closed. */
     void turn() {
         punctuality.turn(deadlines.now());
+        raiseBound();
         if (!lifetime.empties()) {
             return;
         }
--- a/sidecar/src/main/java/dapplequay/net/Sidecar.java
+++ b/sidecar/src/main/java/dapplequay/net/Sidecar.java
@@ -59,6 +59,7 @@
     private final Counts counts = new Counts();
     private final Lifetime lifetime;
     private final Headroom headroom;
+    private final ThreadReserve threads;
     private long lookedUs;
     private long usedUs;
     private final AtomicLong cfgAccepted = new AtomicLong();
@@ -153,11 +154,13 @@
         facade = new Facade(setup, plan.seed(), clock, Sidecar::tell);
         lifetime = new Lifetime(clock);
         headroom = new Headroom(plan.cores());
+        threads = new ThreadReserve(clock);
         counts.know(setup.classes().keySet());
         table = restored(plan, facade, memory.binds());
         upstreams = new UpstreamSide(table, deadlines, () -> setup, plan.mostUpstreams(), counts, figures);
         conductor = new Conductor(facade, upstreams);
         upstreams.conductor(conductor);
+        upstreams.onThreadShortage(threads::shortage);
         ListClock listClock = new ListClock(() -> setup.settings().discovery(), new SplittableRandom(plan.seed()));
         discovery = new DiscoveryClient(plan.discovery(), table, facade, upstreams, memory, listClock, clock, figures);
     }
@@ -210,7 +213,7 @@
                 return;
             }
             clients = new ClientSide(opener.open(), () -> setup, facade, conductor, deadlines, counts, lifetime,
-                    headroom, plan.mostClients(), plan.crowd(), plan.mostUploads());
+                    headroom, plan.mostClients(), plan.crowd(), plan.mostUploads(), threads);
             daemon(discovery, "discovery");
             new Thread(clients, "listener").start();
             lifetime.listening();
@@ -245,6 +248,12 @@
         }
     }
 
+    /** How long ago a thread could not be started the last time, microseconds; Long.MAX_VALUE: never. */
+    public long sinceThreadShortageUs() {
+        long shortUs = threads.lastShortageUs();
+        return shortUs == Long.MIN_VALUE ? Long.MAX_VALUE : deadlines.now() - shortUs;
+    }
+
     /** A configuration was taken over, or turned down. */
     public void configurationRead(boolean accepted) {
         (accepted ? cfgAccepted : cfgInvalid).incrementAndGet();
@@ -286,6 +295,7 @@
                 conductor.cut(facade.tick());
                 deadlines.sweep();
                 discovery.turn(deadlines.now());
+                threads.turn();
                 if (management != null && turn % PASSED_OVER_TURNS == 0) {
                     passedOver = facade.passedOver();
                 }
--- a/sidecar/src/main/java/dapplequay/net/UpstreamSide.java
+++ b/sidecar/src/main/java/dapplequay/net/UpstreamSide.java
@@ -67,6 +67,7 @@
     private int open;
     private boolean isClosing;
     private Conductor conductor;
+    private volatile Runnable threadShortage = () -> { };
 
     UpstreamSide(Endpoints table, Deadlines deadlines, Supplier<Setup> setup, int most, Counts counts,
             DiscoveryFigures figures) {
@@ -91,6 +92,11 @@
         conductor = theConductor;
     }
 
+    /** What is done where a thread could not be started. */
+    void onThreadShortage(Runnable told) {
+        threadShortage = told;
+    }
+
     long now() {
         return deadlines.now();
     }
@@ -173,6 +179,7 @@
             waiters.execute(() -> afterRest(endpoint, attempt, untilUs));
         } catch (OutOfMemoryError e) {
             LOG.log(Level.SEVERE, "no thread to wait for a connection", e);
+            threadShortage.run();
             release(endpoint, attempt);
             neverSent(attempt);
         }
@@ -298,6 +305,7 @@
         } catch (OutOfMemoryError e) {
             // No thread to be had: what was not written never ran, and the module decides what to do instead.
             LOG.log(Level.SEVERE, "no thread for a connection", e);
+            threadShortage.run();
             Attempt owed = connection.owed();
             if (owed != null && owed.isWriting()) {
                 owed.writeEnded(false, now());
--- /dev/null
+++ b/sidecar/src/test/java/dapplequay/cli/MissedHangupTest.java
@@ -0,0 +1,74 @@
+package dapplequay.cli;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+class MissedHangupTest {
+    private static final long NEVER = Long.MAX_VALUE;
+
+    @TempDir
+    private Path folder;
+    private Path file;
+    private final AtomicLong nowMs = new AtomicLong(1_000);
+    private final AtomicLong shortageMs = new AtomicLong(NEVER);
+    private final AtomicInteger read = new AtomicInteger();
+    private MissedHangup missed;
+
+    @BeforeEach
+    void begin() throws IOException {
+        file = Files.writeString(folder.resolve("config.json"), "1");
+        missed = new MissedHangup(new ChangedFile(file), nowMs::get,
+                () -> shortageMs.get() == NEVER ? NEVER : nowMs.get() - shortageMs.get(), read::incrementAndGet);
+    }
+
+    private void lookFor(long ms) {
+        for (long untilMs = nowMs.get() + ms; nowMs.get() < untilMs; nowMs.addAndGet(MissedHangup.LOOK_MS)) {
+            missed.look();
+        }
+    }
+
+    /** The page has it count 4 s after the signal. */
+    @Test
+    void aChangeBesideAShortageIsReadWithinTheTimeInWhichItCounts() throws IOException {
+        Files.writeString(file, "22");
+        lookFor(1_000);
+        shortageMs.set(nowMs.get());
+        lookFor(2_000);
+        assertThat(read).hasValue(1);
+        lookFor(60_000);
+        assertThat(read).as("once").hasValue(1);
+    }
+
+    @Test
+    void aChangeWhoseSignalCameIsNotReadAgain() throws IOException {
+        shortageMs.set(nowMs.get());
+        Files.writeString(file, "22");
+        missed.heard();
+        lookFor(4_000);
+        Files.writeString(file, "333");
+        lookFor(600);
+        missed.heard();
+        lookFor(20_000);
+        assertThat(read).hasValue(0);
+    }
+
+    /** Who edits the file and sends no signal does not want it read yet. */
+    @Test
+    void withoutAShortageNearItNoChangeIsRead() throws IOException {
+        Files.writeString(file, "22");
+        lookFor(2 * MissedHangup.NEAR_MS);
+        shortageMs.set(nowMs.get());
+        lookFor(20_000);
+        Files.writeString(file, "333");
+        lookFor(20_000);
+        assertThat(read).hasValue(0);
+    }
+}
--- /dev/null
+++ b/sidecar/src/test/java/dapplequay/cli/ThreadShortageTest.java
@@ -0,0 +1,123 @@
+package dapplequay.cli;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.junit.jupiter.api.Assumptions.assumeTrue;
+
+import dapplequay.ClosesWhatItOpened;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/**
+ * Idle clients take all the threads that the system gives the process, and signals come: the JVM starts a thread for each.
+ * The shortage is a limit on the threads of a user whom nothing else runs as; only root can start a process as such a one.
+ */
+@Timeout(180)
+class ThreadShortageTest extends ClosesWhatItOpened {
+    private static final int MOST_THREADS = 80;
+    private static final int CROWD = 150;
+    private static final int ROUNDS = 8;
+    /** After SIGHUP what discovery has at a new address counts so much later, ms. */
+    private static final long COUNTS_MS = 4_000;
+    private static final int ENDED_BY_SIGTERM = 128 + 15;
+    /** As an unused user who may read the files of the one that runs the tests. */
+    private static final List<String> AS_ANOTHER = List.of("setpriv", "--reuid=61234", "--inh-caps=-all,+dac_override",
+            "--ambient-caps=-all,+dac_override");
+
+    @TempDir
+    private Path folder;
+    private Path config;
+    private Program program;
+    private final int port = Program.freePort();
+    private final Set<Socket> crowd = ConcurrentHashMap.newKeySet();
+
+    @BeforeEach
+    void startShortOfThreads() throws Exception {
+        assumeTrue("root".equals(System.getProperty("user.name")), "only root can start a process as another user");
+        config = folder.resolve("config.json");
+        Files.writeString(config, Files.readString(Path.of("example/config.json")).replace("127.0.0.1:7070", "127.0.0.1:" + port)
+                .replace("127.0.0.1:8500", "127.0.0.1:1"));
+        List<String> launcher = new ArrayList<>(AS_ANOTHER);
+        launcher.addAll(List.of("prlimit", "--nproc=" + MOST_THREADS));
+        program = open(new Program(config, null, Program.freePort(), false, launcher));
+        program.awaitReady();
+    }
+
+    /** Clients that connect, send nothing and stay, until the process can't start a thread for one; kept up in the background. */
+    private void fill() throws Exception {
+        Thread filler = new Thread(() -> {
+            while (program.process.isAlive()) {
+                try {
+                    crowd.removeIf(Socket::isClosed);
+                    for (int i = crowd.size(); i < CROWD; i++) {
+                        Socket socket = new Socket(InetAddress.getLoopbackAddress(), port);
+                        crowd.add(socket);
+                        leaveWhenClosed(socket);
+                    }
+                    Thread.sleep(5);
+                } catch (IOException | InterruptedException e) {
+                    // The process has gone, or takes nobody at the moment.
+                }
+            }
+        });
+        filler.setDaemon(true);
+        filler.start();
+        program.awaitLog("native thread");
+    }
+
+    private static void leaveWhenClosed(Socket socket) {
+        Thread reader = new Thread(() -> {
+            try (socket) {
+                while (socket.getInputStream().read() >= 0) { }
+            } catch (IOException e) {
+                // It was closed.
+            }
+        });
+        reader.setDaemon(true);
+        reader.start();
+    }
+
+    private long readAgain() {
+        return program.log.stream().filter(line -> line.contains("configuration read again")).count();
+    }
+
+    /** The JVM could not start a thread for SIGHUP: the new configuration was never read. */
+    @Test
+    void newConfigurationsAreReadBesideACrowd() throws Exception {
+        fill();
+        String text = Files.readString(config);
+        for (int round = 1; round <= ROUNDS; round++) {
+            Files.writeString(config, text.replace("\"discovery\": \"127.0.0.1:1\"", "\"discovery\": \"127.0.0.1:" + (1 + round) + "\""));
+            long before = readAgain();
+            long signalledNs = System.nanoTime();
+            program.signal("HUP");
+            Program.await("round " + round + " is read", () -> readAgain() > before || elapsedMs(signalledNs) > COUNTS_MS);
+            assertThat(readAgain()).as("round %s: %s", round, program.log).isGreaterThan(before);
+        }
+    }
+
+    private static long elapsedMs(long sinceNs) {
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - sinceNs);
+    }
+
+    /** Without a thread for SIGTERM the process goes on until it is killed, and cuts off whom it serves. */
+    @Test
+    void theEndingIsOrderlyBesideACrowd() throws Exception {
+        fill();
+        program.signal("TERM");
+        assertThat(program.process.waitFor(30, TimeUnit.SECONDS)).as("it ends").isTrue();
+        assertThat(program.process.exitValue()).isEqualTo(ENDED_BY_SIGTERM);
+        Program.await("the last line", () -> program.log.stream().anyMatch(line -> line.endsWith("INFO ended")));
+    }
+}
--- a/sidecar/src/test/java/dapplequay/net/ClientRig.java
+++ b/sidecar/src/test/java/dapplequay/net/ClientRig.java
@@ -162,7 +162,7 @@
         upstreams.conductor(conductor);
         Door door = door(hooks, accepted);
         side = new ClientSide(door, () -> setup, facade, conductor, deadlines, counts, lifetime, new Headroom(1),
-                most, 1_000, 10);
+                most, 1_000, 10, new ThreadReserve(deadlines::now));
         Host.daemon(side::run);
         lifetime.listening();
         Host.daemon(() -> {
