Known failures: no bound of three, and a count of failed rounds in place of "now and then"

An entry that failed now and then was played once, and neither result said anything: a test that passes was not told from one that fails at times.

Now such an entry has its count, M of N rounds. It is played until it fails, for as many rounds as all pass once in a hundred times at that rate, twenty at most: enough passes, and its line has to go and the run fails; too few, and that is printed. An entry needs its command.

--- /dev/null
+++ b/lab/src/test/java/dapplequay/lab/KnownFailuresScriptTest.java
@@ -0,0 +1,96 @@
+package dapplequay.lab;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.util.List;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** What {@code .ci/run} makes of the list of known failures, with a program in Maven's place that plays the tests' part. */
+@Timeout(60)
+class KnownFailuresScriptTest {
+    private static final String PASSES = "echo 'Tests run: 1, Failures: 0'";
+    private static final String FAILS = "echo 'Tests run: 1, Failures: 1'; exit 1";
+    private static final String FAILS_IN_ROUND_THREE = "echo x >> rounds; [ $(wc -l < rounds) -lt 3 ] && { " + PASSES
+            + "; exit 0; }; " + FAILS;
+
+    private record Outcome(int status, List<String> lines) { }
+
+    @TempDir
+    private Path folder;
+
+    @BeforeEach
+    void copyScript() throws IOException {
+        Files.createDirectories(folder.resolve(".ci"));
+        Files.copy(Path.of(".ci/run"), folder.resolve(".ci/run"), StandardCopyOption.REPLACE_EXISTING);
+    }
+
+    /** {@code apart}: what a run of one test does; the run of all others passes. */
+    private Outcome run(String apart, String... lines) throws Exception {
+        Files.write(folder.resolve("KNOWN-RED.txt"), List.of(lines));
+        Path maven = Files.writeString(folder.resolve("mvn"), "#!/bin/bash\ncase \"$*\" in *verify*) " + PASSES
+                + "; exit 0 ;; esac\n" + apart + "\n");
+        assertThat(maven.toFile().setExecutable(true)).isTrue();
+        ProcessBuilder builder = new ProcessBuilder("bash", ".ci/run").directory(folder.toFile()).redirectErrorStream(true);
+        builder.environment().put("PATH", folder + ":" + System.getenv("PATH"));
+        Process process = builder.start();
+        List<String> told = new String(process.getInputStream().readAllBytes(), StandardCharsets.UTF_8).lines().toList();
+        return new Outcome(process.waitFor(), told);
+    }
+
+    @Test
+    void moreThanThreeFailuresMayBeKnown() throws Exception {
+        Outcome outcome = run(FAILS, "A#a | x, `-Dtest=A` | 1", "B#b | x, `-Dtest=B` | 1", "", "# a word", "C#c | x, `-Dtest=C` | 1",
+                "D#d | x, `-Dtest=D` | 1");
+        assertThat(outcome.status()).isZero();
+        assertThat(outcome.lines()).filteredOn(line -> line.endsWith("fails, as listed")).hasSize(4);
+    }
+
+    @Test
+    void anEntryThatFailsAtEachRunGoesOnceItPasses() throws Exception {
+        Outcome outcome = run(PASSES, "A#a | x, `-Dtest=A` | 1");
+        assertThat(outcome.status()).isOne();
+        assertThat(outcome.lines()).contains("known red: A#a: passes now: take its line out");
+    }
+
+    @Test
+    void anEntryWithACountIsPlayedUntilItFails() throws Exception {
+        Outcome outcome = run(FAILS_IN_ROUND_THREE, "A#a | x, `-Dtest=A` | 1 | 1 of 4");
+        assertThat(outcome.status()).isZero();
+        assertThat(outcome.lines()).contains("known red: A#a: fails, as listed (1 of 4; now in round 3)");
+    }
+
+    /** At one failure in two, seven rounds in a row pass less than once in a hundred times. */
+    @Test
+    void anEntryWithACountGoesOnceEnoughRoundsPass() throws Exception {
+        Outcome outcome = run(PASSES, "A#a | x, `-Dtest=A` | 1 | 1 of 2");
+        assertThat(outcome.status()).isOne();
+        assertThat(outcome.lines()).contains(
+                "known red: A#a: passes now (7 of 7 rounds, listed as failed in 1 of 2): take its line out");
+    }
+
+    @Test
+    void aRareFailureIsNotTakenForMended() throws Exception {
+        Outcome outcome = run(PASSES, "A#a | x, `-Dtest=A` | 1 | 1 of 50");
+        assertThat(outcome.status()).isZero();
+        assertThat(outcome.lines()).contains(
+                "known red: A#a: passed 20 of 20 rounds, listed as failed in 1 of 50: too few to tell");
+    }
+
+    @Test
+    void anEntryThatLacksSomethingStopsTheRun() throws Exception {
+        for (String line : List.of("A#a | x | 1", "A#a | x, `-Dtest=A` |", "A | x, `-Dtest=A` | 1",
+                "A#a | x, `-Dtest=A` | 1 | now and then", "A#a | x, `-Dtest=A` | 1 | 0 of 4", "A#a | x, `-Dtest=A` | 1 | 4 of 4")) {
+            Outcome outcome = run(FAILS, line);
+            assertThat(outcome.status()).as(line).isOne();
+            assertThat(outcome.lines()).as(line).singleElement().asString().startsWith("KNOWN-RED.txt: not ");
+        }
+    }
+}
