A request that has just been read is answered, though its connection was about to be closed

What callers saw, at times: a request that was taken and whose connection ended with no answer.

Cause: whoever closes quiet connections looks whether bytes lie with the system or are in hand. A thread that had read all of a request and not said so yet had neither. Besides, one whose request had begun and become whole was closed to make room at half a second's age, also while it was in hand (closeIfStranger).

Change: a thread reads one byte, says that it has something, and then the rest (ClientInput.read). Until it has said so the rest lies with the system, where the closer finds it. What is in hand is not closed to make room. It costs one more look and one more read for each wait. A request that crosses the end of its connection, the requests taken and long answers that break off are logged at FINE.

RequestInHandTest has the ending's turn come in the middle of that read: before, the connection ends with no answer; now the request is answered, and the connection ends after it. Left: a last byte that comes alone.

Whether some of the requests lost beside a crowd were lost in this way was not told apart.

--- a/sidecar/src/main/java/dapplequay/net/ClientConnection.java
+++ b/sidecar/src/main/java/dapplequay/net/ClientConnection.java
@@ -100,6 +100,7 @@
             LOG.log(Level.FINE, "client connection ended: {0}", e.toString());
         } finally {
             if (current != null) {
+                LOG.fine(() -> "client of " + current.id + " is gone, " + state + (current.isOver() ? "" : ", unanswered"));
                 side.conductor().clientLeft(current);
             }
             bodies.over();
@@ -134,6 +135,7 @@
             ending.begin(LINGER_US);
         }
         if (state != State.IDLE) {
+            LOG.fine("a request crossed the end of its connection");
             return false;
         }
         state = State.READING;
@@ -307,7 +309,8 @@
         if (rest == null) {
             presence.expect(receivedUs, true);
         }
-        if (!side.isNewId(request.callId(), receivedUs)) {
+        long callId = request.callId();
+        if (!side.isNewId(callId, receivedUs)) {
             throw new BadMessage(409, "X-Call-Id of another request");
         }
         synchronized (this) {
@@ -315,6 +318,7 @@
         }
         Exchange exchange = new Exchange(side.nextId(), this, request, side.counts());
         exchange.dueBy(receivedUs + request.budgetUs());
+        LOG.fine(() -> "request " + Long.toHexString(callId) + " is " + exchange.id);
         current = exchange;
         if (side.isOver() && exchange.claim()) {
             exchange.ended(End.THROTTLED);         // it never ran, and there is no time for it to
@@ -375,6 +379,9 @@
             whole = new LongAnswer(socket, input, ending, side.deadlines(), side::pauseMs)
                     .pass(begun, start.length, body, Answers.isChunked(body, version), dueUs);
         } finally {
+            if (!whole) {
+                LOG.fine(() -> "long answer to " + current.id + " broke off");
+            }
             answered(true);
             endAfterLong(whole);
         }
@@ -415,11 +422,16 @@
         }
     }
 
+    /** Whether the reading thread has something that it is about to use. */
+    private boolean isInHand() {
+        ClientInput from = input;
+        return from != null && from.isInHand();
+    }
+
     /** Whether something has come that was not looked at. */
     private boolean hasUnread() {
-        ClientInput from = input;
         try {
-            return from != null && from.isInHand() || socket.getInputStream().available() > 0;
+            return isInHand() || socket.getInputStream().available() > 0;
         } catch (IOException e) {
             return false;
         }
@@ -469,8 +481,8 @@
         }
         long ageUs = side.deadlines().now() - sinceUs;
         boolean waits = state == State.READING && !flood || hasUnread();
-        if (ageUs < (waits ? HALF_US : STRANGER_US)) {
-            return false;
+        if (ageUs < (waits ? HALF_US : STRANGER_US) || isInHand()) {
+            return false;           // what is in hand may be a whole request
         }
         state = State.CLOSED;
         close();
--- a/sidecar/src/main/java/dapplequay/net/ClientInput.java
+++ b/sidecar/src/main/java/dapplequay/net/ClientInput.java
@@ -65,8 +65,13 @@
     @Override
     public int read(byte[] into, int from, int length) throws IOException {
         isInHand = false;
-        int count = looks ? receive(into, from, length) : await(into, from, length);
+        // One byte first: until this thread has said that it has it, the rest still lies with the system, where whoever
+        // wants to close a quiet connection finds it.
+        int count = looks ? receive(into, from, Math.min(1, length)) : await(into, from, Math.min(1, length));
         isInHand = count > 0;
+        if (count > 0 && length > 1 && in.available() > 0) {
+            count += Math.max(0, receive(into, from + 1, length - 1));
+        }
         heardUs = clock.getAsLong();
         return count;
     }
--- a/sidecar/src/test/java/dapplequay/net/ClientRig.java
+++ b/sidecar/src/test/java/dapplequay/net/ClientRig.java
@@ -43,6 +43,8 @@
     static class Hooks {
         void beforeRead() throws IOException { }
 
+        void afterRead() { }
+
         void beforeEnd() throws IOException { }
 
         void beforeWrite(Accepted to) throws IOException { }
@@ -67,6 +69,7 @@
                     hooks.beforeRead();
                     int count = super.read(into, from, length);
                     read.addAndGet(Math.max(0, count));
+                    hooks.afterRead();
                     return count;
                 }
             };
@@ -143,6 +146,11 @@
 
     /** {@code sockets}: for the connections to hosts. */
     ClientRig(Hooks hooks, int most, Supplier<Socket> sockets, int... ports) throws IOException {
+        this(hooks, most, 1_000, sockets, ports);
+    }
+
+    /** {@code crowd}: of so many clients. */
+    ClientRig(Hooks hooks, int most, int crowd, Supplier<Socket> sockets, int... ports) throws IOException {
         deadlines = new Deadlines(() -> stoppedUs >= 0 ? stoppedUs : running.getAsLong());
         String text = Files.readString(Path.of("example/config.json"))
                 .replaceAll("\"connect_timeout_us\": \\d+", "\"connect_timeout_us\": 8000000")
@@ -162,7 +170,7 @@
         upstreams.conductor(conductor);
         Door door = door(hooks, accepted);
         side = new ClientSide(door, () -> setup, facade, conductor, deadlines, counts, lifetime, new Headroom(1),
-                most, 1_000, 10, new ThreadReserve(deadlines::now));
+                most, crowd, 10, new ThreadReserve(deadlines::now));
         Host.daemon(side::run);
         lifetime.listening();
         Host.daemon(() -> {
@@ -187,6 +195,11 @@
         return "{\"rev\":1,\"all\":true,\"targets\":[" + targets + "]}";
     }
 
+    /** The timekeeper's turn, by the caller. */
+    void turn() {
+        side.turn();
+    }
+
     /** From now on the timekeeper is not heard of, as in a process that does not get the processor. */
     void comesLate() {
         tellsTurns = false;
--- /dev/null
+++ b/sidecar/src/test/java/dapplequay/net/RequestInHandTest.java
@@ -0,0 +1,38 @@
+package dapplequay.net;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import dapplequay.ClosesWhatItOpened;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** A quiet connection is to be closed in the moment in which its thread has a request from the system. */
+@Timeout(60)
+class RequestInHandTest extends ClosesWhatItOpened {
+    /** The request was read and dropped, as its thread had not said yet that it had it: taken, and never answered. */
+    @Test
+    void aRequestThatHasJustBeenReadIsAnsweredThoughItsConnectionIsToBeClosed() throws Exception {
+        AtomicBoolean closes = new AtomicBoolean();
+        ClientRig[] rig = new ClientRig[1];
+        Host host = open(new Host((head, seen) -> Host.ok("done")));
+        rig[0] = open(new ClientRig(new ClientRig.Hooks() {
+            @Override
+            void afterRead() {
+                if (closes.getAndSet(false)) {
+                    rig[0].lifetime.end(0);
+                    rig[0].turn();
+                }
+            }
+        }, 100, host.port()));
+        Host.Client client = rig[0].client();
+        client.send(ClientRig.pay("first"));
+        assertThat(client.answer().status()).isEqualTo(200);
+        Thread.sleep(50);           // its thread has gone back to its read
+        closes.set(true);
+        client.send(ClientRig.pay("second"));
+        assertThat(client.answer().status()).isEqualTo(200);
+        assertThat(closes).isFalse();
+        assertThat(client.atEnd()).as("the last one").isTrue();
+    }
+}
