The look for silent servers in steps of one thing each

Balance.timer counted waits, judged servers and gave attempts up in nested streams of eight lines. No behaviour changes: MechanismTest, RulesTest, SuspectsTest and LargerFleetTest pass.

--- a/core/src/main/java/dapplequay/Balance.java
+++ b/core/src/main/java/dapplequay/Balance.java
@@ -176,21 +176,35 @@
     /** Gives up the attempts at servers that have fallen silent, where others may still serve the requests. */
     @Override
     public void timer(long now, long token) {
-        set.servers.values().forEach(s -> s.awaited = 0);
-        held.values().stream().filter(h -> h.out > 0 && !h.uploading).forEach(h -> h.last().awaited +=
-                Math.max(0, h.awaitedUs(now)) / answerTimes.usualWaitUs(h.type.name()));
+        countWaits(now);
         set.servers.values().stream().filter(s -> isSilent(now, s)).forEach(s -> {
             suspects.silent(now, s);
-            held.values().stream().filter(h -> h.out == 1 && !h.uploading && h.last() == s && h.cut < h.attempts.size()
-                    && set.buddies.stream().anyMatch(o -> !o.trial && admission.usable(now, h, o))).forEach(h -> {
-                        h.cut = h.attempts.size();
-                        actions.cancel(h.request.id(), h.cut - 1);
-                    });
+            held.values().stream().filter(h -> waitsFor(s, h) && mayGoElsewhere(now, h)).forEach(this::giveUp);
         });
         set.shrink(now);
         watch(!held.isEmpty());
     }
 
+    /** How long the attempts at each server have waited, in times that their answers usually take. */
+    private void countWaits(long now) {
+        set.servers.values().forEach(s -> s.awaited = 0);
+        held.values().stream().filter(h -> h.out > 0 && !h.uploading).forEach(h ->
+                h.last().awaited += Math.max(0, h.awaitedUs(now)) / answerTimes.usualWaitUs(h.type.name()));
+    }
+
+    private static boolean waitsFor(Server s, Held h) {
+        return h.out == 1 && !h.uploading && h.last() == s && h.cut < h.attempts.size();
+    }
+
+    private boolean mayGoElsewhere(long now, Held h) {
+        return set.buddies.stream().anyMatch(o -> !o.trial && admission.usable(now, h, o));
+    }
+
+    private void giveUp(Held h) {
+        h.cut = h.attempts.size();
+        actions.cancel(h.request.id(), h.cut - 1);
+    }
+
     /** A pause of this process or of the machine is no silence: a short one is many times a quick answer. */
     private boolean isSilent(long now, Server s) {
         return now >= s.shunUntil && s.awaited >= SILENT_TIMES && now - s.silentSince() >= WATCH_SHARE * set.leastAim;
