--- a/core/src/main/java/dapplequay/membership/ListClock.java
+++ b/core/src/main/java/dapplequay/membership/ListClock.java
@@ -28,9 +28,9 @@
  *     at one moment, and from its second half after further ones, as fewer calls do then. How soon an agent is asked
  *     again, the module says, within the same bound;
  * <li>the watch after the first success: at once where discovery is idle. Where the answer shows that others queue,
- *     it leaves them their turn, for longer the more they are: up to {@link #AGAIN_US} after the call that was answered,
- *     which is behind the first calls of all. What discovery has meanwhile may count at once, so that the pause leaves
- *     of the drain's grace what the watch then needs;
+ *     it leaves them their turn, for longer the more they are: up to {@link #AGAIN_US} after the call that was
+ *     answered, which is behind the first calls of all. What discovery has meanwhile may count at once, so that the
+ *     pause leaves of the drain's grace what the watch then needs;
  * <li>the limit of one that waits: its wait and a third of {@link #AFTER_WAIT_US}, which leaves two thirds and the
  *     grace for connecting anew, asking what there is now, and acting on it;
  * <li>an answer that has begun to come has a quarter of {@link #MISSED_US} for the rest, within the limit: it is
