In an ending beside a crowd nobody is let in once connections are to go

Until connections are to go, the process closes 3 to 4 clients each 0.1 s. From then on there is room, and it lets in and closes 36 to 53 each 0.1 s, a thread for each; at a share of 0.45 of a core answers fall from 2 to 6 each 0.1 s to 0 to 2, and what was read is not answered by the time that an ending has.

Change: the accepting thread shuts the door then, where there was a crowd since the ending began (ClientSide.leavesCrowd). Who waits there has not been read and turns to another process. Without a crowd everybody whom the system has let in is served, as before.

--- a/sidecar/src/main/java/dapplequay/net/ClientConnection.java
+++ b/sidecar/src/main/java/dapplequay/net/ClientConnection.java
@@ -100,7 +100,8 @@
             LOG.log(Level.FINE, "client connection ended: {0}", e.toString());
         } finally {
             if (current != null) {
-                LOG.fine(() -> "client of " + current.id + " is gone, " + state + (current.isOver() ? "" : ", unanswered"));
+                LOG.fine(() -> "client of " + current.id + " is gone, " + state
+                        + (current.isOver() ? "" : ", unanswered"));
                 side.conductor().clientLeft(current);
             }
             bodies.over();
--- a/sidecar/src/main/java/dapplequay/net/ClientSide.java
+++ b/sidecar/src/main/java/dapplequay/net/ClientSide.java
@@ -53,6 +53,8 @@
     private final Counts counts;
     private final Lifetime lifetime;
     private volatile boolean isOver;
+    /** The accepting thread's: there was a crowd since the ending began. */
+    private boolean endsInCrowd;
     private final Headroom headroom;
     private final Punctuality punctuality;
     private final ThreadReserve threads;
@@ -162,10 +164,19 @@
             Socket socket = null;
             try {
                 awaitRoom();
+                if (leavesCrowd()) {
+                    door.shut();
+                    return;
+                }
                 socket = door.accept();
                 if (socket == null) {
                     return;
                 }
+                if (leavesCrowd()) {
+                    Sockets.close(socket);
+                    door.shut();
+                    return;
+                }
                 ClientConnection connection = new ClientConnection(this, socket);
                 synchronized (this) {
                     connections.add(connection);
@@ -184,6 +195,18 @@
         }
     }
 
+    /**
+     * In an ending beside a crowd nobody is let in once connections are to go. To let in all who wait at the door, and
+     * those who take their places, would take the time in which requests that have been read are answered.
+     */
+    private boolean leavesCrowd() {
+        if (!lifetime.isEnding()) {
+            return false;
+        }
+        endsInCrowd |= isCrowded();
+        return endsInCrowd && lifetime.empties();
+    }
+
     private void start(ClientConnection connection) {
         try {
             new Thread(connection, "client").start();
