A crowd for an ending is also one that memory bounds far below the descriptors

An ending takes three quarters of the bound of the moment for a crowd, too. What is a crowd outside of an ending stays as it was.

--- a/sidecar/src/main/java/dapplequay/net/ClientSide.java
+++ b/sidecar/src/main/java/dapplequay/net/ClientSide.java
@@ -33,6 +33,7 @@
 
     /** Of the clients that there are when threads are short, so many may stay. */
     private static final double KEPT_SHARE = 0.8;
+    private static final double NEAR_BOUND = 0.75;
     /** So many there may always be. */
     private static final int FEWEST = 4;
     /** So long after the last shortage there may be as many as before, us. */
@@ -203,10 +204,15 @@
         if (!lifetime.isEnding()) {
             return false;
         }
-        endsInCrowd |= isCrowded();
+        endsInCrowd |= isCrowded() || isNearBound();
         return endsInCrowd && lifetime.empties();
     }
 
+    /** Where memory allows few clients, there may be a crowd for them far below its share of the descriptors. */
+    private synchronized boolean isNearBound() {
+        return connections.size() >= bound * NEAR_BOUND;
+    }
+
     private void start(ClientConnection connection) {
         try {
             new Thread(connection, "client").start();
