--- a/lab/src/test/java/dapplequay/lab/KnownFailuresScriptTest.java
+++ b/lab/src/test/java/dapplequay/lab/KnownFailuresScriptTest.java
@@ -84,6 +84,15 @@
                 "known red: A#a: passed 20 of 20 rounds, listed as failed in 1 of 50: too few to tell");
     }
 
+    /** The bench is not where this runs. */
+    @Test
+    void aDayOfTheBenchIsPrintedAlone() throws Exception {
+        Outcome outcome = run(FAILS, "day roll+crowd, seed 6 | x, `lbreal SITE --rough roll+crowd --seed 6` | 1 | 1 of 4");
+        assertThat(outcome.status()).isZero();
+        assertThat(outcome.lines()).contains("known red: day roll+crowd, seed 6 : played by hand, not here");
+        assertThat(run(FAILS, "day roll+crowd, seed 6 | x | 1").status()).isOne();
+    }
+
     @Test
     void anEntryThatLacksSomethingStopsTheRun() throws Exception {
         for (String line : List.of("A#a | x | 1", "A#a | x, `-Dtest=A` |", "A | x, `-Dtest=A` | 1",
