Look for the client before each attempt's first byte, without waiting and on any thread

Cause: the look was left out where bytes of the client had been read within 20 ms. They may have lain in the socket as long as the connection waited for its thread, with the end of the stream behind them. LagMonitor watched the timer thread only. Threads other than the connection's own did not look. A look at each place costs 1 ms, the shortest time-out of a blocking read. Change: clients' sockets belong to channels; while a response is due they do not block, and the connection's thread waits on its monitor, so any thread can read what has arrived. ClientRig accepts channels. The log at FINE says when an attempt was written and how long before that its client was looked for.

--- a/sidecar/src/main/java/dapplequay/net/ClientConnection.java
+++ b/sidecar/src/main/java/dapplequay/net/ClientConnection.java
@@ -16,8 +16,8 @@
 import java.util.logging.Logger;
 
 /**
- * One client connection and the thread that reads it. The thread keeps reading while an attempt is in progress, and so
- * notices a client that leaves; the thread that has the response writes it.
+ * One client connection and the thread that reads it. While a response is due, that thread checks at intervals whether
+ * the client is still there; the thread that has the response writes it.
  */
 final class ClientConnection implements Runnable {
     private static final Logger LOG = Logger.getLogger(ClientConnection.class.getName());
@@ -40,6 +40,8 @@
     private static final long LINGER_US = 1_000_000;
     /** Time for a complete request head; clients take up to 2 s. */
     private static final long HEAD_TIMEOUT_US = 2_300_000;
+    /** Interval of the checks for a client that leaves while its response is due, in milliseconds. */
+    private static final long PRESENCE_CHECK_MS = 25;
     private static final byte[] CONTINUE_RESPONSE =
             "HTTP/1.1 100 Continue\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1);
 
@@ -61,7 +63,6 @@
     private volatile String httpVersion = "HTTP/1.1";
     private volatile ClientInput input;
     private MessageReader reader;
-    private volatile ClientPresence presence;
     private volatile Exchange currentExchange;
 
     ClientConnection(ClientListener listener, Socket socket) {
@@ -89,10 +90,9 @@
     public void run() {
         try {
             socket.setTcpNoDelay(true);
-            input = new ClientInput(socket, listener.deadlines()::now);
+            input = new ClientInput(socket);
             reader = new MessageReader(input, MessageReader.MAX_BODY_BYTES);
-            presence = new ClientPresence(listener, input, reader);
-            while (reader.awaitRequest() && awaitPreviousResponse()) {
+            while (awaitPreviousResponse() && reader.awaitRequest() && startReading()) {
                 readRequest();
             }
             lingeringClose.discardInput(isUploading ? UPLOAD_DISCARD_BYTES : 0);
@@ -112,14 +112,18 @@
     }
 
     /**
-     * Waits until the response to the previous request is written; false if the connection serves no further request.
-     * Meanwhile it polls for a client that has sent more, as the end of the stream would only show after that.
+     * Waits until the response to the previous request is written, and checks for the client meanwhile; false if the
+     * connection serves no further request.
      */
     private boolean awaitPreviousResponse() throws IOException {
-        while (isBusyAfter(ClientPresence.POLL_WHILE_BUSY_MS)) {
+        while (isBusyAfter(PRESENCE_CHECK_MS)) {
             input.checkPresent(reader, true);
         }
-        return startReading();
+        return isOpen();
+    }
+
+    private synchronized boolean isOpen() {
+        return state != State.CLOSED;
     }
 
     /** True if the response is still due after at most {@code maxWaitMs} milliseconds. */
@@ -151,7 +155,6 @@
             throw new EOFException("connection was closed to make room");
         }
         state = State.BUSY;
-        input.setResponseDue(true);
     }
 
     /** Ends the wait for the rest of a request: the reading thread finds the end of the stream and responds. */
@@ -202,6 +205,7 @@
         try {
             if (!isUploading) {
                 bodyReader.finish();
+                input.requestComplete();
             }
             handle(head, bufferedBody, body.isComplete() ? null : body, listener.deadlines().now());
             if (isUploading && currentExchange != null) {
@@ -225,9 +229,14 @@
         }
     }
 
-    /** Checks for the client right before an attempt's first byte, if it may have left unnoticed. */
+    /** Checks for the client right before an attempt's first byte; if it has left, the exchange ends. Does not wait. */
     void checkClientPresent(Exchange exchange) {
-        presence.checkBeforeSend(exchange, !isUploading);
+        try {
+            input.checkPresent(reader, !isUploading);
+        } catch (IOException e) {
+            LOG.log(Level.FINE, "client has disconnected: {0}", e.toString());
+            listener.dispatcher().clientLeft(exchange);
+        }
     }
 
     /** True unless the request is streamed and there were too many such requests already. */
@@ -260,7 +269,7 @@
                     if (attempt == null) {
                         return;
                     }
-                    presence.checkPresent(listener.deadlines().now(), last);
+                    input.checkPresent(reader, last);
                     if (!attempt.connection().connectForUpload()) {
                         attempt = null;
                     }
@@ -311,7 +320,7 @@
         }
         ClientRequest request = ClientRequest.parse(head, bufferedBody, remainingBody, listener.setup());
         if (remainingBody == null) {
-            presence.checkPresent(receivedUs, true);
+            input.checkPresent(reader, true);
         }
         long callId = request.callId();
         if (!listener.registerCallId(callId, receivedUs)) {
@@ -330,7 +339,7 @@
             return;
         }
         RequestInfo info = request.toRequestInfo(request.budgetUs() - (listener.deadlines().now() - receivedUs));
-        presence.runWhileAway(exchange, remainingBody == null, () -> listener.dispatcher().begin(exchange, info));
+        listener.dispatcher().begin(exchange, info);
     }
 
     /** True if the connection closes after the current response, as after one that precedes the request's end. */
@@ -348,6 +357,7 @@
         boolean last = isLastResponse();
         DeadlineQueue.Deadline writeDeadline = listener.deadlines().schedule(WRITE_TIMEOUT_US, this::close);
         try {
+            input.beginResponse();
             socket.getOutputStream().write(response.toBytes(connectionField(last)));
             if (last) {
                 lingeringClose.begin(isUploading ? UPLOAD_LINGER_US : LINGER_US);
@@ -364,7 +374,7 @@
 
     private synchronized void responseWritten(boolean last) {
         state = last ? State.CLOSED : State.IDLE;
-        input.setResponseDue(false);
+        input.responseWritten();
         if (!last) {
             idleDeadline = listener.deadlines().schedule(IDLE_TIMEOUT_US, () -> listener.idleTimeout(this));
         }
@@ -381,10 +391,14 @@
         boolean isComplete = false;
         input.handOver();
         try {
+            input.beginResponse();
             byte[] responseStart = ClientResponses.streamStart(upstreamHead, body, start, httpVersion,
                     connectionField(true));
             isComplete = new ResponseRelay(socket, input, lingeringClose, listener.deadlines(), listener::streamPauseMs)
                     .relay(responseStart, start.length, body, ClientResponses.isChunked(body, httpVersion), dueUs);
+        } catch (IOException e) {
+            LOG.log(Level.FINE, "response could not be written: {0}", e.toString());
+            close();
         } finally {
             if (!isComplete) {
                 LOG.fine(() -> "streamed response to " + currentExchange.id + " broke off");
--- a/sidecar/src/main/java/dapplequay/net/ClientInput.java
+++ b/sidecar/src/main/java/dapplequay/net/ClientInput.java
@@ -6,28 +6,30 @@
 import java.io.InputStream;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
-import java.util.function.LongSupplier;
+import java.nio.ByteBuffer;
+import java.nio.channels.SocketChannel;
 
 /**
- * The input of one client, read only by the thread of its connection. A client that ends its output counts as gone,
- * whether it closed or still reads, as the two look the same before something is written. The end of the stream
- * only shows after the last byte, so a thread that waits for something other than the next byte has to poll for it. The
- * thread that passes on a long response takes over the input once the reading thread has left.
+ * The input of one client. A client that ends its output counts as gone, whether it closed or still reads, as the two
+ * look the same before something is written. The end of the stream only shows after the last byte, so a thread that
+ * waits for something other than the next byte has to check for it.
+ *
+ * <p>The thread of the connection reads requests. While a response is due it does not read: the socket is then in
+ * non-blocking mode, and any thread may check for the client without waiting. The thread that passes on a long response
+ * takes over the input once the reading thread has left.
  */
 final class ClientInput extends InputStream {
-    /** How long a poll waits if nothing has arrived, in milliseconds; the shortest timeout that a socket has. */
+    /** How long the thread that took over the input waits if nothing has arrived, in milliseconds: the shortest timeout. */
     private static final int POLL_MS = 1;
-    /** How many bytes one poll reads: a client that sends without end must not keep its thread from the response. */
-    private static final int MAX_POLL_BYTES = 1 << 20;
+    /** How many bytes one check reads: a client that sends without end must not keep a thread from the response. */
+    private static final int MAX_CHECK_BYTES = 1 << 20;
     /**
-     * Once a connection has discarded this many bytes, a poll reads only {@link #MAX_FLOOD_POLL_BYTES}, so that many
+     * Once a connection has discarded this many bytes, a check reads only {@link #MAX_FLOOD_CHECK_BYTES}, so that many
      * such clients don't use up the processor time.
      */
     private static final int DISCARD_FLOOD_BYTES = 2 << 20;
-    private static final int MAX_FLOOD_POLL_BYTES = 64 * 1024;
+    private static final int MAX_FLOOD_CHECK_BYTES = 64 * 1024;
     private static final int DISCARD_BUFFER_BYTES = 8 * 1024;
-    /** How often the reading thread checks whether it still owns the input while a response is due, in milliseconds. */
-    private static final int OWNERSHIP_CHECK_MS = 200;
 
     /** Thrown to the reading thread once another thread owns the input. */
     static final class HandedOverException extends IOException {
@@ -38,25 +40,34 @@
         }
     }
 
+    /** Who may read. */
+    private enum Access {
+        /** The reading thread alone, in blocking reads; it may also check. */
+        READING_THREAD,
+        /** Any thread may check; the socket is in non-blocking mode. */
+        ANY_CHECKS,
+        /** Nobody: the response is being written, for which the socket has to be in blocking mode. */
+        NONE
+    }
+
     private final Socket socket;
+    private final SocketChannel channel;
     private final InputStream in;
-    private final LongSupplier clock;
-    private long lastSeenUs;
+    private final Thread readingThread = Thread.currentThread();
     private volatile long discardedBytes;
     private volatile boolean hasUnprocessedBytes;
-    private volatile boolean isResponseDue;
     private volatile boolean isGone;
-    private boolean isPolling;
-    /** Guarded by this object's lock, as is {@link #readerHasLeft}. */
+    /** Guarded by this object's lock, as are the fields below. */
+    private Access access = Access.READING_THREAD;
+    private boolean isChecking;
     private boolean isHandedOver;
     private boolean readerHasLeft;
 
-    /** {@code clock}: in microseconds. */
-    ClientInput(Socket socket, LongSupplier clock) throws IOException {
+    /** Created by the thread that reads the connection; the socket belongs to a channel in blocking mode. */
+    ClientInput(Socket socket) throws IOException {
         this.socket = socket;
+        channel = socket.getChannel();
         in = socket.getInputStream();
-        this.clock = clock;
-        lastSeenUs = clock.getAsLong();
     }
 
     @Override
@@ -65,35 +76,11 @@
         return read(single, 0, 1) < 0 ? -1 : single[0] & 0xFF;
     }
 
+    /** Blocks until there is input, unless called within a check: that returns 0 if there is none. */
     @Override
     public int read(byte[] into, int from, int length) throws IOException {
-        hasUnprocessedBytes = false;
-        // Reads one byte first. Until this thread has noted that it has input, the rest stays in the socket, where a
-        // thread that wants to close an idle connection finds it.
-        int count = isPolling ? receive(into, from, Math.min(1, length)) : awaitBytes(into, from, Math.min(1, length));
-        hasUnprocessedBytes = count > 0;
-        if (count > 0 && length > 1 && in.available() > 0) {
-            count += Math.max(0, receive(into, from + 1, length - 1));
-        }
-        lastSeenUs = clock.getAsLong();
-        return count;
-    }
-
-    private int awaitBytes(byte[] into, int from, int length) throws IOException {
-        while (true) {
-            checkOwnership();
-            socket.setSoTimeout(isResponseDue ? OWNERSHIP_CHECK_MS : 0);
-            try {
-                return receive(into, from, length);
-            } catch (SocketTimeoutException e) {
-                // Nothing has arrived; the owner of the input may have changed.
-            }
-        }
-    }
-
-    private int receive(byte[] into, int from, int length) throws IOException {
         try {
-            int count = in.read(into, from, length);
+            int count = isChecking ? channel.read(ByteBuffer.wrap(into, from, length)) : awaitBytes(into, from, length);
             isGone |= count < 0;
             return count;
         } catch (SocketTimeoutException e) {
@@ -104,17 +91,42 @@
         }
     }
 
-    private synchronized void checkOwnership() throws HandedOverException {
-        if (isHandedOver) {
-            throw new HandedOverException();
+    /**
+     * Reads one byte first. Until this thread has noted that it has input, the rest stays in the socket, where a thread
+     * that wants to close an idle connection finds it.
+     */
+    private int awaitBytes(byte[] into, int from, int length) throws IOException {
+        hasUnprocessedBytes = false;
+        int count = in.read(into, from, Math.min(1, length));
+        hasUnprocessedBytes = count > 0;
+        if (count > 0 && length > 1 && in.available() > 0) {
+            count += Math.max(0, in.read(into, from + 1, length - 1));
         }
+        return count;
     }
 
     /**
-     * Sets whether a response is due: only then may the input be handed over, and the reading thread waits accordingly.
+     * Called by the reading thread once a request is complete: it does not read again before its response is written,
+     * and any thread may check for the client until {@link #beginResponse}.
      */
-    void setResponseDue(boolean due) {
-        isResponseDue = due;
+    synchronized void requestComplete() throws IOException {
+        if (access == Access.READING_THREAD) {
+            channel.configureBlocking(false);
+            access = Access.ANY_CHECKS;
+        }
+    }
+
+    /** Called before a response is written: ends the checks, and returns once none is in progress. */
+    synchronized void beginResponse() throws IOException {
+        if (access == Access.ANY_CHECKS) {
+            channel.configureBlocking(true);
+        }
+        access = Access.NONE;
+    }
+
+    /** Called when the response is written: the reading thread may read again. */
+    synchronized void responseWritten() {
+        access = Access.READING_THREAD;
     }
 
     /** Hands the input over to the caller, which owns it once the reading thread has left. */
@@ -136,10 +148,6 @@
         return !readerHasLeft;
     }
 
-    private synchronized boolean hasReaderLeft() {
-        return readerHasLeft;
-    }
-
     /** True if the end of the stream or a broken connection was seen. Any thread may call this. */
     boolean isGone() {
         return isGone;
@@ -148,13 +156,16 @@
     /**
      * True if the client is still there; input that has arrived is discarded. For the thread that took over the input.
      */
-    boolean isClientPresent() throws IOException {
-        return hasReaderLeft() ? poll(null, true) : !isGone;
-    }
-
-    /** Returns when the client was last known to be there, in microseconds. */
-    long lastSeenUs() {
-        return lastSeenUs;
+    synchronized boolean isClientPresent() throws IOException {
+        if (!readerHasLeft) {
+            return !isGone;
+        }
+        socket.setSoTimeout(POLL_MS);
+        try {
+            return readArrived(null, true);
+        } catch (SocketTimeoutException e) {
+            return true;        // no more input and no end of the stream
+        }
     }
 
     /** True if bytes were read that the reading thread is about to process. Any thread may call this. */
@@ -168,44 +179,58 @@
     }
 
     /**
-     * Checks that the client is still there and reads what has arrived into the reader's buffer. What does not fit is
-     * discarded if {@code discardsOverflow}, else it stays unread, and so does anything after it.
+     * Checks that the client is still there, without waiting, and reads what has arrived into the reader's buffer. What
+     * does not fit is discarded if {@code discardsOverflow}, else it stays unread, and so does anything after it. Any
+     * thread may call this. Nothing is checked while the response is written, nor by other threads while the reading
+     * thread reads the request.
      *
      * @throws EOFException at the end of the stream
      */
-    void checkPresent(MessageReader reader, boolean discardsOverflow) throws IOException {
-        checkOwnership();
-        if (!poll(reader, discardsOverflow)) {
+    synchronized void checkPresent(MessageReader reader, boolean discardsOverflow) throws IOException {
+        boolean isReadingThread = Thread.currentThread() == readingThread;
+        if (isReadingThread && isHandedOver) {
+            throw new HandedOverException();
+        }
+        boolean mayCheck = access == Access.ANY_CHECKS || access == Access.READING_THREAD && isReadingThread;
+        if (!isGone && mayCheck && !check(reader, discardsOverflow) || isGone) {
             throw new EOFException("the client has left");
         }
     }
 
-    private boolean poll(MessageReader reader, boolean discardsOverflow) throws IOException {
-        byte[] discardBuffer = null;
-        int maxBytes = discardedBytes < DISCARD_FLOOD_BYTES ? MAX_POLL_BYTES : MAX_FLOOD_POLL_BYTES;
-        isPolling = true;
-        socket.setSoTimeout(POLL_MS);
+    private boolean check(MessageReader reader, boolean discardsOverflow) throws IOException {
+        boolean wasBlocking = access == Access.READING_THREAD;
+        isChecking = true;
         try {
-            for (int total = 0, count; total < maxBytes; total += count) {
-                if (reader != null && !reader.isBufferFull()) {
-                    count = reader.readAhead();
-                } else if (discardsOverflow) {
-                    discardBuffer = discardBuffer == null ? new byte[DISCARD_BUFFER_BYTES] : discardBuffer;
-                    count = read(discardBuffer, 0, DISCARD_BUFFER_BYTES);
-                    discardedBytes += Math.max(0, count);
-                } else {
-                    return true;
-                }
-                if (count < 0) {
-                    return false;
-                }
+            if (wasBlocking) {
+                channel.configureBlocking(false);
             }
-        } catch (SocketTimeoutException e) {
-            // No more input and no end of the stream: the client is there.
-            lastSeenUs = clock.getAsLong();
+            return readArrived(reader, discardsOverflow);
         } finally {
-            hasUnprocessedBytes = reader != null && reader.hasBufferedBytes();
-            isPolling = false;
+            isChecking = false;
+            hasUnprocessedBytes = reader.hasBufferedBytes();
+            if (wasBlocking) {
+                channel.configureBlocking(true);
+            }
+        }
+    }
+
+    /** Reads what has arrived; false at the end of the stream. Without a reader, all input is discarded. */
+    private boolean readArrived(MessageReader reader, boolean discardsOverflow) throws IOException {
+        byte[] discardBuffer = null;
+        int maxBytes = discardedBytes < DISCARD_FLOOD_BYTES ? MAX_CHECK_BYTES : MAX_FLOOD_CHECK_BYTES;
+        for (int total = 0, count; total < maxBytes; total += count) {
+            if (reader != null && !reader.isBufferFull()) {
+                count = reader.readAhead();
+            } else if (discardsOverflow) {
+                discardBuffer = discardBuffer == null ? new byte[DISCARD_BUFFER_BYTES] : discardBuffer;
+                count = read(discardBuffer, 0, DISCARD_BUFFER_BYTES);
+                discardedBytes += Math.max(0, count);
+            } else {
+                return true;
+            }
+            if (count <= 0) {
+                return count == 0;
+            }
         }
         return true;
     }
--- a/sidecar/src/main/java/dapplequay/net/ClientListener.java
+++ b/sidecar/src/main/java/dapplequay/net/ClientListener.java
@@ -63,7 +63,6 @@
     /** Whether clients were crowded at any time since shutdown began; used only by the accepting thread. */
     private boolean endingSawCrowd;
     private final LongBodyThrottle bodyThrottle;
-    private final LagMonitor lagMonitor;
     private final ThreadReserve threads;
     /** The current limit of connections: below {@link #maxConnections} after a shortage of threads. Guarded by this. */
     private int connectionLimit;
@@ -85,7 +84,6 @@
         connectionLimit = maxConnections;
         threads.onShortage(this::lowerConnectionLimit);
         this.crowdThreshold = crowdThreshold;
-        lagMonitor = new LagMonitor(deadlines.now());
     }
 
     InetSocketAddress address() {
@@ -140,11 +138,6 @@
         return bodyThrottle.pauseMs();
     }
 
-    /** True if input that is read now may have been waiting in the socket for long. */
-    boolean isLate(long nowUs) {
-        return lagMonitor.isLate(nowUs);
-    }
-
     /** True if connections are being closed for a drain or shutdown: each response is then its connection's last. */
     boolean isEmptying() {
         return lifecycle.isEmptying();
@@ -261,7 +254,6 @@
         if (connections.size() < connectionLimit) {
             return;
         }
-        long sinceUs = deadlines.now();
         while (connections.size() >= connectionLimit && !listeningSocket.isStopped()) {
             boolean anyEnding = false;
             for (ClientConnection connection : connections) {
@@ -272,7 +264,6 @@
             }
             wait(RETRY_PAUSE_MS);
         }
-        lagMonitor.recordWait(sinceUs, deadlines.now());
     }
 
     /**
@@ -296,7 +287,6 @@
 
     /** Does the periodic work. During a drain or shutdown, closes idle connections. */
     void tick() {
-        lagMonitor.recordWakeUp(deadlines.now());
         restoreConnectionLimit();
         if (!lifecycle.isEmptying()) {
             return;
--- a/sidecar/src/main/java/dapplequay/net/ListeningSocket.java
+++ b/sidecar/src/main/java/dapplequay/net/ListeningSocket.java
@@ -59,11 +59,11 @@
         private volatile boolean stopsOnceQueueEmpty;
 
         Owned(InetSocketAddress listen) throws IOException {
-            this(new ServerSocket());
+            this(ServerSocketChannel.open().socket());
             listener.bind(listen, BACKLOG);
         }
 
-        /** Takes a listener that is bound or will be. */
+        /** Takes a listener that is bound or will be, and whose connections belong to channels. */
         Owned(ServerSocket listener) {
             this.listener = listener;
         }
--- a/sidecar/src/main/java/dapplequay/net/UpstreamConnection.java
+++ b/sidecar/src/main/java/dapplequay/net/UpstreamConnection.java
@@ -115,9 +115,10 @@
 
     /** Writes the request, or the start of a long one, if it may still be sent and the connection is usable. */
     WriteResult write(Attempt current) {
-        current.exchange.checkClientPresence();       // first, as it may block
         ClientRequest request = current.exchange.request;
         byte[] message = request.toBytes(endpoint.address(), current.expiresAtUs() - pool.now());
+        current.exchange.checkClientPresence();
+        long checkedUs = pool.now();
         if (!pool.mayBegin(current, endpoint)) {
             return WriteResult.STOPPED;
         }
@@ -128,6 +129,8 @@
         boolean awaitsBody = false;
         try {
             socket.getOutputStream().write(message);
+            LOG.fine(() -> "wrote " + current.exchange.id + " to " + endpoint.address() + ", "
+                    + (pool.now() - checkedUs) + " us after the check for its client");
             awaitsBody = request.isStreamed();
             whole = !awaitsBody;
         } catch (IOException e) {
--- a/sidecar/src/test/java/dapplequay/cli/SidecarProcess.java
+++ b/sidecar/src/test/java/dapplequay/cli/SidecarProcess.java
@@ -142,6 +142,15 @@
         await("a line with " + part, () -> log.stream().anyMatch(line -> line.contains(part)) || !isRunning());
     }
 
+    /** Returns what was logged of the request with this X-Call-Id, without leading zeros; needs {@code --log FINE}. */
+    List<String> logOfRequest(String callId) {
+        String received = "request " + callId + " is ";
+        return log.stream().filter(line -> line.contains(received))
+                .map(line -> line.substring(line.indexOf(received) + received.length()))
+                .flatMap(exchange -> log.stream().filter(line -> line.matches(".* " + exchange + "( .*|,.*|)")))
+                .toList();
+    }
+
     private boolean isRunning() {
         if (!process.isAlive()) {
             throw new AssertionError("process exited: " + log);
--- a/sidecar/src/test/java/dapplequay/net/ClientRig.java
+++ b/sidecar/src/test/java/dapplequay/net/ClientRig.java
@@ -15,8 +15,13 @@
 import java.io.InputStream;
 import java.io.OutputStream;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketAddress;
+import java.net.SocketException;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.SocketChannel;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -41,6 +46,10 @@
 
     /** Called on the thread that reads, writes or closes an accepted connection. */
     static class Hooks {
+        /** Called on the accepting thread, before it accepts the next connection. */
+        void beforeAccept() throws IOException { }
+
+        /** Reads that do not block, as those of a check for the client, are not hooked. */
         void beforeRead() throws IOException { }
 
         void afterRead() { }
@@ -55,15 +64,42 @@
         final CountDownLatch closed = new CountDownLatch(1);
         final AtomicInteger bytesRead = new AtomicInteger();
         private final Hooks hooks;
+        private final Socket socket;
         private boolean closing;
 
-        Accepted(Hooks hooks) {
+        Accepted(Hooks hooks, Socket socket) {
             this.hooks = hooks;
+            this.socket = socket;
+        }
+
+        @Override
+        public SocketChannel getChannel() {
+            return socket.getChannel();
+        }
+
+        @Override
+        public void setTcpNoDelay(boolean on) throws SocketException {
+            socket.setTcpNoDelay(on);
+        }
+
+        @Override
+        public void setSoTimeout(int timeoutMs) throws SocketException {
+            socket.setSoTimeout(timeoutMs);
+        }
+
+        @Override
+        public void setSoLinger(boolean on, int lingerS) throws SocketException {
+            socket.setSoLinger(on, lingerS);
+        }
+
+        @Override
+        public void shutdownInput() throws IOException {
+            socket.shutdownInput();
         }
 
         @Override
         public InputStream getInputStream() throws IOException {
-            return new FilterInputStream(super.getInputStream()) {
+            return new FilterInputStream(socket.getInputStream()) {
                 @Override
                 public int read(byte[] into, int from, int length) throws IOException {
                     hooks.beforeRead();
@@ -77,7 +113,7 @@
 
         @Override
         public OutputStream getOutputStream() throws IOException {
-            return new FilterOutputStream(super.getOutputStream()) {
+            return new FilterOutputStream(socket.getOutputStream()) {
                 @Override
                 public void write(byte[] from, int at, int length) throws IOException {
                     hooks.beforeWrite(Accepted.this);
@@ -99,13 +135,13 @@
         @Override
         public void shutdownOutput() throws IOException {
             beginClose();
-            super.shutdownOutput();
+            socket.shutdownOutput();
         }
 
         @Override
         public void close() throws IOException {
             beginClose();
-            super.close();
+            socket.close();
             closed.countDown();
         }
 
@@ -117,17 +153,38 @@
     /** Opens the listening socket of a sidecar, with hooks on its connections. */
     private static ListeningSocket openListeningSocket(Hooks hooks, BlockingQueue<Accepted> accepted)
             throws IOException {
-        ServerSocket listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress()) {
+        ServerSocket listener = ServerSocketChannel.open().socket();
+        listener.setReceiveBufferSize(SOCKET_BUFFER_BYTES);
+        listener.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 50);
+        return new ListeningSocket.Owned(new ServerSocket() {
             @Override
             public Socket accept() throws IOException {
-                Accepted socket = new Accepted(hooks);
-                implAccept(socket);
+                hooks.beforeAccept();
+                Accepted socket = new Accepted(hooks, listener.accept());
                 accepted.add(socket);
                 return socket;
             }
-        };
-        listener.setReceiveBufferSize(SOCKET_BUFFER_BYTES);
-        return new ListeningSocket.Owned(listener);
+
+            @Override
+            public SocketAddress getLocalSocketAddress() {
+                return listener.getLocalSocketAddress();
+            }
+
+            @Override
+            public void setSoTimeout(int timeoutMs) throws SocketException {
+                listener.setSoTimeout(timeoutMs);
+            }
+
+            @Override
+            public boolean isClosed() {
+                return listener.isClosed();
+            }
+
+            @Override
+            public void close() throws IOException {
+                listener.close();
+            }
+        });
     }
 
     /** The accepted connections, in the order of their arrival. */
