Reuse a connection whose answer came before the end of its write was recorded

Callers saw: requests that wait for a new connection, and servers a handshake, after an answer that was good. Cause: UpstreamConnection.readResponse read Attempt.isWriting once; on a reused connection another thread writes, and its record of the end of the write may come after the answer. The connection was then closed as one with an early answer. Change: such an answer waits for the record, at most 0.1 s; long requests are not waited for.

--- a/sidecar/src/main/java/dapplequay/net/Attempt.java
+++ b/sidecar/src/main/java/dapplequay/net/Attempt.java
@@ -4,6 +4,7 @@
 import dapplequay.facade.Decision;
 import dapplequay.time.DeadlineQueue;
 import java.io.InterruptedIOException;
+import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 
 /**
@@ -148,6 +149,15 @@
         return isWritten();
     }
 
+    /** Waits up to {@code maxWaitMs} milliseconds until the write has ended, and returns whether it was complete. */
+    synchronized boolean awaitWritten(long maxWaitMs) throws InterruptedIOException {
+        long untilNs = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(maxWaitMs);
+        for (long leftNs = untilNs - System.nanoTime(); writing && leftNs > 0; leftNs = untilNs - System.nanoTime()) {
+            MonitorWaits.atMost(this, 1 + TimeUnit.NANOSECONDS.toMillis(leftNs));
+        }
+        return isWritten();
+    }
+
     /**
      * Ends the attempt from outside by closing its connection, so that a late response is dropped. The connection's own
      * thread reports the attempt.
--- a/sidecar/src/main/java/dapplequay/net/UpstreamConnection.java
+++ b/sidecar/src/main/java/dapplequay/net/UpstreamConnection.java
@@ -13,6 +13,7 @@
 import java.io.FilterInputStream;
 import java.io.IOException;
 import java.io.InputStream;
+import java.io.InterruptedIOException;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
 import java.util.logging.Level;
@@ -28,6 +29,8 @@
     private static final int READ_BYTES = 8 * 1024;
     /** How long a response of unknown length is buffered before it is relayed as it arrives. */
     private static final long BUFFER_RESPONSE_US = 100_000;
+    /** How long a response waits for its request's write to end: longer, and the host has not read the request. */
+    private static final long WRITE_END_WAIT_MS = 100;
 
     final Endpoints.Endpoint endpoint;
     private final UpstreamPool pool;
@@ -358,12 +361,11 @@
             if (!current.tryEnd(end)) {
                 return false;       // aborted meanwhile; connectionEnded() reports it
             }
-            boolean wasWriting = current.isWriting();
             detachAttempt();
             pool.responseReceived(current);
             if (isPassedOn) {
                 boolean whole = pool.relay(current, load, head, body, start);
-                boolean reusable = whole && staysOpen(head, body, reader) && !wasWriting;
+                boolean reusable = whole && staysOpen(head, body, reader) && isWritten(current);
                 if (reusable) {
                     socket.setSoTimeout(0);
                     responseRead();
@@ -371,7 +373,7 @@
                 }
                 return reusable;
             }
-            boolean reusable = body.isComplete() && staysOpen(head, body, reader) && !wasWriting;
+            boolean reusable = body.isComplete() && staysOpen(head, body, reader) && isWritten(current);
             if (reusable) {
                 responseRead();
                 pool.returnConnection(this, current.decision.host());
@@ -387,6 +389,14 @@
         }
     }
 
+    /**
+     * Returns whether the attempt has been written completely, so that its response was not an early one. The response
+     * may arrive before the writing thread has recorded the end of its write, so this waits for a moment.
+     */
+    private static boolean isWritten(Attempt current) throws InterruptedIOException {
+        return !current.isUploading() && current.awaitWritten(WRITE_END_WAIT_MS);
+    }
+
     private static boolean staysOpen(Head head, Body body, MessageReader reader) {
         return !head.closesConnection(head.startLine[0]) && body.framing() != Body.Framing.CLOSE_DELIMITED
                 && !reader.hasBufferedBytes();
