Late drains: the test names each late request, and what its sidecar logged of it

Change: sidecars log at FINE; the report has the id of each late request with the sidecar's lines on it (read, written, how long after the check for the client), and for requests that were not served the refusals and the servers passed over. No check changed.

--- a/sidecar/src/test/java/dapplequay/cli/DrainFleet.java
+++ b/sidecar/src/test/java/dapplequay/cli/DrainFleet.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.stream.Collectors;
 import org.assertj.core.api.SoftAssertions;
 
 /**
@@ -28,14 +29,16 @@
     private static final int MIN_REQUESTS = 40;
     private static final long LOAD_PAUSE_MS = 5;
 
-    private record Arrival(int sidecar, int server, long ns) { }
+    /** {@code sidecar}: as the path names it; {@code callId}: the X-Call-Id. */
+    private record Arrival(int sidecar, int server, String callId, long ns) { }
 
     final List<Sidecar> sidecars = new ArrayList<>();
     final SharedDiscovery discovery;
     private final Queue<Arrival> arrivals = new ConcurrentLinkedQueue<>();
     private final ScriptedServers servers = new ScriptedServers(SERVERS, (server, head) -> {
         String path = head.startLine[1];
-        arrivals.add(new Arrival(path.charAt(path.length() - 1) - '0', server, System.nanoTime()));
+        arrivals.add(new Arrival(path.charAt(path.length() - 1) - '0', server, head.get("X-Call-Id"),
+                System.nanoTime()));
         return "";
     });
 
@@ -72,7 +75,8 @@
                             + "000, \"ask_within_us\": " + askWithinMs + "000")
                     .replaceAll("(?s)\"known\": \\{.*?]},", "\"known\": " + discovery.wholeList() + ",");
             config = Files.writeString(folder.resolve(number + ".json"), text);
-            program = new SidecarProcess(config, listeningSocket, SidecarProcess.freePort());
+            program = new SidecarProcess(config, listeningSocket, SidecarProcess.freePort(), false, List.of(),
+                    List.of("--log", "FINE"));
             load = new QuoteLoad(listeningSocket, number, LOAD_PAUSE_MS);
         }
 
@@ -96,24 +100,37 @@
             return lastNs == Long.MAX_VALUE || System.nanoTime() - lastNs > LATE_REQUEST_WATCH_MS * NS_PER_MS;
         }
 
+        /** Returns how late the request was, and what the sidecar logged of it: nothing if another process sent it. */
+        private String describe(Arrival late) {
+            return (late.ns - lastMomentNs(late.server)) / NS_PER_MS + " ms, call " + late.callId
+                    + ", by the sidecar's log " + program.logOfRequest(late.callId);
+        }
+
         /** Returns discovery's answers and the sidecar's log, for finding the cause of late requests. */
         private String diagnostics(int server) {
             return "last moment " + Instant.now().minusNanos(System.nanoTime() - lastMomentNs(server)) + "\n"
-                    + String.join("\n", discovery.writtenAnswers(number)) + "\n" + String.join("\n", program.log)
+                    + String.join("\n", discovery.writtenAnswers(number)) + "\n"
+                    + program.log.stream().filter(line -> !line.contains(" FINE ")).collect(Collectors.joining("\n"))
                     + "\n";
         }
 
+        /** Returns the times of refusals and failures, and what servers were passed over, from the sidecar's log. */
+        private String outcomesOfUnserved() {
+            return program.log.stream().filter(line -> line.contains(" refused ") || line.contains(" failed ")
+                    || line.contains("passed over")).collect(Collectors.joining("\n"));
+        }
+
         private void check(SoftAssertions softly) {
             for (int server = 0; server < SERVERS; server++) {
                 int serverNumber = server;
-                List<Long> late = arrivals.stream().filter(a -> a.sidecar == number && a.server == serverNumber)
+                List<String> late = arrivals.stream().filter(a -> a.sidecar == number && a.server == serverNumber)
                         .filter(a -> a.ns > lastMomentNs(serverNumber))
-                        .map(a -> (a.ns - lastMomentNs(serverNumber)) / NS_PER_MS).toList();
-                softly.assertThat(late).as("sidecar %d, server %d: late requests, ms; %s", number, server,
+                        .map(this::describe).toList();
+                softly.assertThat(late).as("sidecar %d, server %d: late requests; %s", number, server,
                         late.isEmpty() ? "" : diagnostics(server)).isEmpty();
             }
             softly.assertThat(load.served).as("sidecar %d: served", number).hasSizeGreaterThan(MIN_REQUESTS);
-            softly.assertThat(load.unserved).as("sidecar %d: not served", number)
+            softly.assertThat(load.unserved).as("sidecar %d: not served; %s", number, outcomesOfUnserved())
                     .hasSizeLessThanOrEqualTo(load.served.size() / 50);
         }
     }
