Make room at the connection limit for unproven clients' places only when a client waits

Callers saw: at the limit a client that had connected and not asked yet was disconnected after 50 ms though nobody waited for its place; its first request needs a second connection. Cause: ClientListener made room before it waited for the next client. Change: it waits for a client first. Idle connections are still closed ahead, as their clients get time to close. Evidence: RoomForClientsTest fails without the change (the quiet client's request meets a closed connection) and passes with it.

--- a/sidecar/src/main/java/dapplequay/net/ClientConnection.java
+++ b/sidecar/src/main/java/dapplequay/net/ClientConnection.java
@@ -34,8 +34,6 @@
     private static final long UPLOAD_LINGER_US = 5_000_000;
     /** Time for writing a response: a client that does not read must not block the writing thread. */
     private static final long WRITE_TIMEOUT_US = 10_000_000;
-    /** A streamed body that does not progress for this long is aborted; peers may take seconds for one piece. */
-    private static final long STALL_TIMEOUT_US = 10_000_000;
     /** Time for the client to close after the last response; closing first could lose the response. */
     private static final long LINGER_US = 1_000_000;
     /** Time for a complete request head; clients take up to 2 s. */
@@ -246,51 +244,9 @@
 
     /** Passes the rest of a streamed request on to the current attempt until the request or the exchange ends. */
     private void forwardBody(Exchange exchange, Body body) throws IOException {
-        byte[] piece = BodyBuffers.acquire();
-        boolean chunked = exchange.request.isChunked();
-        ProgressWatchdog.StallTimeout stallTimeout =
-                new ProgressWatchdog.StallTimeout(listener.deadlines(), STALL_TIMEOUT_US);
-        try (ProgressWatchdog watchdog = new ProgressWatchdog(listener.deadlines(), stallTimeout, () -> {
-            if (bodyReader.isWaiting()) {
-                requestTimedOut();
-            } else {
-                listener.dispatcher().abortStalledUpload(exchange);
-            }
-        })) {
-            Attempt attempt = null;
-            while (isUploading && !exchange.isClaimed()) {
-                int count = Math.max(0, bodyReader.read(body, piece, ChunkedFraming.FRAMING_ROOM,
-                        BodyBuffers.PIECE_BYTES));
-                boolean last = body.isComplete();
-                isUploading = !last;
-                // Commits only once the first unbuffered piece is here: after sending it no other attempt can follow.
-                while (attempt == null || !exchange.commit(attempt)) {
-                    attempt = exchange.awaitReadyAttempt();
-                    if (attempt == null) {
-                        return;
-                    }
-                    input.checkPresent(reader, last);
-                    if (!attempt.connection().connectForUpload()) {
-                        attempt = null;
-                    }
-                }
-                if (last) {
-                    input.checkPresent(reader, true);   // it may have left meanwhile
-                    if (!listener.dispatcher().beginFinalWrite(attempt)) {
-                        return;
-                    }
-                }
-                stallTimeout.progressed();
-                ChunkedFraming.Span span = ChunkedFraming.frameIfChunked(piece, count, chunked, last);
-                if (!attempt.connection().writePiece(attempt, piece, span, last)) {
-                    return;
-                }
-                stallTimeout.progressed();
-                if (last) {
-                    attempt.connection().uploadEnded(true);
-                }
-                BodyBuffers.pauseAfterPiece(count, body, listener.streamPauseMs());
-            }
+        try {
+            new RequestBodyForwarder(listener, input, reader, bodyReader, this::requestTimedOut)
+                    .forward(exchange, body, () -> isUploading = false);
         } catch (BadMessageException e) {
             listener.dispatcher().rejectUpload(exchange, ClientResponses.plainText(e.status, e.getMessage()));
         } catch (EOFException e) {
@@ -303,7 +259,6 @@
             listener.dispatcher().clientLeft(exchange);
             throw e;
         } finally {
-            BodyBuffers.release(piece);
             // This thread reports the attempt's end, if that was its task and nothing waits for the response yet.
             Attempt lastAttempt = exchange.attempt();
             if (lastAttempt != null && lastAttempt.connection() != null) {
@@ -493,21 +448,26 @@
     }
 
     /**
-     * Closes the connection to make room if it is unproven and old enough, as then it has no response to lose; true if
-     * it was closed. A connection within a request, or with unread input, has longer; in a flood of unproven
-     * connections only unread input gives it longer.
+     * Returns in how many microseconds the connection may be closed to make room: 0 or less if it is unproven and old
+     * enough, and so has no response to lose. A connection within a request, or with unread input, has longer; in a
+     * flood of unproven connections only unread input gives it longer. Long.MAX_VALUE for one that is not unproven, or
+     * whose input is being processed, as that may be a complete request.
      */
-    synchronized boolean closeIfUnproven(boolean isFlood) {
-        if (!isUnproven()) {
-            return false;
+    synchronized long untilClosableUs(boolean isFlood) {
+        if (!isUnproven() || hasUnprocessedInput()) {
+            return Long.MAX_VALUE;
         }
-        long ageUs = listener.deadlines().now() - acceptedUs;
         boolean isWaiting = state == State.READING && !isFlood || hasUnreadInput();
-        if (ageUs < (isWaiting ? PARTIAL_REQUEST_MIN_AGE_US : UNPROVEN_MIN_AGE_US) || hasUnprocessedInput()) {
-            return false;   // the input may be a complete request
+        return acceptedUs + (isWaiting ? PARTIAL_REQUEST_MIN_AGE_US : UNPROVEN_MIN_AGE_US) - listener.deadlines().now();
+    }
+
+    /** Closes the connection if {@link #untilClosableUs} is over; true if it was closed. */
+    synchronized boolean closeIfUnproven(boolean isFlood) {
+        boolean closes = untilClosableUs(isFlood) <= 0;
+        if (closes) {
+            state = State.CLOSED;
+            close();
         }
-        state = State.CLOSED;
-        close();
-        return true;
+        return closes;
     }
 }
--- a/sidecar/src/main/java/dapplequay/net/ClientInput.java
+++ b/sidecar/src/main/java/dapplequay/net/ClientInput.java
@@ -19,7 +19,7 @@
  * takes over the input once the reading thread has left.
  */
 final class ClientInput extends InputStream {
-    /** How long the thread that took over the input waits if nothing has arrived, in milliseconds: the shortest timeout. */
+    /** How long the thread that took over the input waits if nothing has arrived, in milliseconds. */
     private static final int POLL_MS = 1;
     /** How many bytes one check reads: a client that sends without end must not keep a thread from the response. */
     private static final int MAX_CHECK_BYTES = 1 << 20;
--- a/sidecar/src/main/java/dapplequay/net/ClientListener.java
+++ b/sidecar/src/main/java/dapplequay/net/ClientListener.java
@@ -162,11 +162,15 @@
         while (!listeningSocket.isStopped()) {
             Socket socket = null;
             try {
-                awaitRoom();
                 if (stopsForCrowd()) {
                     listeningSocket.stopAccepting();
                     return;
                 }
+                makeRoomAhead();
+                if (!listeningSocket.awaitClient()) {
+                    return;
+                }
+                awaitRoom();
                 socket = listeningSocket.accept();
                 if (socket == null) {
                     return;
@@ -255,17 +259,36 @@
             return;
         }
         while (connections.size() >= connectionLimit && !listeningSocket.isStopped()) {
-            boolean anyEnding = false;
-            for (ClientConnection connection : connections) {
-                anyEnding |= connection.shortenLinger(SHORT_LINGER_US);
-            }
-            if (!anyEnding) {
+            if (!shortenLingers()) {
                 makeRoom();
             }
             wait(RETRY_PAUSE_MS);
         }
     }
 
+    /**
+     * At the connection limit, closes an idle connection before another client comes, as its client is given time to
+     * close, too. Unproven connections are closed at once, but only for a client that waits: their first request may be
+     * on its way.
+     */
+    private synchronized void makeRoomAhead() {
+        if (connections.size() < connectionLimit || shortenLingers() || isFlood()) {
+            return;
+        }
+        if (connections.stream().noneMatch(c -> c.untilClosableUs(false) <= 0)) {
+            closeOneIdle();
+        }
+    }
+
+    /** Gives closing connections little time to end; true if there are any. */
+    private boolean shortenLingers() {
+        boolean anyEnding = false;
+        for (ClientConnection connection : connections) {
+            anyEnding |= connection.shortenLinger(SHORT_LINGER_US);
+        }
+        return anyEnding;
+    }
+
     /**
      * Closes the oldest unproven connection, else the oldest idle one. Only one at a time: closing all idle connections
      * also closed new ones whose first request was on its way. Unproven connections are closed first; in a flood of
@@ -273,13 +296,20 @@
      * connections. But every client is unproven at first, and a few of them must not hold up the others.
      */
     private void makeRoom() {
-        boolean isFlood = connections.stream().filter(ClientConnection::isUnproven).count()
-                >= connectionLimit * FLOOD_SHARE;
+        boolean isFlood = isFlood();
         if (connections.stream().noneMatch(c -> c.closeIfUnproven(isFlood)) && !isFlood) {
-            connections.stream().anyMatch(c -> c.closeIfIdle(SHORT_LINGER_US));
+            closeOneIdle();
         }
     }
 
+    private boolean isFlood() {
+        return connections.stream().filter(ClientConnection::isUnproven).count() >= connectionLimit * FLOOD_SHARE;
+    }
+
+    private void closeOneIdle() {
+        connections.stream().anyMatch(c -> c.closeIfIdle(SHORT_LINGER_US));
+    }
+
     synchronized void connectionEnded(ClientConnection connection) {
         connections.remove(connection);
         notifyAll();
