--- a/sidecar/src/main/java/dapplequay/net/ClientListener.java
+++ b/sidecar/src/main/java/dapplequay/net/ClientListener.java
@@ -272,7 +272,7 @@
      * on its way.
      */
     private synchronized void makeRoomAhead() {
-        if (connections.size() < connectionLimit || shortenLingers() || isFlood()) {
+        if (connections.size() < connectionLimit || isFlood() || shortenLingers()) {
             return;
         }
         if (connections.stream().noneMatch(c -> c.untilClosableUs(false) <= 0)) {
@@ -302,10 +302,11 @@
         }
     }
 
-    /** Returns in how many milliseconds to look for room again: once a connection is old enough to be closed. */
+    /** Returns in how many milliseconds to look for room again: once the oldest unproven connection may be closed. */
     private long msUntilRoomCheck() {
         boolean isFlood = isFlood();
-        long soonestUs = connections.stream().mapToLong(c -> c.untilClosableUs(isFlood)).min().orElse(Long.MAX_VALUE);
+        long soonestUs = connections.stream().mapToLong(c -> c.untilClosableUs(isFlood))
+                .filter(us -> us < Long.MAX_VALUE).findFirst().orElse(Long.MAX_VALUE);
         return Math.max(1, Math.min(RETRY_PAUSE_MS, soonestUs / 1_000 + 1));
     }
 
