--- a/sidecar/src/main/java/dapplequay/net/ClientConnection.java
+++ b/sidecar/src/main/java/dapplequay/net/ClientConnection.java
@@ -448,26 +448,21 @@
     }
 
     /**
-     * Returns in how many microseconds the connection may be closed to make room: 0 or less if it is unproven and old
-     * enough, and so has no response to lose. A connection within a request, or with unread input, has longer; in a
-     * flood of unproven connections only unread input gives it longer. Long.MAX_VALUE for one that is not unproven, or
-     * whose input is being processed, as that may be a complete request.
+     * Closes the connection to make room if it is unproven and old enough, as then it has no response to lose; true if
+     * it was closed. A connection within a request, or with unread input, has longer; in a flood of unproven
+     * connections only unread input gives it longer.
      */
-    synchronized long untilClosableUs(boolean isFlood) {
-        if (!isUnproven() || hasUnprocessedInput()) {
-            return Long.MAX_VALUE;
+    synchronized boolean closeIfUnproven(boolean isFlood) {
+        if (!isUnproven()) {
+            return false;
         }
+        long ageUs = listener.deadlines().now() - acceptedUs;
         boolean isWaiting = state == State.READING && !isFlood || hasUnreadInput();
-        return acceptedUs + (isWaiting ? PARTIAL_REQUEST_MIN_AGE_US : UNPROVEN_MIN_AGE_US) - listener.deadlines().now();
-    }
-
-    /** Closes the connection if {@link #untilClosableUs} is over; true if it was closed. */
-    synchronized boolean closeIfUnproven(boolean isFlood) {
-        boolean closes = untilClosableUs(isFlood) <= 0;
-        if (closes) {
-            state = State.CLOSED;
-            close();
+        if (ageUs < (isWaiting ? PARTIAL_REQUEST_MIN_AGE_US : UNPROVEN_MIN_AGE_US) || hasUnprocessedInput()) {
+            return false;   // the input may be a complete request
         }
-        return closes;
+        state = State.CLOSED;
+        close();
+        return true;
     }
 }
--- a/sidecar/src/main/java/dapplequay/net/ClientListener.java
+++ b/sidecar/src/main/java/dapplequay/net/ClientListener.java
@@ -162,15 +162,11 @@
         while (!listeningSocket.isStopped()) {
             Socket socket = null;
             try {
+                awaitRoom();
                 if (stopsForCrowd()) {
                     listeningSocket.stopAccepting();
                     return;
                 }
-                makeRoomAhead();
-                if (!listeningSocket.awaitClient()) {
-                    return;
-                }
-                awaitRoom();
                 socket = listeningSocket.accept();
                 if (socket == null) {
                     return;
@@ -259,34 +255,15 @@
             return;
         }
         while (connections.size() >= connectionLimit && !listeningSocket.isStopped()) {
-            if (!shortenLingers()) {
+            boolean anyEnding = false;
+            for (ClientConnection connection : connections) {
+                anyEnding |= connection.shortenLinger(SHORT_LINGER_US);
+            }
+            if (!anyEnding) {
                 makeRoom();
             }
-            wait(msUntilRoomCheck());
-        }
-    }
-
-    /**
-     * At the connection limit, closes an idle connection before another client comes, as its client is given time to
-     * close, too. Unproven connections are closed at once, but only for a client that waits: their first request may be
-     * on its way.
-     */
-    private synchronized void makeRoomAhead() {
-        if (connections.size() < connectionLimit || isFlood() || shortenLingers()) {
-            return;
-        }
-        if (connections.stream().noneMatch(c -> c.untilClosableUs(false) <= 0)) {
-            closeOneIdle();
-        }
-    }
-
-    /** Gives closing connections little time to end; true if there are any. */
-    private boolean shortenLingers() {
-        boolean anyEnding = false;
-        for (ClientConnection connection : connections) {
-            anyEnding |= connection.shortenLinger(SHORT_LINGER_US);
+            wait(RETRY_PAUSE_MS);
         }
-        return anyEnding;
     }
 
     /**
@@ -296,28 +273,13 @@
      * connections. But every client is unproven at first, and a few of them must not hold up the others.
      */
     private void makeRoom() {
-        boolean isFlood = isFlood();
+        boolean isFlood = connections.stream().filter(ClientConnection::isUnproven).count()
+                >= connectionLimit * FLOOD_SHARE;
         if (connections.stream().noneMatch(c -> c.closeIfUnproven(isFlood)) && !isFlood) {
-            closeOneIdle();
+            connections.stream().anyMatch(c -> c.closeIfIdle(SHORT_LINGER_US));
         }
     }
 
-    /** Returns in how many milliseconds to look for room again: once the oldest unproven connection may be closed. */
-    private long msUntilRoomCheck() {
-        boolean isFlood = isFlood();
-        long soonestUs = connections.stream().mapToLong(c -> c.untilClosableUs(isFlood))
-                .filter(us -> us < Long.MAX_VALUE).findFirst().orElse(Long.MAX_VALUE);
-        return Math.max(1, Math.min(RETRY_PAUSE_MS, soonestUs / 1_000 + 1));
-    }
-
-    private boolean isFlood() {
-        return connections.stream().filter(ClientConnection::isUnproven).count() >= connectionLimit * FLOOD_SHARE;
-    }
-
-    private void closeOneIdle() {
-        connections.stream().anyMatch(c -> c.closeIfIdle(SHORT_LINGER_US));
-    }
-
     synchronized void connectionEnded(ClientConnection connection) {
         connections.remove(connection);
         notifyAll();
--- a/sidecar/src/main/java/dapplequay/net/ListeningSocket.java
+++ b/sidecar/src/main/java/dapplequay/net/ListeningSocket.java
@@ -7,6 +7,7 @@
 import java.net.Socket;
 import java.net.SocketTimeoutException;
 import java.nio.channels.Channel;
+import java.nio.channels.ClosedSelectorException;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.Selector;
 import java.nio.channels.ServerSocketChannel;
@@ -21,11 +22,6 @@
 
     InetSocketAddress address();
 
-    /** Waits until a client is waiting to be accepted; false if accepting was stopped meanwhile. */
-    default boolean awaitClient() throws IOException {
-        return true;
-    }
-
     /** Returns the next connection, or null if accepting was stopped meanwhile. */
     Socket accept() throws IOException;
 
@@ -61,8 +57,6 @@
         private final ServerSocket listener;
         private volatile int pollMs = POLL_MS;
         private volatile boolean stopsOnceQueueEmpty;
-        /** The client that waits, already accepted by the system call; used only by the accepting thread. */
-        private Socket waitingClient;
 
         Owned(InetSocketAddress listen) throws IOException {
             this(ServerSocketChannel.open().socket());
@@ -79,22 +73,8 @@
             return (InetSocketAddress) listener.getLocalSocketAddress();
         }
 
-        @Override
-        public boolean awaitClient() throws IOException {
-            if (waitingClient == null) {
-                waitingClient = acceptNext();
-            }
-            return waitingClient != null;
-        }
-
         @Override
         public Socket accept() throws IOException {
-            Socket client = waitingClient == null ? acceptNext() : waitingClient;
-            waitingClient = null;
-            return client;
-        }
-
-        private Socket acceptNext() throws IOException {
             while (true) {
                 // Read before the call: only connections that arrive after this moment may be left out.
                 boolean isLastPoll = stopsOnceQueueEmpty;
@@ -171,26 +151,20 @@
             return (InetSocketAddress) channel.socket().getLocalSocketAddress();
         }
 
-        @Override
-        public boolean awaitClient() throws IOException {
-            boolean isWaiting = false;
-            while (!isStopped && !isWaiting) {
-                selector.select();
-                isWaiting = !selector.selectedKeys().isEmpty();
-                selector.selectedKeys().clear();
-            }
-            return isWaiting;
-        }
-
-        /** Another process may have accepted the client that was waiting; then this waits for the next one. */
         @Override
         public Socket accept() throws IOException {
-            do {
+            while (!isStopped) {
                 SocketChannel accepted = channel.accept();
                 if (accepted != null) {
                     return accepted.socket();
                 }
-            } while (awaitClient());
+                try {
+                    selector.select();
+                    selector.selectedKeys().clear();
+                } catch (ClosedSelectorException e) {
+                    return null;
+                }
+            }
             return null;
         }
 
--- a/sidecar/src/main/java/dapplequay/net/Sidecar.java
+++ b/sidecar/src/main/java/dapplequay/net/Sidecar.java
@@ -30,8 +30,8 @@
 public final class Sidecar {
     private static final Logger LOG = Logger.getLogger(Sidecar.class.getName());
     /**
-     * Descriptors reserved for the program itself, the listening socket, a client that waits for room, and discovery;
-     * the JVM has about two dozen open.
+     * Descriptors reserved for the program itself, the listening socket and discovery; the JVM has about two dozen
+     * open.
      */
     private static final int RESERVED_DESCRIPTORS = 32 + DiscoveryClient.MAX_SUPERSEDED_CALLS;
     /** The clients' share of the remaining descriptors. */
