Say the condition of the check for a client once; an import that nothing uses goes

Cause: read again, ClientInput.checkPresent asked twice whether the client had gone. Change: once, with the same outcomes; a test's unused import goes.

--- a/sidecar/src/main/java/dapplequay/net/ClientInput.java
+++ b/sidecar/src/main/java/dapplequay/net/ClientInput.java
@@ -192,7 +192,7 @@
             throw new HandedOverException();
         }
         boolean mayCheck = access == Access.ANY_CHECKS || access == Access.READING_THREAD && isReadingThread;
-        if (!isGone && mayCheck && !check(reader, discardsOverflow) || isGone) {
+        if (isGone || mayCheck && !check(reader, discardsOverflow)) {
             throw new EOFException("the client has left");
         }
     }
--- a/sidecar/src/test/java/dapplequay/cli/DepartureSoakTest.java
+++ b/sidecar/src/test/java/dapplequay/cli/DepartureSoakTest.java
@@ -19,7 +19,6 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
-import java.util.stream.Collectors;
 import java.util.stream.LongStream;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
@@ -46,7 +45,6 @@
     /** How much later than the close of the last client its attempt could still arrive and be judged. */
     private static final long LATE_ARRIVAL_WATCH_MS = 3_000;
 
-
     private enum Kind { SENDS_HALF_A_HEAD, ASKS_AND_STAYS, ASKS_AND_LEAVES }
 
     private record Arrival(String key, Instant at) { }
@@ -57,6 +55,7 @@
     private final Map<String, Instant> closedAt = new ConcurrentHashMap<>();
     private final Map<String, String> callIds = new ConcurrentHashMap<>();
     private final AtomicInteger keys = new AtomicInteger();
+
     static LongStream seeds() {
         return LongStream.range(FIRST, FIRST + SEEDS);
     }
