At the connection limit, close unproven connections only if a client waits for the place

Callers saw: at the limit a client that had connected and not asked yet was disconnected after 50 ms though nobody waited for its place; its first request needed a second connection. Beside load SidecarTest on the crowd failed so: of the two clients that are its limit the quiet one had gone when the answer was written, so that one client was left and no crowd. Cause: ClientListener made room before it looked whether anybody comes. Change: at the limit the accepting thread waits for a client in its retry pauses, where it waited for an ended connection. While no client comes, unproven connections stay, and idle ones are closed ahead as before, as their clients get time to close. Once one comes, room is made as before. The waiting client's descriptor is one of those kept for the program. Evidence: RoomForClientsTest failed at each run and passes. SidecarTest on the limit took 8.9 s alone and takes 6.9 s (9.9 allowed).

--- a/sidecar/src/main/java/dapplequay/net/ClientConnection.java
+++ b/sidecar/src/main/java/dapplequay/net/ClientConnection.java
@@ -448,21 +448,27 @@
     }
 
     /**
-     * Closes the connection to make room if it is unproven and old enough, as then it has no response to lose; true if
-     * it was closed. A connection within a request, or with unread input, has longer; in a flood of unproven
-     * connections only unread input gives it longer.
+     * True if the connection is unproven and old enough to be closed to make room, as then it has no response to lose.
+     * A connection within a request, or with unread input, has longer; in a flood of unproven connections only unread
+     * input gives it longer.
      */
-    synchronized boolean closeIfUnproven(boolean isFlood) {
+    synchronized boolean isClosableUnproven(boolean isFlood) {
         if (!isUnproven()) {
             return false;
         }
         long ageUs = listener.deadlines().now() - acceptedUs;
         boolean isWaiting = state == State.READING && !isFlood || hasUnreadInput();
-        if (ageUs < (isWaiting ? PARTIAL_REQUEST_MIN_AGE_US : UNPROVEN_MIN_AGE_US) || hasUnprocessedInput()) {
-            return false;   // the input may be a complete request
+        long minAgeUs = isWaiting ? PARTIAL_REQUEST_MIN_AGE_US : UNPROVEN_MIN_AGE_US;
+        return ageUs >= minAgeUs && !hasUnprocessedInput();     // that input may be a complete request
+    }
+
+    /** Closes the connection if it is {@link #isClosableUnproven}; true if it was closed. */
+    synchronized boolean closeIfUnproven(boolean isFlood) {
+        boolean closes = isClosableUnproven(isFlood);
+        if (closes) {
+            state = State.CLOSED;
+            close();
         }
-        state = State.CLOSED;
-        close();
-        return true;
+        return closes;
     }
 }
--- a/sidecar/src/main/java/dapplequay/net/ClientListener.java
+++ b/sidecar/src/main/java/dapplequay/net/ClientListener.java
@@ -22,7 +22,7 @@
 /** Accepts clients and keeps their connections. */
 final class ClientListener implements Runnable {
     private static final Logger LOG = Logger.getLogger(ClientListener.class.getName());
-    private static final long RETRY_PAUSE_MS = 20;
+    private static final int RETRY_PAUSE_MS = 20;
     /**
      * How long to wait for the accepting thread to stop, in milliseconds. It stops at once; if it were stuck, shutdown
      * must not be.
@@ -250,18 +250,29 @@
     }
 
     /** Waits, at the connection limit, until a connection has ended. */
-    private synchronized void awaitRoom() throws InterruptedException {
-        if (connections.size() < connectionLimit) {
+    private void awaitRoom() throws IOException, InterruptedException {
+        while (isFull() && !listeningSocket.isStopped()) {
+            makeRoom(listeningSocket.awaitClient(RETRY_PAUSE_MS));
+        }
+    }
+
+    private synchronized boolean isFull() {
+        return connections.size() >= connectionLimit;
+    }
+
+    /** Makes room unless connections are ending already, and waits a moment for an end if a client waits. */
+    private synchronized void makeRoom(boolean isClientWaiting) throws InterruptedException {
+        if (!isFull()) {
             return;
         }
-        while (connections.size() >= connectionLimit && !listeningSocket.isStopped()) {
-            boolean anyEnding = false;
-            for (ClientConnection connection : connections) {
-                anyEnding |= connection.shortenLinger(SHORT_LINGER_US);
-            }
-            if (!anyEnding) {
-                makeRoom();
-            }
+        boolean anyEnding = false;
+        for (ClientConnection connection : connections) {
+            anyEnding |= connection.shortenLinger(SHORT_LINGER_US);
+        }
+        if (!anyEnding) {
+            closeOne(isClientWaiting);
+        }
+        if (isClientWaiting) {
             wait(RETRY_PAUSE_MS);
         }
     }
@@ -270,13 +281,18 @@
      * Closes the oldest unproven connection, else the oldest idle one. Only one at a time: closing all idle connections
      * also closed new ones whose first request was on its way. Unproven connections are closed first; in a flood of
      * them nothing else is closed while they are too young, as the flood would otherwise push out the clients' idle
-     * connections. But every client is unproven at first, and a few of them must not hold up the others.
+     * connections. But every client is unproven at first, and a few of them must not hold up the others. While no
+     * client waits, unproven connections stay, as their first request may be on its way.
      */
-    private void makeRoom() {
+    private void closeOne(boolean isClientWaiting) {
         boolean isFlood = connections.stream().filter(ClientConnection::isUnproven).count()
                 >= connectionLimit * FLOOD_SHARE;
-        if (connections.stream().noneMatch(c -> c.closeIfUnproven(isFlood)) && !isFlood) {
-            connections.stream().anyMatch(c -> c.closeIfIdle(SHORT_LINGER_US));
+        boolean closesUnproven = isClientWaiting
+                ? connections.stream().anyMatch(c -> c.closeIfUnproven(isFlood))
+                : connections.stream().anyMatch(c -> c.isClosableUnproven(isFlood));
+        if (!closesUnproven && !isFlood) {
+            connections.stream().filter(c -> isClientWaiting || !c.isUnproven())
+                    .anyMatch(c -> c.closeIfIdle(SHORT_LINGER_US));
         }
     }
 
--- a/sidecar/src/main/java/dapplequay/net/ListeningSocket.java
+++ b/sidecar/src/main/java/dapplequay/net/ListeningSocket.java
@@ -25,6 +25,9 @@
     /** Returns the next connection, or null if accepting was stopped meanwhile. */
     Socket accept() throws IOException;
 
+    /** Waits up to {@code maxWaitMs} milliseconds; true if a client waits to be accepted. For the accepting thread. */
+    boolean awaitClient(int maxWaitMs) throws IOException;
+
     /** True if other processes accept from the same queue, so that this one may stop while clients still connect. */
     boolean isShared();
 
@@ -57,6 +60,8 @@
         private final ServerSocket listener;
         private volatile int pollMs = POLL_MS;
         private volatile boolean stopsOnceQueueEmpty;
+        /** Found by {@link #awaitClient}, and returned by the next call of {@link #accept}; else null. */
+        private volatile Socket waitingClient;
 
         Owned(InetSocketAddress listen) throws IOException {
             this(ServerSocketChannel.open().socket());
@@ -73,8 +78,27 @@
             return (InetSocketAddress) listener.getLocalSocketAddress();
         }
 
+        @Override
+        public boolean awaitClient(int maxWaitMs) throws IOException {
+            if (waitingClient == null) {
+                listener.setSoTimeout(maxWaitMs);
+                try {
+                    waitingClient = listener.accept();
+                } catch (SocketTimeoutException e) {
+                    return false;
+                }
+            }
+            return waitingClient != null;
+        }
+
         @Override
         public Socket accept() throws IOException {
+            Socket client = waitingClient == null ? acceptNext() : waitingClient;
+            waitingClient = null;
+            return client;
+        }
+
+        private Socket acceptNext() throws IOException {
             while (true) {
                 // Read before the call: only connections that arrive after this moment may be left out.
                 boolean isLastPoll = stopsOnceQueueEmpty;
@@ -103,6 +127,7 @@
         @Override
         public void stopAccepting() {
             Sockets.closeQuietly(listener);
+            Sockets.closeQuietly(waitingClient);
         }
 
         @Override
@@ -151,6 +176,15 @@
             return (InetSocketAddress) channel.socket().getLocalSocketAddress();
         }
 
+        /** Another process may accept the client before this one does. */
+        @Override
+        public boolean awaitClient(int maxWaitMs) throws IOException {
+            selector.select(maxWaitMs);
+            boolean isWaiting = !selector.selectedKeys().isEmpty();
+            selector.selectedKeys().clear();
+            return isWaiting;
+        }
+
         @Override
         public Socket accept() throws IOException {
             while (!isStopped) {
--- a/sidecar/src/test/java/dapplequay/net/StartAndEndTest.java
+++ b/sidecar/src/test/java/dapplequay/net/StartAndEndTest.java
@@ -131,6 +131,11 @@
             return delegate.accept();
         }
 
+        @Override
+        public boolean awaitClient(int maxWaitMs) throws IOException {
+            return delegate.awaitClient(maxWaitMs);
+        }
+
         @Override
         public boolean isShared() {
             return false;
