Answer 504, not 502, where the last attempt was cancelled because its host fell silent

Callers saw: 502, a failure of the host, for a request whose host had not answered in time; RollUnderLoadTest found one or two in 40,000 answers ("wrong response: 502 failed"). Cause: the status of a failure was 504 only if the last attempt had been ended by its own timer. An attempt that the balancer cancels because its host stopped answering ended as SILENT, and counted as a failure of the host. Close to the deadline no attempt can follow it, and the request fails by it. FailureStatusTest failed for SILENT before, 1 of 6 cases, and passes. Change: Exchange gets the end of the last attempt, and SILENT is a timeout like TIMED_OUT.

--- a/sidecar/src/main/java/dapplequay/net/Exchange.java
+++ b/sidecar/src/main/java/dapplequay/net/Exchange.java
@@ -1,5 +1,6 @@
 package dapplequay.net;
 
+import dapplequay.facade.AttemptEnd;
 import dapplequay.facade.RequestBodyState;
 import dapplequay.management.RequestCounts;
 
@@ -110,11 +111,12 @@
         return attempt;
     }
 
-    /** Selects the status of a failure: timeout (504) or upstream failure (502). */
-    synchronized void lastAttemptTimedOut(boolean isTimeout) {
-        timedOut = isTimeout;
+    /** Records how the last attempt ended, which selects the status of a failure. */
+    synchronized void lastAttemptEnded(AttemptEnd end) {
+        timedOut = end == AttemptEnd.TIMED_OUT || end == AttemptEnd.SILENT;
     }
 
+    /** Returns the status of a failure: timeout (504) or upstream failure (502). */
     synchronized int failureStatus() {
         return timedOut ? 504 : 502;
     }
--- a/sidecar/src/main/java/dapplequay/net/RequestDispatcher.java
+++ b/sidecar/src/main/java/dapplequay/net/RequestDispatcher.java
@@ -70,7 +70,7 @@
         runGuarded(exchange, () -> {
             // A request that one host rejects as invalid would be rejected by any other.
             boolean answersClient = (end == AttemptEnd.SERVED || end == AttemptEnd.NOT_ACCEPTED) && exchange.claim();
-            exchange.lastAttemptTimedOut(end == AttemptEnd.TIMED_OUT);
+            exchange.lastAttemptEnded(end);
             Decision next = facade.reportAttempt(exchange.id, attempt.decision.attempt(), attempt.decision.host(), end,
                     attempt.durationUs(end, upstreamPool.now()), exchange.isClaimed(), load, bodyState);
             if (answersClient) {
