Give the last failures a moment to be written if the process was stalled until the end

Callers saw: at an ending a connection closed without an answer, where 504 is due. RollUnderLoadTest once lost a request so ("no response"); that this was the cause is suspected, not shown. Cause: requests still held when the time for answers is over fail on threads of their own, which have 0.1 s. A process that got no processor over that time began them and closed the connections at once; and the wait for all steps was over, so that it exited. LastFailuresTest has a failure's writer 5 ms late after the time to close: the connection ended without an answer before, 504 now. OrderlyExitTest, with a clock that leaps: the step did not end before. An ending that is in time takes no longer.

--- a/sidecar/src/main/java/dapplequay/net/ClientListener.java
+++ b/sidecar/src/main/java/dapplequay/net/ClientListener.java
@@ -23,6 +23,8 @@
 final class ClientListener implements Runnable {
     private static final Logger LOG = Logger.getLogger(ClientListener.class.getName());
     private static final int RETRY_PAUSE_MS = 20;
+    /** How long the last failures may take, in milliseconds, if the process was stalled until it was too late. */
+    private static final long MIN_FAILURE_DELIVERY_MS = 30;
     /**
      * How long to wait for the accepting thread to stop, in milliseconds. It stops at once; if it were stuck, shutdown
      * must not be.
@@ -352,11 +354,13 @@
                 || !awaitNoConnections(newClientsUntilUs, answerUntilUs)) {
             // Set before the loop, so that each connection is either seen here or sees this.
             isShutdownTimeOver = true;
-            openConnections().stream().filter(ClientConnection::hasUnansweredRequest)
-                    .forEach(ClientListener::failInBackground);
+            List<Thread> failures = openConnections().stream().filter(ClientConnection::hasUnansweredRequest)
+                    .map(ClientListener::failInBackground).toList();
+            long awaitFailuresUntilNs = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(MIN_FAILURE_DELIVERY_MS);
             if (acceptQueued(closeAtUs)) {
                 awaitNoConnections(newClientsUntilUs, closeAtUs);
             }
+            awaitThreads(failures, awaitFailuresUntilNs);
         }
         listeningSocket.stopAccepting();
         // The exit would close them, too, but only after waiting for threads that block in reads.
@@ -364,10 +368,10 @@
     }
 
     /**
-     * Fails the request on a new thread, so that a client that does not read can't keep the others from their
-     * responses.
+     * Fails the request on a new thread, which is returned, so that a client that does not read can't keep the others
+     * from their responses.
      */
-    private static void failInBackground(ClientConnection connection) {
+    private static Thread failInBackground(ClientConnection connection) {
         Thread writer = new Thread(connection::failUnansweredRequest, "last failure");
         writer.setDaemon(true);
         try {
@@ -376,6 +380,18 @@
             // No thread available: responding one after the other is better than not at all.
             connection.failUnansweredRequest();
         }
+        return writer;
+    }
+
+    /** Waits until the threads have ended, or until {@code untilNs} of the system's elapsed time. */
+    private static void awaitThreads(List<Thread> threads, long untilNs) throws InterruptedException {
+        for (Thread thread : threads) {
+            long leftMs = TimeUnit.NANOSECONDS.toMillis(untilNs - System.nanoTime());
+            if (leftMs <= 0) {
+                return;
+            }
+            thread.join(leftMs);
+        }
     }
 
     /** Stops accepting once the queue is empty; true once all queued clients are among the connections. */
--- a/sidecar/src/test/java/dapplequay/cli/OrderlyExitTest.java
+++ b/sidecar/src/test/java/dapplequay/cli/OrderlyExitTest.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
@@ -12,6 +13,8 @@
 class OrderlyExitTest {
     private static final long AMPLE_MS = 20_000;
     private static final long TIME_LIMIT_MS = 2_000;
+    private static final long STALL_NS = 300_000_000;
+    private static final long LATE_STEP_MS = 10;
 
     /** Otherwise the process would exit at once and cut off the requests that it holds. */
     @Test
@@ -52,4 +55,16 @@
         })).run();
         assertThat(attempts.await(20, java.util.concurrent.TimeUnit.SECONDS)).isTrue();
     }
+
+    /** The process stood still until the time limit was over, and exited before the steps had run. */
+    @Test
+    void stepsRunAfterAStallThatLastedBeyondTheTimeLimit() {
+        AtomicInteger stepRuns = new AtomicInteger();
+        AtomicLong clockNs = new AtomicLong();
+        new OrderlyExit(() -> 1, List.of(() -> {
+            Thread.sleep(LATE_STEP_MS);
+            stepRuns.incrementAndGet();
+        }), () -> clockNs.getAndAdd(STALL_NS)).run();
+        assertThat(stepRuns).hasValue(1);
+    }
 }
--- a/sidecar/src/test/java/dapplequay/net/LastFailuresTest.java
+++ b/sidecar/src/test/java/dapplequay/net/LastFailuresTest.java
@@ -13,6 +13,7 @@
 @Timeout(60)
 class LastFailuresTest {
     private static final long MARGIN_US = 30_000_000;
+    private static final long WRITER_DELAY_MS = 5;
 
     private final CountDownLatch writeBlocked = new CountDownLatch(1);
     private volatile ClientRig.Accepted stuckClient;
@@ -53,4 +54,29 @@
             stuckClient.close();
         }
     }
+
+    /** A process that stood still until its connections were to be closed closed them without an answer. */
+    @Test
+    void failureIsWrittenHoweverLateTheProcessIs() throws Exception {
+        ClientRig.Hooks hooks = new ClientRig.Hooks() {
+            @Override
+            void beforeWrite(ClientRig.Accepted connection) throws IOException {
+                try {
+                    Thread.sleep(WRITER_DELAY_MS);
+                } catch (InterruptedException e) {
+                    throw new IOException(e);
+                }
+            }
+        };
+        try (Host host = new Host((head, request) -> {
+            request.socket().getInputStream().read();
+            return null;
+        }); ClientRig rig = new ClientRig(hooks, 100, host.port())) {
+            Host.Client client = rig.client();
+            client.send(ClientRig.pay("held"));
+            host.next();
+            rig.failHeldRequests(0);
+            assertThat(client.answer().status()).isEqualTo(504);
+        }
+    }
 }
