Long answers share a quarter of the heap, so that many at once no longer exhaust it

Cause: each long answer held an array of 64 KiB, and 32 KiB more in chunks, for as long as its client took; nothing bounded the sum, in a heap of 32 MB. The first 64 KiB and the message made of them also stayed referenced by frames that live as long as the transfer, and idle connections kept the body of their last request. Where the error struck after a request was claimed, nobody answered it; the listener's log call could throw the next one and end the thread.

Change: BodyMemory grants each body 64 KiB while much is free and less as it fills, down to 8 KiB. Relays, long requests, and the buffered parts of answers and requests draw on it; what does not fit is passed on as it comes, which was there for long bodies. The first message is written in a method of its own. A thread that meets the error answers 500 or closes its client's connection.

--- a/sidecar/src/main/java/dapplequay/http/Body.java
+++ b/sidecar/src/main/java/dapplequay/http/Body.java
@@ -15,7 +15,10 @@
     private static final int MAX_TRAILERS = 20;
     private static final int MAX_CHUNK_SIZE_DIGITS = 15;
     private static final int COPY_BUFFER_BYTES = 8 * 1024;
-    /** Chunks shorter than this are read through the buffer, so that one read can take many of them. */
+    /**
+     * Chunks shorter than this, or than the caller's array, are read through the buffer, so that one read can take many
+     * of them.
+     */
     private static final int CHUNKED_READ_BYTES = 32 * 1024;
 
     private final MessageReader reader;
@@ -102,7 +105,8 @@
         if (isComplete) {
             return -1;
         }
-        reader.setReadSize(CHUNKED_READ_BYTES);
+        int readBytes = Math.min(CHUNKED_READ_BYTES, count);
+        reader.setReadSize(readBytes);
         int total = 0;
         while (total < count && !isComplete) {
             if (remaining == 0) {
@@ -115,7 +119,7 @@
             if (total > 0 && reader.bufferedBytes() == 0) {
                 break;
             }
-            if (reader.bufferedBytes() == 0 && remaining < CHUNKED_READ_BYTES && !reader.fill()) {
+            if (reader.bufferedBytes() == 0 && remaining < readBytes && !reader.fill()) {
                 throw new EOFException("connection ended within a body");
             }
             int read = reader.read(target, offset + total, (int) Math.min(count - total, remaining));
--- a/sidecar/src/main/java/dapplequay/net/ClientConnection.java
+++ b/sidecar/src/main/java/dapplequay/net/ClientConnection.java
@@ -67,7 +67,7 @@
         this.listener = listener;
         this.socket = socket;
         lingeringClose = new LingeringClose(socket, listener.deadlines());
-        bodyReader = new RequestBodyReader(listener.deadlines(), this::requestTimedOut);
+        bodyReader = new RequestBodyReader(listener.deadlines(), BodyBuffers.MEMORY, this::requestTimedOut);
         acceptedUs = listener.deadlines().now();
         idleDeadline = listener.deadlines().schedule(IDLE_TIMEOUT_US, () -> listener.idleTimeout(this));
     }
@@ -77,6 +77,7 @@
     }
 
     private void finish() {
+        bodyReader.release();
         close();
         synchronized (this) {
             listener.deadlines().cancel(idleDeadline);
@@ -117,6 +118,8 @@
         while (isBusyAfter(PRESENCE_CHECK_MS)) {
             input.checkPresent(reader, true);
         }
+        currentExchange = null;         // an idle connection keeps no body
+        bodyReader.release();
         return isOpen();
     }
 
@@ -212,8 +215,8 @@
             }
         } catch (BadMessageException e) {
             writeResponse(ClientResponses.plainText(e.status, e.getMessage()));
-        } catch (RuntimeException e) {
-            LOG.log(Level.SEVERE, "request could not be handled", e);
+        } catch (RuntimeException | OutOfMemoryError e) {
+            Logs.severe(LOG, "request could not be handled", e);
             if (currentExchange == null) {
                 writeResponse(ClientResponses.plainText(500, "failed"));
             } else if (currentExchange.claim()) {
@@ -317,10 +320,10 @@
             if (last) {
                 lingeringClose.begin(isUploading ? UPLOAD_LINGER_US : LINGER_US);
             }
-        } catch (IOException e) {
-            LOG.log(Level.FINE, "response could not be written: {0}", e.toString());
+        } catch (IOException | OutOfMemoryError e) {
             last = true;
             close();
+            LOG.log(Level.FINE, "response could not be written: {0}", e);
         } finally {
             listener.deadlines().cancel(writeDeadline);
         }
@@ -342,15 +345,15 @@
      * process is limited to a share of a core, each thread costs some of that share. The connection closes after this
      * response.
      */
-    boolean relayResponse(Head upstreamHead, Body body, byte[] start, long dueUs) {
+    boolean relayResponse(Head upstreamHead, Body body, ResponseStart start, long dueUs) {
         boolean isComplete = false;
         input.handOver();
         try {
             input.beginResponse();
-            byte[] responseStart = ClientResponses.streamStart(upstreamHead, body, start, httpVersion,
-                    connectionField(true));
             isComplete = new ResponseRelay(socket, input, lingeringClose, listener.deadlines(), listener::streamPauseMs)
-                    .relay(responseStart, start.length, body, ClientResponses.isChunked(body, httpVersion), dueUs);
+                    .relay(() -> ClientResponses.streamStart(upstreamHead, body, start.bytes(), httpVersion,
+                            connectionField(true)),
+                            start, body, ClientResponses.isChunked(body, httpVersion), dueUs);
         } catch (IOException e) {
             LOG.log(Level.FINE, "response could not be written: {0}", e.toString());
             close();
--- a/sidecar/src/main/java/dapplequay/net/ClientListener.java
+++ b/sidecar/src/main/java/dapplequay/net/ClientListener.java
@@ -187,7 +187,7 @@
                 // Out of descriptors, threads or memory: other connections will end and release theirs.
                 if (!listeningSocket.isStopped()) {
                     Sockets.closeQuietly(socket);
-                    LOG.log(Level.SEVERE, "connection could not be accepted: {0}", e.toString());
+                    Logs.severeLine(LOG, "connection could not be accepted", e);
                     pauseBeforeRetry();
                 }
             } catch (InterruptedException e) {
--- a/sidecar/src/main/java/dapplequay/net/ClientRequest.java
+++ b/sidecar/src/main/java/dapplequay/net/ClientRequest.java
@@ -7,9 +7,9 @@
 import dapplequay.http.Head;
 import dapplequay.http.Sockets;
 import dapplequay.settings.SettingsReader.Setup;
-import java.io.ByteArrayOutputStream;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import java.util.List;
 
 /**
@@ -136,9 +136,8 @@
     /** Returns head and body as one array, so that they are sent in one write. */
     static byte[] toMessage(StringBuilder head, byte[] body) {
         byte[] text = head.append("\r\n").toString().getBytes(StandardCharsets.ISO_8859_1);
-        ByteArrayOutputStream out = new ByteArrayOutputStream(text.length + body.length);
-        out.writeBytes(text);
-        out.writeBytes(body);
-        return out.toByteArray();
+        byte[] message = Arrays.copyOf(text, text.length + body.length);
+        System.arraycopy(body, 0, message, text.length, body.length);
+        return message;
     }
 }
--- a/sidecar/src/main/java/dapplequay/net/RequestBodyForwarder.java
+++ b/sidecar/src/main/java/dapplequay/net/RequestBodyForwarder.java
@@ -43,7 +43,7 @@
             Attempt attempt = null;
             while (!body.isComplete() && !exchange.isClaimed()) {
                 int count = Math.max(0, bodyReader.read(body, piece, ChunkedFraming.FRAMING_ROOM,
-                        BodyBuffers.PIECE_BYTES));
+                        BodyBuffers.capacity(piece)));
                 boolean last = body.isComplete();
                 if (last) {
                     onBodyComplete.run();
@@ -62,7 +62,7 @@
                 if (last) {
                     attempt.connection().uploadEnded(true);
                 }
-                BodyBuffers.pauseAfterPiece(count, body, listener.streamPauseMs());
+                BodyBuffers.pauseAfterPiece(count, BodyBuffers.capacity(piece), body, listener.streamPauseMs());
             }
         } finally {
             BodyBuffers.release(piece);
--- a/sidecar/src/main/java/dapplequay/net/RequestBodyReader.java
+++ b/sidecar/src/main/java/dapplequay/net/RequestBodyReader.java
@@ -16,26 +16,35 @@
     private static final long MIN_BYTES_PER_S = 48_000;
 
     private final DeadlineQueue deadlines;
+    private final BodyMemory memory;
     private final Runnable onTooSlow;
+    private int reserved;
     private volatile ProgressWatchdog.MinimumRate rate;
     private ProgressWatchdog watchdog;
 
     /** {@code onTooSlow} is called once the client has fallen behind the minimum rate. */
-    RequestBodyReader(DeadlineQueue deadlines, Runnable onTooSlow) {
+    RequestBodyReader(DeadlineQueue deadlines, BodyMemory memory, Runnable onTooSlow) {
         this.deadlines = deadlines;
+        this.memory = memory;
         this.onTooSlow = onTooSlow;
     }
 
     /**
-     * Reads all of a short body, or the part of a long one that is kept for another attempt. The buffer grows as the
-     * body arrives.
+     * Reads all of a short body, or the part of a long one that is kept for another attempt. A body for which memory is
+     * short counts as long. The buffer grows as the body arrives. The bytes have to be given up by {@link #release}.
      */
     byte[] readReplayable(Body body) throws IOException {
-        int maxBytes = body.length() < 0 ? MessageReader.SHORT_BODY_BYTES
-                : body.length() > MessageReader.SHORT_BODY_BYTES ? REPLAYABLE_BYTES : (int) body.length();
+        int maxBytes = body.length() < 0 ? BodyMemory.MIN_GRANT : reserveKnownLength(body.length());
         byte[] buffer = new byte[Math.min(maxBytes, INITIAL_BUFFER_BYTES)];
         int size = 0;
-        while (size < maxBytes && !body.isComplete()) {
+        while (!body.isComplete()) {
+            if (size == maxBytes && body.length() < 0 && reserved == 0) {
+                reserved = memory.reserve(MessageReader.SHORT_BODY_BYTES);
+                maxBytes = reserved;
+            }
+            if (size == maxBytes) {
+                break;
+            }
             if (size == buffer.length) {
                 buffer = Arrays.copyOf(buffer, Math.min(maxBytes, 2 * size));
             }
@@ -44,6 +53,27 @@
         return size == buffer.length ? buffer : Arrays.copyOf(buffer, size);
     }
 
+    /** Reserves memory for a body of this length; returns how much of it is kept. */
+    private int reserveKnownLength(long length) {
+        if (length <= BodyMemory.MIN_GRANT) {
+            return (int) length;
+        }
+        if (length <= MessageReader.SHORT_BODY_BYTES) {
+            reserved = memory.reserve((int) length);
+            if (reserved == length) {
+                return reserved;
+            }
+            release();
+        }
+        return REPLAYABLE_BYTES;
+    }
+
+    /** Gives back the memory of the last request, which is answered; may be called again without one. */
+    void release() {
+        memory.release(reserved);
+        reserved = 0;
+    }
+
     /** Reads up to {@code maxBytes} of the next bytes, as {@link Body#read} does. */
     int read(Body body, byte[] to, int offset, int maxBytes) throws IOException {
         if (body.isFullyBuffered()) {
--- a/sidecar/src/main/java/dapplequay/net/RequestDispatcher.java
+++ b/sidecar/src/main/java/dapplequay/net/RequestDispatcher.java
@@ -89,13 +89,14 @@
      * Relays a long response that has begun, and returns whether all of it reached the client. The decision module is
      * notified at once that the attempt was served, as only the transfer is left.
      */
-    boolean relay(Attempt attempt, HostLoad load, Head head, Body body, byte[] start) {
+    boolean relay(Attempt attempt, HostLoad load, Head head, Body body, ResponseStart start) {
         Exchange exchange = attempt.exchange;
         activeAttempts.remove(exchange.id, attempt);
         RequestBodyState bodyState = exchange.detach(attempt);
         boolean claimed = exchange.claim();
-        facade.reportAttempt(exchange.id, attempt.decision.attempt(), attempt.decision.host(), AttemptEnd.SERVED,
-                attempt.durationUs(AttemptEnd.SERVED, upstreamPool.now()), true, load, bodyState);
+        runGuarded(exchange, () -> facade.reportAttempt(exchange.id, attempt.decision.attempt(),
+                attempt.decision.host(), AttemptEnd.SERVED,
+                attempt.durationUs(AttemptEnd.SERVED, upstreamPool.now()), true, load, bodyState));
         if (!claimed) {
             return false;
         }
@@ -161,12 +162,15 @@
         }
     }
 
-    /** Runs a step so that a bug in it neither leaves the client without a response nor ends the calling thread. */
+    /**
+     * Runs a step so that a bug in it, or a lack of memory, neither leaves the client without a response nor ends the
+     * calling thread.
+     */
     private void runGuarded(Exchange exchange, Runnable step) {
         try {
             step.run();
-        } catch (RuntimeException e) {
-            LOG.log(Level.SEVERE, "exchange failed", e);
+        } catch (RuntimeException | OutOfMemoryError e) {
+            Logs.severe(LOG, "exchange failed", e);
             if (exchange.claim()) {
                 finish(exchange, End.FAULTED, ClientResponses.failure(500));
             }
--- a/sidecar/src/main/java/dapplequay/net/ResponseRelay.java
+++ b/sidecar/src/main/java/dapplequay/net/ResponseRelay.java
@@ -8,6 +8,7 @@
 import java.net.Socket;
 import java.net.SocketTimeoutException;
 import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 import java.util.logging.Level;
 import java.util.logging.Logger;
 
@@ -50,19 +51,20 @@
      * client sees a truncated response: the body is shorter than its length, its last chunk is missing, or, if the body
      * extends to the end of the connection, the connection is reset.
      *
-     * @param start          the head and the first bytes of the body, as the client gets them
-     * @param startBodyBytes number of body bytes in {@code start}
-     * @param chunked        whether the client gets the body in chunks
-     * @param deadlineUs     the request's deadline, microseconds
+     * @param message    makes the head and the first bytes of the body, as the client gets them
+     * @param start      these first bytes; released once they are written
+     * @param chunked    whether the client gets the body in chunks
+     * @param deadlineUs the request's deadline, microseconds
      */
-    boolean relay(byte[] start, int startBodyBytes, Body body, boolean chunked, long deadlineUs) {
-        byte[] piece = BodyBuffers.acquire();
+    boolean relay(Supplier<byte[]> message, ResponseStart start, Body body, boolean chunked, long deadlineUs) {
         ProgressWatchdog.StallTimeout stallTimeout = new ProgressWatchdog.StallTimeout(deadlines, STALL_TIMEOUT_US);
         clientClose.setResetOnClose(body.length() < 0 && !chunked);
         hostProgressUs = deadlines.now();
-        relayedBytes = startBodyBytes;
+        relayedBytes = start.bytes().length;
+        byte[] piece = null;
         try (ProgressWatchdog watchdog = new ProgressWatchdog(deadlines, stallTimeout, clientClose::close)) {
-            client.getOutputStream().write(start);
+            writeStart(message, start);
+            piece = BodyBuffers.acquire();
             while (!body.isComplete()) {
                 stallTimeout.progressed();
                 int read = readPiece(body, piece, stallTimeout, deadlineUs);
@@ -70,24 +72,32 @@
                 ChunkedFraming.Span framed = ChunkedFraming.frameIfChunked(piece, read, chunked, body.isComplete());
                 client.getOutputStream().write(piece, framed.from(), framed.length());
                 relayedBytes += read;
-                BodyBuffers.pauseAfterPiece(read, body, pauseMs.getAsLong());
+                BodyBuffers.pauseAfterPiece(read, BodyBuffers.capacity(piece), body, pauseMs.getAsLong());
             }
             clientClose.setResetOnClose(false);
             return true;
-        } catch (IOException e) {
-            LOG.log(Level.FINE, "relay of a long response failed: {0}", e.toString());
+        } catch (IOException | OutOfMemoryError e) {
             clientClose.close();
+            LOG.log(Level.FINE, "relay of a long response failed: {0}", e);
             return false;
         } finally {
-            BodyBuffers.release(piece);
+            if (piece != null) {
+                BodyBuffers.release(piece);
+            }
         }
     }
 
+    /** A method of its own, so that no stack frame holds the message for as long as the transfer takes. */
+    private void writeStart(Supplier<byte[]> message, ResponseStart start) throws IOException {
+        client.getOutputStream().write(message.get());
+        start.release();
+    }
+
     private int readPiece(Body body, byte[] piece, ProgressWatchdog.StallTimeout stallTimeout, long deadlineUs)
             throws IOException {
         while (true) {
             try {
-                int read = Math.max(0, body.read(piece, ChunkedFraming.FRAMING_ROOM, BodyBuffers.PIECE_BYTES));
+                int read = Math.max(0, body.read(piece, ChunkedFraming.FRAMING_ROOM, BodyBuffers.capacity(piece)));
                 hostProgressUs = deadlines.now();
                 return read;
             } catch (SocketTimeoutException e) {
--- a/sidecar/src/main/java/dapplequay/net/Sidecar.java
+++ b/sidecar/src/main/java/dapplequay/net/Sidecar.java
@@ -347,11 +347,7 @@
      * logged for lack of memory.
      */
     private static void logTickFailure(Throwable fault) {
-        try {
-            LOG.log(Level.SEVERE, "periodic work of the timekeeper failed", fault);
-        } catch (RuntimeException | Error e) {
-            // The next tick may be able to log it.
-        }
+        Logs.severe(LOG, "periodic work of the timekeeper failed", fault);
         LockSupport.parkNanos(TICK_US * 1_000);
     }
 
--- a/sidecar/src/main/java/dapplequay/net/UpstreamConnection.java
+++ b/sidecar/src/main/java/dapplequay/net/UpstreamConnection.java
@@ -8,7 +8,6 @@
 import dapplequay.http.MessageReader;
 import dapplequay.http.Sockets;
 import dapplequay.time.DeadlineQueue;
-import java.io.ByteArrayOutputStream;
 import java.io.EOFException;
 import java.io.FilterInputStream;
 import java.io.IOException;
@@ -25,9 +24,6 @@
 final class UpstreamConnection implements Runnable {
     private static final Logger LOG = Logger.getLogger(UpstreamConnection.class.getName());
 
-    private static final int READ_BYTES = 8 * 1024;
-    /** How long a response of unknown length is buffered before it is relayed as it arrives. */
-    private static final long BUFFER_RESPONSE_US = 100_000;
     /** How long a response waits for its request's write to end: longer, and the host has not read the request. */
     private static final long WRITE_END_WAIT_MS = 100;
 
@@ -279,7 +275,7 @@
                         MessageReader.MAX_BODY_BYTES);
                 while (reader.awaitData() && readResponse(reader)) { }
             }
-        } catch (IOException e) {
+        } catch (IOException | OutOfMemoryError e) {
             LOG.log(Level.FINE, "connection to {0} ended: {1}", new Object[] {endpoint.address(), e});
         } finally {
             close();
@@ -347,45 +343,55 @@
             if (end == AttemptEnd.SERVED && current.isUploading()) {
                 throw new BadMessageException(502, "200 before the request was written completely");
             }
-            boolean isLong = end == AttemptEnd.SERVED && body.length() > MessageReader.SHORT_BODY_BYTES;
-            byte[] start = isLong ? new byte[0] : readStart(body);
-            if (end == AttemptEnd.SERVED && body.framing() == Body.Framing.CLOSE_DELIMITED && !current.awaitWritten()) {
-                throw new EOFException("connection ended while the request was being written");
-            }
-            HostLoad load = LoadReportParser.parse(head);
-            boolean isPassedOn = end == AttemptEnd.SERVED && !body.isComplete();
-            if (isPassedOn) {
-                socket.setSoTimeout(ResponseRelay.CHECK_INTERVAL_MS);
-            }
-            if (!current.tryEnd(end)) {
-                return false;       // aborted meanwhile; connectionEnded() reports it
-            }
-            detachAttempt();
-            pool.responseReceived(current);
-            if (isPassedOn) {
-                boolean whole = pool.relay(current, load, head, body, start);
-                boolean reusable = whole && staysOpen(head, body, reader) && isWritten(current);
-                if (reusable) {
-                    socket.setSoTimeout(0);
-                    responseRead();
-                    pool.returnConnection(this, current.decision.host());
-                }
-                return reusable;
+            ResponseStart start = ResponseStart.read(body, socket, pool::now, BodyBuffers.MEMORY,
+                    end == AttemptEnd.SERVED);
+            try {
+                return passOnResponse(current, reader, head, body, end, start);
+            } finally {
+                start.release();
             }
-            boolean reusable = body.isComplete() && staysOpen(head, body, reader) && isWritten(current);
+        } catch (BadMessageException e) {
+            LOG.log(Level.WARNING, "invalid response from {0}: {1}", new Object[] {endpoint.address(), e.getMessage()});
+            current.tryEnd(AttemptEnd.ERROR);
+            return false;
+        }
+    }
+
+    /** Ends the attempt with its response, of which the start is read; returns false if the connection is used up. */
+    private boolean passOnResponse(Attempt current, MessageReader reader, Head head, Body body, AttemptEnd end,
+            ResponseStart start) throws IOException {
+        if (end == AttemptEnd.SERVED && body.framing() == Body.Framing.CLOSE_DELIMITED && !current.awaitWritten()) {
+            throw new EOFException("connection ended while the request was being written");
+        }
+        HostLoad load = LoadReportParser.parse(head);
+        boolean isRelayed = end == AttemptEnd.SERVED && !body.isComplete();
+        if (isRelayed) {
+            socket.setSoTimeout(ResponseRelay.CHECK_INTERVAL_MS);
+        }
+        if (!current.tryEnd(end)) {
+            return false;       // aborted meanwhile; connectionEnded() reports it
+        }
+        detachAttempt();
+        pool.responseReceived(current);
+        if (isRelayed) {
+            boolean whole = pool.relay(current, load, head, body, start);
+            boolean reusable = whole && staysOpen(head, body, reader) && isWritten(current);
             if (reusable) {
+                socket.setSoTimeout(0);
                 responseRead();
                 pool.returnConnection(this, current.decision.host());
-            } else {
-                close();
             }
-            pool.reportResponse(current, end, load, head, start);
             return reusable;
-        } catch (BadMessageException e) {
-            LOG.log(Level.WARNING, "invalid response from {0}: {1}", new Object[] {endpoint.address(), e.getMessage()});
-            current.tryEnd(AttemptEnd.ERROR);
-            return false;
         }
+        boolean reusable = body.isComplete() && staysOpen(head, body, reader) && isWritten(current);
+        if (reusable) {
+            responseRead();
+            pool.returnConnection(this, current.decision.host());
+        } else {
+            close();
+        }
+        pool.reportResponse(current, end, load, head, start.bytes());
+        return reusable;
     }
 
     /**
@@ -401,38 +407,6 @@
                 && !reader.hasBufferedBytes();
     }
 
-    /**
-     * Reads the start of a body, or all of a short one. A body of unknown length counts as long if it is not complete
-     * within {@link #BUFFER_RESPONSE_US}: most are short, and a short one that breaks can be requested from another
-     * host.
-     */
-    private byte[] readStart(Body body) throws IOException {
-        ByteArrayOutputStream start =
-                new ByteArrayOutputStream((int) Math.max(512, Math.min(READ_BYTES, body.length())));
-        byte[] piece = new byte[(int) (body.length() < 0 ? READ_BYTES
-                : Math.max(1, Math.min(READ_BYTES, body.length())))];
-        long bufferUntilUs = pool.now() + BUFFER_RESPONSE_US;
-        try {
-            while (!body.isComplete() && start.size() < MessageReader.SHORT_BODY_BYTES) {
-                if (body.length() < 0) {
-                    socket.setSoTimeout((int) Math.max(1, (bufferUntilUs - pool.now()) / 1000));
-                }
-                int read = body.read(piece, 0, piece.length);
-                start.write(piece, 0, Math.max(0, read));
-                if (body.length() < 0 && pool.now() >= bufferUntilUs) {
-                    break;
-                }
-            }
-        } catch (SocketTimeoutException e) {
-            LOG.log(Level.FINE, "response from {0} is slow and is relayed as it comes", endpoint.address());
-        } finally {
-            if (body.length() < 0) {
-                socket.setSoTimeout(0);
-            }
-        }
-        return start.toByteArray();
-    }
-
     private static AttemptEnd endFor(Head head) throws BadMessageException {
         String status = head.startLine[1];
         if (status.equals("200")) {
--- a/sidecar/src/main/java/dapplequay/net/UpstreamPool.java
+++ b/sidecar/src/main/java/dapplequay/net/UpstreamPool.java
@@ -406,7 +406,7 @@
     }
 
     /** Relays a long response; returns whether it was complete and the client received all of it. */
-    boolean relay(Attempt attempt, HostLoad load, Head head, Body body, byte[] start) {
+    boolean relay(Attempt attempt, HostLoad load, Head head, Body body, ResponseStart start) {
         return dispatcher.relay(attempt, load, head, body, start);
     }
 
--- a/sidecar/src/test/java/dapplequay/cli/SidecarProcess.java
+++ b/sidecar/src/test/java/dapplequay/cli/SidecarProcess.java
@@ -28,6 +28,7 @@
 /** The sidecar's program as a child process, with its own listening socket or one that it inherits. */
 final class SidecarProcess implements AutoCloseable {
     private static final long TIMEOUT_MS = 60_000;
+    private static final int DEFAULT_HEAP_MB = 64;
 
     final Process process;
     final List<String> log = new CopyOnWriteArrayList<>();
@@ -53,10 +54,20 @@
     SidecarProcess(Path config, ServerSocketChannel socket, int managementPort, boolean ignoringHup,
             List<String> launcher,
             List<String> options) throws Exception {
+        this(config, socket, managementPort, ignoringHup, launcher, options, DEFAULT_HEAP_MB);
+    }
+
+    /** With its own listening socket, no management address and a heap of this size. */
+    SidecarProcess(Path config, int heapMb) throws Exception {
+        this(config, null, 0, false, List.of(), List.of(), heapMb);
+    }
+
+    private SidecarProcess(Path config, ServerSocketChannel socket, int managementPort, boolean ignoringHup,
+            List<String> launcher, List<String> options, int heapMb) throws Exception {
         this.managementPort = managementPort;
         List<String> command = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java")
                 .toString(),
-                "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx64m", "-cp", System.getProperty("java.class.path"),
+                "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx" + heapMb + "m", "-cp", System.getProperty("java.class.path"),
                 "dapplequay.cli.Main", "serve", "--config", config.toString()));
         command.addAll(options);
         command.addAll(0, launcher);
