Count a long request's time from when its client can have written the last byte

Callers saw: with one of ten upstreams hung in the middle of requests of 6 to 10 MB, 4 of 12 got no answer within their 2 s and half a second after their last byte.

Cause: the time was counted from when the sidecar itself had read the last byte. While the host takes nothing, the client's thread is blocked in its write and reads nothing on; the last bytes lie in the buffers of the sockets, and only 10 s without progress ended the attempt. The same count was late behind the pauses of 70 ms after small pieces, in which a fast client fills the window and waits: 32 MB written at once took 12 to 26 s to read.

Change: BodyArrival keeps the last moment at which the body was certainly not complete (a read waited; the receive buffer, its window open, held less than the rest; more is missing than sockets hold). The transfer ends once the budget after that is over, and the last write has the time that is left. The time ends no later than by the client's own count, as each of these moments lies before its last byte.

--- a/sidecar/src/main/java/dapplequay/http/Body.java
+++ b/sidecar/src/main/java/dapplequay/http/Body.java
@@ -53,6 +53,11 @@
         return framing;
     }
 
+    /** Returns how many bytes are known to follow, at least. */
+    public long knownRemaining() {
+        return remaining;
+    }
+
     /** True if the whole body has been read. */
     public boolean isComplete() {
         return isComplete;
--- a/sidecar/src/main/java/dapplequay/net/BodyBuffers.java
+++ b/sidecar/src/main/java/dapplequay/net/BodyBuffers.java
@@ -1,7 +1,5 @@
 package dapplequay.net;
 
-import dapplequay.http.Body;
-import java.io.InterruptedIOException;
 import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.Map;
@@ -15,13 +13,6 @@
     static final int PIECE_BYTES = BodyMemory.MAX_GRANT;
     /** Largest number of free arrays of one size that are kept. */
     private static final int MAX_POOLED = 24;
-    /** After a read that fills less than this part of the array, the transfer pauses so that more bytes accumulate. */
-    private static final double SMALL_PIECE_SHARE = 0.75;
-    /** The same for a chunked body, of which at most half as much arrives at once. */
-    private static final double SMALL_CHUNKED_PIECE_SHARE = 0.25;
-    /** The pause after a small piece; far less than the second that a peer would notice. */
-    private static final long ACCUMULATE_MS = 70;
-
     /** The memory for all bodies of this process, short ones included. */
     static final BodyMemory MEMORY = BodyMemory.ofHeap();
 
@@ -69,33 +60,6 @@
         }
     }
 
-    /**
-     * Pauses after a small piece of a long body so that more bytes accumulate. Each piece costs two system calls and a
-     * thread switch, whatever its size; a body in packet-sized pieces takes three times the processor time. If short
-     * requests wait for the processor, a long body gives way: it pauses for at least {@code minPauseMs} for each {@link
-     * #PIECE_BYTES} in any case.
-     *
-     * @param capacity of the array that the piece was read into
-     */
-    static void pauseAfterPiece(int readBytes, int capacity, Body body, long minPauseMs)
-            throws InterruptedIOException {
-        if (body.isComplete()) {
-            return;
-        }
-        double smallShare = body.framing() == Body.Framing.CHUNKED ? SMALL_CHUNKED_PIECE_SHARE : SMALL_PIECE_SHARE;
-        int smallBytes = (int) (capacity * smallShare);
-        boolean isSmall = readBytes < smallBytes && !body.hasFewerLeftThan(smallBytes);
-        long pauseMs = Math.max(isSmall ? ACCUMULATE_MS : 0, minPauseMs * capacity / PIECE_BYTES);
-        if (pauseMs > 0) {
-            try {
-                Thread.sleep(pauseMs);
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-                throw new InterruptedIOException("interrupted within a body");
-            }
-        }
-    }
-
     /** Returns an array to the pool; the caller must not use it any more. */
     static void release(byte[] piece) {
         int capacity = capacity(piece);
--- a/sidecar/src/main/java/dapplequay/net/ClientInput.java
+++ b/sidecar/src/main/java/dapplequay/net/ClientInput.java
@@ -168,6 +168,12 @@
         }
     }
 
+    /** Returns how many bytes have arrived that were not read. */
+    @Override
+    public int available() throws IOException {
+        return in.available();
+    }
+
     /** True if bytes were read that the reading thread is about to process. Any thread may call this. */
     boolean hasUnprocessedBytes() {
         return hasUnprocessedBytes;
--- a/sidecar/src/main/java/dapplequay/net/RequestBodyForwarder.java
+++ b/sidecar/src/main/java/dapplequay/net/RequestBodyForwarder.java
@@ -11,12 +11,18 @@
 final class RequestBodyForwarder {
     /** A streamed body that does not progress for this long is aborted; peers may take seconds for one piece. */
     private static final long STALL_TIMEOUT_US = 10_000_000;
+    /** Interval of the checks whether the request's time is over, if it seems to be while the client is waited for. */
+    private static final long DUE_CHECK_US = 50_000;
 
     private final ClientListener listener;
     private final ClientInput input;
     private final MessageReader reader;
     private final RequestBodyReader bodyReader;
     private final Runnable onClientStalled;
+    private BodyArrival arrival;
+    private ProgressWatchdog.StallTimeout stallTimeout;
+    private volatile boolean isReading;
+    private volatile boolean isOverdue;
 
     /** {@code onClientStalled} is called once the client has not sent anything for too long. */
     RequestBodyForwarder(ClientListener listener, ClientInput input, MessageReader reader,
@@ -29,21 +35,22 @@
     }
 
     /**
-     * Passes the rest of the body on to the exchange's current attempt, until the body or the exchange ends.
+     * Passes the rest of the body on to the exchange's current attempt, until the body or the exchange ends. Fails the
+     * attempt once the request's time is over, as the client may have written the last byte although it was not read.
      *
      * @param onBodyComplete called when the last byte has been read, before it is passed on
      * @throws IOException if the client has left, or its body is malformed
      */
     void forward(Exchange exchange, Body body, Runnable onBodyComplete) throws IOException {
         byte[] piece = BodyBuffers.acquire();
-        ProgressWatchdog.StallTimeout stallTimeout =
-                new ProgressWatchdog.StallTimeout(listener.deadlines(), STALL_TIMEOUT_US);
-        try (ProgressWatchdog watchdog = new ProgressWatchdog(listener.deadlines(), stallTimeout,
-                () -> abortStalled(exchange))) {
+        PiecePacer pacer = new PiecePacer(BodyBuffers.capacity(piece), body.framing());
+        arrival = new BodyArrival(listener.deadlines()::now, exchange.request.budgetUs());
+        stallTimeout = new ProgressWatchdog.StallTimeout(listener.deadlines(), STALL_TIMEOUT_US);
+        try (ProgressWatchdog watchdog = new ProgressWatchdog(listener.deadlines(), this::remainingUs,
+                () -> expired(exchange))) {
             Attempt attempt = null;
             while (!body.isComplete() && !exchange.isClaimed()) {
-                int count = Math.max(0, bodyReader.read(body, piece, ChunkedFraming.FRAMING_ROOM,
-                        BodyBuffers.capacity(piece)));
+                int count = readPiece(body, piece);
                 boolean last = body.isComplete();
                 if (last) {
                     onBodyComplete.run();
@@ -62,18 +69,44 @@
                 if (last) {
                     attempt.connection().uploadEnded(true);
                 }
-                BodyBuffers.pauseAfterPiece(count, BodyBuffers.capacity(piece), body, listener.streamPauseMs());
+                long pauseMs = pacer.pauseMs(count, body, listener.streamPauseMs());
+                if (pauseMs > 0) {
+                    arrival.observe(body, input.available(), !reader.hasBufferedBytes());
+                }
+                PiecePacer.pause(pauseMs);
             }
         } finally {
             BodyBuffers.release(piece);
         }
     }
 
-    private void abortStalled(Exchange exchange) {
-        if (bodyReader.isWaiting()) {
+    private int readPiece(Body body, byte[] piece) throws IOException {
+        int unreadBytes = input.available();
+        arrival.observe(body, unreadBytes, !reader.hasBufferedBytes());
+        arrival.readBegins(unreadBytes);
+        isReading = true;
+        int count = Math.max(0, bodyReader.read(body, piece, ChunkedFraming.FRAMING_ROOM,
+                BodyBuffers.capacity(piece)));
+        arrival.readEnded();
+        isReading = false;
+        return count;
+    }
+
+    /**
+     * Returns how long the transfer may go on without another check, in microseconds. While it waits for the client,
+     * the request's last byte is still to come.
+     */
+    private long remainingUs() {
+        long dueLeftUs = arrival.dueUs() - listener.deadlines().now();
+        return Math.min(stallTimeout.getAsLong(), isReading ? Math.max(dueLeftUs, DUE_CHECK_US) : dueLeftUs);
+    }
+
+    private void expired(Exchange exchange) {
+        if (bodyReader.isWaiting() && stallTimeout.getAsLong() <= 0) {
             onClientStalled.run();
         } else {
-            listener.dispatcher().abortStalledUpload(exchange);
+            isOverdue = true;
+            listener.dispatcher().abortOverdueUpload(exchange);
         }
     }
 
@@ -85,6 +118,10 @@
         Attempt attempt = current;
         while (attempt == null || !exchange.commit(attempt)) {
             attempt = exchange.awaitReadyAttempt();
+            if (isOverdue) {
+                listener.dispatcher().rejectUpload(exchange, ClientResponses.failure(504));
+                return null;
+            }
             if (attempt == null) {
                 return null;
             }
@@ -99,6 +136,6 @@
     /** Called right before the last piece is written, from which on the request may run; false if it must not be. */
     private boolean beginFinalWrite(Attempt attempt) throws IOException {
         input.checkPresent(reader, true);
-        return listener.dispatcher().beginFinalWrite(attempt);
+        return listener.dispatcher().beginFinalWrite(attempt, arrival.dueUs());
     }
 }
--- a/sidecar/src/main/java/dapplequay/net/RequestDispatcher.java
+++ b/sidecar/src/main/java/dapplequay/net/RequestDispatcher.java
@@ -112,9 +112,11 @@
     /**
      * Called when the last byte of a long request has arrived and is about to be sent: its deadline counts from now on.
      * Returns false if the attempt has ended.
+     *
+     * @param dueUs the deadline, microseconds
      */
-    boolean beginFinalWrite(Attempt attempt) {
-        if (!upstreamPool.beginFinalWrite(attempt, attempt.exchange.request.budgetUs())) {
+    boolean beginFinalWrite(Attempt attempt, long dueUs) {
+        if (!upstreamPool.beginFinalWrite(attempt, dueUs)) {
             return false;
         }
         attempt.exchange.markReceived();
@@ -123,8 +125,8 @@
         return true;
     }
 
-    /** Aborts the attempt of a long request whose host has stopped reading. */
-    void abortStalledUpload(Exchange exchange) {
+    /** Aborts the attempt of a long request whose time is over, or whose host has stopped reading. */
+    void abortOverdueUpload(Exchange exchange) {
         Attempt attempt = exchange.attempt();
         if (attempt != null) {
             attempt.abort(AttemptEnd.TIMED_OUT);
--- a/sidecar/src/main/java/dapplequay/net/ResponseRelay.java
+++ b/sidecar/src/main/java/dapplequay/net/ResponseRelay.java
@@ -65,6 +65,7 @@
         try (ProgressWatchdog watchdog = new ProgressWatchdog(deadlines, stallTimeout, clientClose::close)) {
             writeStart(message, start);
             piece = BodyBuffers.acquire();
+            PiecePacer pacer = new PiecePacer(BodyBuffers.capacity(piece), body.framing());
             while (!body.isComplete()) {
                 stallTimeout.progressed();
                 int read = readPiece(body, piece, stallTimeout, deadlineUs);
@@ -72,7 +73,7 @@
                 ChunkedFraming.Span framed = ChunkedFraming.frameIfChunked(piece, read, chunked, body.isComplete());
                 client.getOutputStream().write(piece, framed.from(), framed.length());
                 relayedBytes += read;
-                BodyBuffers.pauseAfterPiece(read, BodyBuffers.capacity(piece), body, pauseMs.getAsLong());
+                PiecePacer.pause(pacer.pauseMs(read, body, pauseMs.getAsLong()));
             }
             clientClose.setResetOnClose(false);
             return true;
--- a/sidecar/src/main/java/dapplequay/net/UpstreamPool.java
+++ b/sidecar/src/main/java/dapplequay/net/UpstreamPool.java
@@ -385,9 +385,9 @@
     }
 
     /** Called before the last piece of a long request is written; returns false if its attempt has ended. */
-    boolean beginFinalWrite(Attempt attempt, long budgetUs) {
-        DeadlineQueue.Deadline timer = deadlines.schedule(budgetUs, () -> attempt.abort(AttemptEnd.TIMED_OUT));
-        boolean begun = attempt.beginFinalWrite(timer, now() + budgetUs);
+    boolean beginFinalWrite(Attempt attempt, long dueUs) {
+        DeadlineQueue.Deadline timer = deadlines.schedule(dueUs - now(), () -> attempt.abort(AttemptEnd.TIMED_OUT));
+        boolean begun = attempt.beginFinalWrite(timer, dueUs);
         if (!begun) {
             deadlines.cancel(timer);
         }
--- /dev/null
+++ b/sidecar/src/test/java/dapplequay/net/BodyArrivalTest.java
@@ -0,0 +1,96 @@
+package dapplequay.net;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import dapplequay.http.Body;
+import dapplequay.http.Head;
+import dapplequay.http.MessageReader;
+import java.io.ByteArrayInputStream;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import org.junit.jupiter.api.Test;
+
+/** What shows that a client has not written the last byte of its request, so that the request's time has not begun. */
+class BodyArrivalTest {
+    private static final long BUDGET_US = 1_000_000;
+    private static final int LENGTH = 100_000;
+
+    private long nowUs = 5_000_000;
+    private final BodyArrival arrival = new BodyArrival(() -> nowUs, BUDGET_US);
+
+    private static Body body(String framing) throws IOException {
+        MessageReader reader = new MessageReader(new ByteArrayInputStream(new byte[0]), MessageReader.MAX_BODY_BYTES);
+        return reader.requestBody(Head.parseRequest(("POST /x HTTP/1.1\r\n" + framing)
+                .getBytes(StandardCharsets.ISO_8859_1)));
+    }
+
+    private static Body ofLength(int length) throws IOException {
+        return body("Content-Length: " + length);
+    }
+
+    private void assertTimeBeginsAt(long beginUs) {
+        assertThat(arrival.dueUs() - BUDGET_US).isEqualTo(beginUs);
+    }
+
+    @Test
+    void aBodyIsNotCompleteWhileLessThanItsRestHasArrivedAndTheWindowIsOpen() throws IOException {
+        nowUs += 300_000;
+        arrival.observe(ofLength(LENGTH), 10_000, true);
+        assertTimeBeginsAt(nowUs);
+    }
+
+    @Test
+    void aFullWindowMayHoldBackTheRestUntilItIsEmpty() throws IOException {
+        long begunUs = nowUs;
+        nowUs += 300_000;
+        arrival.observe(ofLength(LENGTH), BodyArrival.OPEN_WINDOW_BYTES, true);
+        arrival.observe(ofLength(LENGTH), 1, true);
+        assertTimeBeginsAt(begunUs);
+        arrival.observe(ofLength(LENGTH), 0, true);
+        assertTimeBeginsAt(nowUs);
+    }
+
+    @Test
+    void aBodyWhoseRestHasArrivedMayBeComplete() throws IOException {
+        long begunUs = nowUs;
+        nowUs += 300_000;
+        arrival.observe(ofLength(10_000), 10_000, true);
+        assertTimeBeginsAt(begunUs);
+    }
+
+    @Test
+    void aBodyInChunksMayBeCompleteWithAnythingUnread() throws IOException {
+        Body chunked = body("Transfer-Encoding: chunked");
+        long begunUs = nowUs;
+        nowUs += 300_000;
+        arrival.observe(chunked, 1, true);
+        arrival.observe(chunked, 0, false);
+        assertTimeBeginsAt(begunUs);
+        arrival.observe(chunked, 0, true);
+        assertTimeBeginsAt(nowUs);
+    }
+
+    @Test
+    void aBodyIsNotCompleteWhileMoreIsMissingThanSocketsHold() throws IOException {
+        nowUs += 300_000;
+        arrival.observe(ofLength(BodyArrival.MAX_SOCKET_BYTES + 1), 1_000_000, true);
+        assertTimeBeginsAt(nowUs);
+    }
+
+    @Test
+    void aReadThatWaitsShowsThatTheBodyWasNotComplete() {
+        arrival.readBegins(0);
+        nowUs += BodyArrival.MIN_WAIT_US;
+        arrival.readEnded();
+        assertTimeBeginsAt(nowUs);
+    }
+
+    @Test
+    void aReadOfBytesThatHadArrivedShowsNothing() {
+        long begunUs = nowUs;
+        arrival.readBegins(1);
+        nowUs += 300_000;
+        arrival.readEnded();
+        assertTimeBeginsAt(begunUs);
+    }
+}
--- a/sidecar/src/test/java/dapplequay/net/LongBodiesTest.java
+++ b/sidecar/src/test/java/dapplequay/net/LongBodiesTest.java
@@ -41,6 +41,11 @@
 class LongBodiesTest {
     private static final int LONG_BODY_BYTES = 32 << 20;
     private static final int TIMEOUT_MS = 30_000;
+    /** More than the sockets to a host hold that reads nothing, and less than those to the client hold beside that. */
+    private static final int HUNG_BODY_BYTES = 4_500_000;
+    private static final int HUNG_BUDGET_MS = 1_000;
+    /** A request is lost if its answer comes later than this after its time. */
+    private static final int LATE_ANSWER_MS = 500;
     private static final AtomicInteger CALLS = new AtomicInteger();
 
     /** Serves a connection's next request, whose head has been read. */
@@ -321,6 +326,24 @@
                 : IOException.class);
     }
 
+    /** Guards against the failure in which a request's time counted only from when its last byte had been read. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void longRequestWhoseHostHangsIsAnsweredInTimeFromItsLastByteOn(boolean chunked) throws Exception {
+        CountDownLatch testEnds = new CountDownLatch(1);
+        toClose.add(testEnds::countDown);
+        int port = host((head, reader, socket) -> testEnds.await());
+        Socket client = client(sidecar(port));
+        send(client, head(chunked ? "Transfer-Encoding: chunked" : "Content-Length: " + HUNG_BODY_BYTES)
+                .replaceAll("X-Budget-Ms: \\d+", "X-Budget-Ms: " + HUNG_BUDGET_MS));
+        write(client.getOutputStream(), HUNG_BODY_BYTES, chunked);
+        long writtenNs = System.nanoTime();
+        Head answer = new MessageReader(client.getInputStream()).readResponseHead();
+        assertThat(System.nanoTime() - writtenNs).as("ns from the last byte to the answer")
+                .isLessThan(TimeUnit.MILLISECONDS.toNanos(HUNG_BUDGET_MS + LATE_ANSWER_MS));
+        assertThat(answer.startLine[1]).startsWith("50");
+    }
+
     @Test
     void clientThatStopsSendingGets408AndItsHostConnectionIsClosed() throws Exception {
         int port = host((head, reader, socket) -> checksum(reader.requestBody(head), 0));
