Where lists are pushed, accept clients only once the agent's present list is applied

Cause: discovery's client and the listener began at the same moment (Sidecar.start), and until the agent's first answer was applied clients were served by the configuration's list. What an agent has counts as told from the process's first moment, and the grace of 400 ms is over before a process has started. On the same path, servers that the first list left out, if these were more than half, were still sent work for 250 ms, as the grace was counted from the answer.

Change: with pushed lists the agent is called before the warm-up, and the listener opens once its list is applied; a second after the warm-up if the agent is silent, four if its answer has begun. Nothing of the grace is left for the first list. No request can be sent before a listener is open, so that none goes by the older list unless the agent is away.

StartTogetherTest, whose agents refuse or are silent, passes.

--- a/core/src/main/java/dapplequay/membership/ListCallTiming.java
+++ b/core/src/main/java/dapplequay/membership/ListCallTiming.java
@@ -257,6 +257,11 @@
                 : Math.min(pauseUs, Math.max(1, (long) (PAUSE_SHARE * (toldUs - now))));
     }
 
+    /** True if lists are pushed to an agent beside the instance, whose content counts as announced at any time. */
+    public boolean asksAgent() {
+        return !settings.get().onRequest();
+    }
+
     /**
      * True if this pause is kept in full even if the module asks for a call sooner, as many share one discovery. How
      * soon an agent is asked again is up to the module, within this pause.
--- a/sidecar/src/main/java/dapplequay/net/DiscoveryClient.java
+++ b/sidecar/src/main/java/dapplequay/net/DiscoveryClient.java
@@ -81,6 +81,8 @@
     /** When the last call for a full list that a response made necessary began. */
     private long lastFullListCallUs = NEVER;
     private String lastFault;
+    private boolean hasAppliedList;
+    private boolean hasResponseStarted;
     private boolean isEnded;
 
     /** {@code clock}: monotonic, in microseconds. */
@@ -111,6 +113,19 @@
         }
     }
 
+    /**
+     * Waits for the first list if an agent holds it, as its content counts as announced from the start of the process
+     * on. Returns after {@code silentUs} if nothing of it has arrived, after {@code longestUs} in any case, and at once
+     * if lists are asked for. Times in microseconds.
+     */
+    synchronized void awaitAgentsList(long silentUs, long longestUs) throws InterruptedException {
+        long begunUs = clock.getAsLong();
+        while (callTiming.asksAgent() && !hasAppliedList && !isEnded
+                && waitUntil(begunUs + (hasResponseStarted ? longestUs : silentUs))) {
+            continue;
+        }
+    }
+
     private synchronized boolean isEnded() {
         return isEnded;
     }
@@ -244,6 +259,7 @@
 
     @Override
     public synchronized void responseStarted(DiscoveryConnection from) {
+        hasResponseStarted = true;
         if (isCurrent(from)) {
             callTiming.answerBegins(clock.getAsLong());
             notifyAll();
@@ -332,6 +348,7 @@
     }
 
     private void callFailed(Throwable failure, boolean gotResponse) {
+        hasResponseStarted &= failure instanceof SocketTimeoutException;     // that one is still read
         String text = failure.toString();
         if (!text.equals(lastFault)) {   // one line for each cause: an agent is called again very soon
             lastFault = text;
@@ -355,7 +372,7 @@
         boolean wasRegressed = endpoints.isRegressed();
         long knownRevision = endpoints.revision();
         Endpoints.ApplyResult applied = endpoints.apply(update, call.listRequest(), receivedUs,
-                callTiming.graceLeftUs(receivedUs));
+                graceLeftUs(receivedUs));
         if (endpoints.isRegressed() && !wasRegressed) {
             LOG.log(Level.WARNING, "a list with version {0}, older than {1}: what it brings back does not count yet",
                     new Object[] {Long.toString(update.revision()), Long.toString(knownRevision)});
@@ -367,6 +384,12 @@
                 + (isCurrent ? "" : ", on a superseded call") + ", asked for "
                 + (receivedUs - call.listRequest().startedUs()) / 1_000 + " ms before";
         logAndCount(applied.outcome(), source);
+        hasAppliedList = true;
+    }
+
+    /** Returns what is left of the drain grace for a list; the grace of an agent's first one began with the process. */
+    private long graceLeftUs(long receivedUs) {
+        return callTiming.asksAgent() && !hasAppliedList ? 0 : callTiming.graceLeftUs(receivedUs);
     }
 
     private static void logUnconfirmed(Result outcome) {
--- a/sidecar/src/main/java/dapplequay/net/Sidecar.java
+++ b/sidecar/src/main/java/dapplequay/net/Sidecar.java
@@ -14,6 +14,7 @@
 import dapplequay.time.ProcessCpuTime;
 import dapplequay.time.UnixClock;
 import java.io.IOException;
+import java.io.InterruptedIOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
@@ -50,6 +51,12 @@
     private static final int MIN_LIMIT = 4;
     private static final int UPLOADS_PER_CORE = 64;
     private static final long TICK_US = 10_000;
+    /**
+     * How long clients wait, after the warm-up, for an agent that is silent, in microseconds: it answers at once unless
+     * it is away. And how long once its answer has begun.
+     */
+    private static final long AGENT_SILENT_US = 1_000_000;
+    private static final long AGENT_ANSWER_US = 4_000_000;
     /** Interval of the checks of the processor time used, in microseconds; it is counted in steps of 10 ms. */
     private static final long PROCESSOR_SAMPLE_US = 150_000;
     /** Ticks between two updates of the number of servers that are out of rotation. */
@@ -219,7 +226,8 @@
 
     /**
      * Starts serving; throws IOException if an address is not available. The management address is opened first, so
-     * that callers learn that the sidecar is not ready yet. If shutdown was ordered meanwhile, no clients are
+     * that callers learn that the sidecar is not ready yet. Where an agent holds the list of servers, clients are
+     * accepted only once its present list is applied, unless the agent is away. If shutdown was ordered meanwhile, no clients are
      * accepted, as each that the system accepts would have to be served.
      */
     public void start() throws IOException {
@@ -228,7 +236,12 @@
             management = new ManagementServer(options.management(), deadlines, new Service());
             startDaemon(management, "management");
         }
+        boolean listIsPushed = !setup.settings().discovery().onRequest();
+        if (listIsPushed) {
+            startDaemon(discovery, "discovery");
+        }
         new WarmUp(options.setup(), deadlines).run();
+        awaitAgentsList();
         synchronized (openingLock) {
             if (endingSinceUs != 0) {
                 LOG.info("told to end before it served");
@@ -237,13 +250,24 @@
             clientListener = new ClientListener(opener.open(), () -> setup, facade, dispatcher, deadlines, counts,
                     lifecycle, bodyThrottle, options.maxClients(), options.crowdThreshold(), options.maxUploads(),
                     threads);
-            startDaemon(discovery, "discovery");
+            if (!listIsPushed) {
+                startDaemon(discovery, "discovery");
+            }
             new Thread(clientListener, "listener").start();
             lifecycle.listening();
         }
         LOG.log(Level.INFO, "serving on {0}", Sockets.hostAndPort(address()));
     }
 
+    private void awaitAgentsList() throws InterruptedIOException {
+        try {
+            discovery.awaitAgentsList(AGENT_SILENT_US, AGENT_ANSWER_US);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new InterruptedIOException("interrupted before it served");
+        }
+    }
+
     /** What the management address reports and controls. */
     private final class Service implements ManagementServer.Service {
         @Override
