--- a/sidecar/src/main/java/dapplequay/net/PiecePacer.java
+++ b/sidecar/src/main/java/dapplequay/net/PiecePacer.java
@@ -5,10 +5,10 @@
 
 /**
  * Decides how long one transfer of a long body pauses between its pieces. After a small piece it pauses so that more
- * bytes accumulate: each piece costs two system calls and a thread switch, whatever its size, and a body in packet-sized
- * pieces takes three times the processor time. A fast sender has filled the socket's buffer long before the longest
- * pause is over, and would be held up, so that the pause adapts to it. If short requests wait for the processor, a long
- * body gives way, and pauses in any case. Used by one thread.
+ * bytes accumulate: each piece costs two system calls and a thread switch, whatever its size, and a body in
+ * packet-sized pieces takes three times the processor time. A fast sender has filled the socket's buffer long before
+ * the longest pause is over, and would be held up, so that the pause adapts to it. If short requests wait for the
+ * processor, a long body gives way, and pauses in any case. Used by one thread.
  */
 final class PiecePacer {
     /** The longest pause after a small piece; far less than the second that a peer would notice. */
--- a/sidecar/src/main/java/dapplequay/net/Sidecar.java
+++ b/sidecar/src/main/java/dapplequay/net/Sidecar.java
@@ -227,8 +227,8 @@
     /**
      * Starts serving; throws IOException if an address is not available. The management address is opened first, so
      * that callers learn that the sidecar is not ready yet. Where an agent holds the list of servers, clients are
-     * accepted only once its present list is applied, unless the agent is away. If shutdown was ordered meanwhile, no clients are
-     * accepted, as each that the system accepts would have to be served.
+     * accepted only once its present list is applied, unless the agent is away. If shutdown was ordered meanwhile, no
+     * clients are accepted, as each that the system accepts would have to be served.
      */
     public void start() throws IOException {
         startDaemon(this::runTimekeeper, "timekeeper");
--- a/sidecar/src/test/java/dapplequay/cli/ManyLongResponsesTest.java
+++ b/sidecar/src/test/java/dapplequay/cli/ManyLongResponsesTest.java
@@ -28,7 +28,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
-/** More long responses at once than the heap has room for with a full buffer each, in a process of the deployed size. */
+/** More long responses at once than a heap of the deployed size has room for with a full buffer each. */
 @Timeout(120)
 class ManyLongResponsesTest extends ClosesWhatItOpened {
     private static final int DEPLOYED_HEAP_MB = 32;
--- a/sidecar/src/test/java/dapplequay/cli/SidecarProcess.java
+++ b/sidecar/src/test/java/dapplequay/cli/SidecarProcess.java
@@ -67,7 +67,8 @@
         this.managementPort = managementPort;
         List<String> command = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java")
                 .toString(),
-                "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx" + heapMb + "m", "-cp", System.getProperty("java.class.path"),
+                "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx" + heapMb + "m",
+                "-cp", System.getProperty("java.class.path"),
                 "dapplequay.cli.Main", "serve", "--config", config.toString()));
         command.addAll(options);
         command.addAll(0, launcher);
