Begin no attempt unless its client is known to be there, whatever lies unread

Callers saw: a client wrote much behind its request and closed; 0.27 s later a second attempt was written for it.

Cause: the check before an attempt's first byte read 1 MB at most (64 kB once 2 MB had been read) and took a client whose end it had not come to for present; in front of a long request's unread body it read 72 kB and did the same. Presence was promised before the end of what had arrived was in hand.

Change: ClientInput.confirmPresent reads until nothing more has arrived, or more than a client that has left can have written: SocketCapacity bounds the receive buffer (256 KiB asked for) and takes the send buffer's limit from the system. Where a body may not be thrown away, the client counts as present for 80 ms after it was last seen; then the request is refused, as it can't have run.

--- a/sidecar/src/main/java/dapplequay/net/ClientConnection.java
+++ b/sidecar/src/main/java/dapplequay/net/ClientConnection.java
@@ -89,7 +89,7 @@
     public void run() {
         try {
             socket.setTcpNoDelay(true);
-            input = new ClientInput(socket);
+            input = new ClientInput(socket, listener.deadlines()::now);
             reader = new MessageReader(input, MessageReader.MAX_BODY_BYTES);
             while (awaitPreviousResponse() && reader.awaitRequest() && startReading()) {
                 readRequest();
@@ -230,10 +230,16 @@
         }
     }
 
-    /** Checks for the client right before an attempt's first byte; if it has left, the exchange ends. Does not wait. */
+    /**
+     * Checks for the client right before an attempt's first byte. If it has left, the exchange ends; if that can't be
+     * known, as the rest of its body lies unread, the request is refused.
+     */
     void checkClientPresent(Exchange exchange) {
         try {
-            input.checkPresent(reader, !isUploading);
+            if (!input.confirmPresent(reader, !isUploading)) {
+                LOG.fine(() -> "refused " + exchange.id + ", as its client can't be seen behind its body");
+                listener.dispatcher().refuseUpload(exchange);
+            }
         } catch (IOException e) {
             LOG.log(Level.FINE, "client has disconnected: {0}", e.toString());
             listener.dispatcher().clientLeft(exchange);
@@ -278,7 +284,7 @@
         }
         ClientRequest request = ClientRequest.parse(head, bufferedBody, remainingBody, listener.setup());
         if (remainingBody == null) {
-            input.checkPresent(reader, true);
+            input.confirmPresent(reader, true);
         }
         long callId = request.callId();
         if (!listener.registerCallId(callId, receivedUs)) {
--- a/sidecar/src/main/java/dapplequay/net/ClientInput.java
+++ b/sidecar/src/main/java/dapplequay/net/ClientInput.java
@@ -8,6 +8,7 @@
 import java.net.SocketTimeoutException;
 import java.nio.ByteBuffer;
 import java.nio.channels.SocketChannel;
+import java.util.function.LongSupplier;
 
 /**
  * The input of one client. A client that ends its output counts as gone, whether it closed or still reads, as the two
@@ -17,6 +18,9 @@
  * <p>The thread of the connection reads requests. While a response is due it does not read: the socket is then in
  * non-blocking mode, and any thread may check for the client without waiting. The thread that passes on a long response
  * takes over the input once the reading thread has left.
+ *
+ * <p>A client is known to be present only once nothing more is there to read: the end of the stream may lie behind any
+ * byte that is not read yet.
  */
 final class ClientInput extends InputStream {
     /** How long the thread that took over the input waits if nothing has arrived, in milliseconds. */
@@ -30,6 +34,18 @@
     private static final int DISCARD_FLOOD_BYTES = 2 << 20;
     private static final int MAX_FLOOD_CHECK_BYTES = 64 * 1024;
     private static final int DISCARD_BUFFER_BYTES = 8 * 1024;
+    /**
+     * A check that has read more than this may find nothing although bytes, or the end, are on their way: they could
+     * only be sent once the receive buffer had room for them.
+     */
+    private static final int OPEN_WINDOW_BYTES = 32 * 1024;
+    /** How long such bytes may take, in milliseconds. */
+    private static final int DELIVERY_MS = 1;
+    /**
+     * For how long a client whose body can't be read further counts as present after it was last seen, in
+     * microseconds. An attempt may begin up to 100 ms after its client has left.
+     */
+    private static final long SEEN_VALID_US = 80_000;
 
     /** Thrown to the reading thread once another thread owns the input. */
     static final class HandedOverException extends IOException {
@@ -53,19 +69,29 @@
     private final Socket socket;
     private final SocketChannel channel;
     private final InputStream in;
+    private final LongSupplier clock;
     private final Thread readingThread = Thread.currentThread();
     private volatile long discardedBytes;
     private volatile boolean hasUnprocessedBytes;
     private volatile boolean isGone;
+    /** The reading thread waits for bytes, and so notices the end of the stream at once. */
+    private volatile boolean isAwaitingBytes;
+    /** When bytes that had just been waited for, or no further ones, were found, microseconds of the clock. */
+    private volatile long seenAtUs;
     /** Guarded by this object's lock, as are the fields below. */
     private Access access = Access.READING_THREAD;
     private boolean isChecking;
     private boolean isHandedOver;
     private boolean readerHasLeft;
 
-    /** Created by the thread that reads the connection; the socket belongs to a channel in blocking mode. */
-    ClientInput(Socket socket) throws IOException {
+    /**
+     * Created by the thread that reads the connection, once that is accepted; the socket belongs to a channel in
+     * blocking mode. {@code clock} returns microseconds.
+     */
+    ClientInput(Socket socket, LongSupplier clock) throws IOException {
         this.socket = socket;
+        this.clock = clock;
+        seenAtUs = clock.getAsLong();
         channel = socket.getChannel();
         in = socket.getInputStream();
     }
@@ -97,8 +123,18 @@
      */
     private int awaitBytes(byte[] into, int from, int length) throws IOException {
         hasUnprocessedBytes = false;
-        int count = in.read(into, from, Math.min(1, length));
+        boolean waits = in.available() == 0;
+        isAwaitingBytes = true;
+        int count;
+        try {
+            count = in.read(into, from, Math.min(1, length));
+        } finally {
+            isAwaitingBytes = false;
+        }
         hasUnprocessedBytes = count > 0;
+        if (waits) {
+            seenAtUs = clock.getAsLong();
+        }
         if (count > 0 && length > 1 && in.available() > 0) {
             count += Math.max(0, in.read(into, from + 1, length - 1));
         }
@@ -162,7 +198,7 @@
         }
         socket.setSoTimeout(POLL_MS);
         try {
-            return readArrived(null, true);
+            return readArrived(null, true, MAX_CHECK_BYTES);
         } catch (SocketTimeoutException e) {
             return true;        // no more input and no end of the stream
         }
@@ -185,32 +221,53 @@
     }
 
     /**
-     * Checks that the client is still there, without waiting, and reads what has arrived into the reader's buffer. What
-     * does not fit is discarded if {@code discardsOverflow}, else it stays unread, and so does anything after it. Any
-     * thread may call this. Nothing is checked while the response is written, nor by other threads while the reading
-     * thread reads the request.
+     * Reads what has arrived, within a limit, into the reader's buffer, to notice soon that the client has left. What
+     * does not fit is discarded if {@code discardsOverflow}, else it stays unread, and so does anything after it.
+     * Nothing is read while the response is written. For the reading thread.
      *
      * @throws EOFException at the end of the stream
      */
     synchronized void checkPresent(MessageReader reader, boolean discardsOverflow) throws IOException {
+        if (isHandedOver) {
+            throw new HandedOverException();
+        }
+        if (isGone || access != Access.NONE
+                && !check(reader, discardsOverflow, discardedBytes < DISCARD_FLOOD_BYTES ? MAX_CHECK_BYTES
+                : MAX_FLOOD_CHECK_BYTES)) {
+            throw new EOFException("the client has left");
+        }
+    }
+
+    /**
+     * Finds out whether the client is still there, right before the first byte of an attempt: reads until nothing more
+     * has arrived, or until more was read than a client that has left can have written before. Any thread may call
+     * this. While the reading thread reads the request, other threads can't read, and the rest of a long body must not
+     * be discarded: then it is known only for a moment after the client was last seen.
+     *
+     * @return false if it is not known
+     * @throws EOFException if the client has left
+     */
+    synchronized boolean confirmPresent(MessageReader reader, boolean discardsOverflow) throws IOException {
         boolean isReadingThread = Thread.currentThread() == readingThread;
         if (isReadingThread && isHandedOver) {
             throw new HandedOverException();
         }
         boolean mayCheck = access == Access.ANY_CHECKS || access == Access.READING_THREAD && isReadingThread;
-        if (isGone || mayCheck && !check(reader, discardsOverflow)) {
+        if (isGone || mayCheck && !check(reader, discardsOverflow, SocketCapacity.MAX_UNREAD_BYTES)) {
             throw new EOFException("the client has left");
         }
+        return discardsOverflow && mayCheck || access == Access.NONE || isAwaitingBytes
+                || clock.getAsLong() - seenAtUs <= SEEN_VALID_US;
     }
 
-    private boolean check(MessageReader reader, boolean discardsOverflow) throws IOException {
+    private boolean check(MessageReader reader, boolean discardsOverflow, long maxBytes) throws IOException {
         boolean wasBlocking = access == Access.READING_THREAD;
         isChecking = true;
         try {
             if (wasBlocking) {
                 channel.configureBlocking(false);
             }
-            return readArrived(reader, discardsOverflow);
+            return readArrived(reader, discardsOverflow, maxBytes);
         } finally {
             isChecking = false;
             hasUnprocessedBytes = reader.hasBufferedBytes();
@@ -220,11 +277,15 @@
         }
     }
 
-    /** Reads what has arrived; false at the end of the stream. Without a reader, all input is discarded. */
-    private boolean readArrived(MessageReader reader, boolean discardsOverflow) throws IOException {
+    /**
+     * Reads what has arrived, about {@code maxBytes} at most; false at the end of the stream. Without a reader, all
+     * input is discarded.
+     */
+    private boolean readArrived(MessageReader reader, boolean discardsOverflow, long maxBytes) throws IOException {
         byte[] discardBuffer = null;
-        int maxBytes = discardedBytes < DISCARD_FLOOD_BYTES ? MAX_CHECK_BYTES : MAX_FLOOD_CHECK_BYTES;
-        for (int total = 0, count; total < maxBytes; total += count) {
+        boolean awaitsDelivery = false;
+        for (long total = 0; total < maxBytes; ) {
+            int count;
             if (reader != null && !reader.isBufferFull()) {
                 count = reader.readAhead();
             } else if (discardsOverflow) {
@@ -234,9 +295,18 @@
             } else {
                 return true;
             }
-            if (count <= 0) {
-                return count == 0;
+            if (count < 0) {
+                return false;
+            }
+            if (count == 0 && (total < OPEN_WINDOW_BYTES || awaitsDelivery)) {
+                seenAtUs = clock.getAsLong();
+                return true;
+            }
+            awaitsDelivery = count == 0;
+            if (awaitsDelivery) {
+                PiecePacer.pause(DELIVERY_MS);
             }
+            total += count;
         }
         return true;
     }
--- a/sidecar/src/main/java/dapplequay/net/RequestDispatcher.java
+++ b/sidecar/src/main/java/dapplequay/net/RequestDispatcher.java
@@ -138,6 +138,11 @@
         giveUp(exchange, () -> finish(exchange, End.FAULTED, response));
     }
 
+    /** Refuses a long request of which no attempt can have run, as it is not written whole, and gives up the attempt. */
+    void refuseUpload(Exchange exchange) {
+        giveUp(exchange, () -> finish(exchange, End.THROTTLED, ClientResponses.refusal(0)));
+    }
+
     /** Aborts these attempts as silent; each is reported by the thread of its connection. */
     void abort(List<Facade.AttemptCancellation> cancellations) {
         for (Facade.AttemptCancellation cancellation : cancellations) {
--- a/sidecar/src/test/java/dapplequay/net/ClientDepartureTest.java
+++ b/sidecar/src/test/java/dapplequay/net/ClientDepartureTest.java
@@ -33,7 +33,8 @@
 class ClientDepartureTest extends ClosesWhatItOpened {
     /** Far less than the requests' budget, after which their attempts would end anyway. */
     private static final int DEPARTURE_TIMEOUT_S = 6;
-
+    /** More of a body than the sidecar reads before the first attempt, and less than the sockets hold beside that. */
+    private static final int MORE_THAN_IS_READ_BYTES = 220_000;
 
     private ClientRig rig(ClientRig.Hooks hooks, int... ports) throws IOException {
         return open(new ClientRig(hooks, 100, ports));
@@ -373,18 +374,15 @@
     }
 
     /** The connect ends long after the client has left: not even the head is written. */
-    @Test
-    void longRequestIsNotBegunIfItsClientLeavesDuringTheConnect() throws Exception {
+    @ParameterizedTest
+    @ValueSource(ints = {100_000, MORE_THAN_IS_READ_BYTES})
+    void longRequestIsNotBegunIfItsClientLeavesDuringTheConnect(int length) throws Exception {
         BacklogFullHost host = open(new BacklogFullHost());
         ClientRig rig = rig(new ClientRig.Hooks(), host.port());
         Host.Client client = rig.client();
-        client.send(ClientRig.pay("long", 15_000, 100_000));
+        client.send(ClientRig.pay("long", 15_000, length));
         ClientRig.Accepted accepted = rig.accepted();
-        while (Thread.getAllStackTraces().entrySet().stream().noneMatch(e -> e.getKey().getName().equals("client")
-                && Arrays.stream(e.getValue()).anyMatch(f -> f.getClassName().equals(Socket.class.getName())
-                        && f.getMethodName().equals("connect")))) {
-            Thread.onSpinWait();
-        }
+        awaitConnecting();
         disconnect(client, false);
         rig.stopClock(200_000);
         host.startAccepting();
@@ -396,6 +394,29 @@
         assertThat(host.receivedKeys).containsExactly("other");
     }
 
+    private static void awaitConnecting() {
+        while (Thread.getAllStackTraces().entrySet().stream().noneMatch(e -> e.getKey().getName().equals("client")
+                && Arrays.stream(e.getValue()).anyMatch(f -> f.getClassName().equals(Socket.class.getName())
+                        && f.getMethodName().equals("connect")))) {
+            Thread.onSpinWait();
+        }
+    }
+
+    /** Whether the client is still there can't be seen behind its body, so it gets the answer that is always true. */
+    @Test
+    void longRequestIsRefusedIfItsClientCanNotBeSeenAfterTheConnect() throws Exception {
+        BacklogFullHost host = open(new BacklogFullHost());
+        ClientRig rig = rig(new ClientRig.Hooks(), host.port());
+        Host.Client client = rig.client();
+        client.send(ClientRig.pay("long", 15_000, MORE_THAN_IS_READ_BYTES));
+        awaitConnecting();
+        rig.stopClock(200_000);
+        host.startAccepting();
+        assertThat(client.answer().status()).isEqualTo(503);
+        assertThat(host.ended.poll(DEPARTURE_TIMEOUT_S, TimeUnit.SECONDS)).as("its connection is closed").isTrue();
+        assertThat(host.receivedKeys).isEmpty();
+    }
+
     /** The client's thread is in the connect, and the rest of the body is in the socket buffer when that returns. */
     @Test
     void longRequestIsNotCompletedForADepartedClient() throws Exception {
