A client that has sent more than is kept counts as present for 80 ms, whatever is read then

Change: such a client can't be known to be there, so it counts as present for 80 ms after it was last seen, as in front of a long body; then its request is answered without another attempt: refused if none has begun, else failed. The bound of the receive buffer (SocketCapacity) is taken back, as nothing rests on it now.

--- a/sidecar/src/main/java/dapplequay/net/ClientConnection.java
+++ b/sidecar/src/main/java/dapplequay/net/ClientConnection.java
@@ -232,13 +232,13 @@
 
     /**
      * Checks for the client right before an attempt's first byte. If it has left, the exchange ends; if that can't be
-     * known, as the rest of its body lies unread, the request is refused.
+     * known, as too much of its input lies unread, the request is answered without this attempt.
      */
     void checkClientPresent(Exchange exchange) {
         try {
             if (!input.confirmPresent(reader, !isUploading)) {
-                LOG.fine(() -> "refused " + exchange.id + ", as its client can't be seen behind its body");
-                listener.dispatcher().refuseUpload(exchange);
+                LOG.fine(() -> "no attempt for " + exchange.id + ", as its client can't be seen behind unread input");
+                listener.dispatcher().clientUnseen(exchange);
             }
         } catch (IOException e) {
             LOG.log(Level.FINE, "client has disconnected: {0}", e.toString());
@@ -284,7 +284,7 @@
         }
         ClientRequest request = ClientRequest.parse(head, bufferedBody, remainingBody, listener.setup());
         if (remainingBody == null) {
-            input.confirmPresent(reader, true);
+            input.checkPresent(reader, true);
         }
         long callId = request.callId();
         if (!listener.registerCallId(callId, receivedUs)) {
--- a/sidecar/src/main/java/dapplequay/net/ClientInput.java
+++ b/sidecar/src/main/java/dapplequay/net/ClientInput.java
@@ -20,7 +20,8 @@
  * takes over the input once the reading thread has left.
  *
  * <p>A client is known to be present only once nothing more is there to read: the end of the stream may lie behind any
- * byte that is not read yet.
+ * byte that is not read yet. Of a client that sends more than fits into the reader's buffer it can't be known: once the
+ * receive window was closed, its bytes and its end may arrive a retransmission timeout later.
  */
 final class ClientInput extends InputStream {
     /** How long the thread that took over the input waits if nothing has arrived, in milliseconds. */
@@ -35,14 +36,7 @@
     private static final int MAX_FLOOD_CHECK_BYTES = 64 * 1024;
     private static final int DISCARD_BUFFER_BYTES = 8 * 1024;
     /**
-     * A check that has read more than this may find nothing although bytes, or the end, are on their way: they could
-     * only be sent once the receive buffer had room for them.
-     */
-    private static final int OPEN_WINDOW_BYTES = 32 * 1024;
-    /** How long such bytes may take, in milliseconds. */
-    private static final int DELIVERY_MS = 1;
-    /**
-     * For how long a client whose body can't be read further counts as present after it was last seen, in
+     * For how long a client that has sent more than can be kept counts as present after it was last seen, in
      * microseconds. An attempt may begin up to 100 ms after its client has left.
      */
     private static final long SEEN_VALID_US = 80_000;
@@ -76,7 +70,7 @@
     private volatile boolean isGone;
     /** The reading thread waits for bytes, and so notices the end of the stream at once. */
     private volatile boolean isAwaitingBytes;
-    /** When bytes that had just been waited for, or no further ones, were found, microseconds of the clock. */
+    /** When the client was last known to be there, microseconds of the clock. */
     private volatile long seenAtUs;
     /** Guarded by this object's lock, as are the fields below. */
     private Access access = Access.READING_THREAD;
@@ -239,10 +233,9 @@
     }
 
     /**
-     * Finds out whether the client is still there, right before the first byte of an attempt: reads until nothing more
-     * has arrived, or until more was read than a client that has left can have written before. Any thread may call
-     * this. While the reading thread reads the request, other threads can't read, and the rest of a long body must not
-     * be discarded: then it is known only for a moment after the client was last seen.
+     * Finds out, without waiting, whether the client is still there, right before the first byte of an attempt. Any
+     * thread may call this; other threads can't read while the reading thread reads the request. A client that has sent
+     * more than can be kept is known to be there only for a moment after it was last seen.
      *
      * @return false if it is not known
      * @throws EOFException if the client has left
@@ -253,14 +246,13 @@
             throw new HandedOverException();
         }
         boolean mayCheck = access == Access.ANY_CHECKS || access == Access.READING_THREAD && isReadingThread;
-        if (isGone || mayCheck && !check(reader, discardsOverflow, SocketCapacity.MAX_UNREAD_BYTES)) {
+        if (isGone || mayCheck && !check(reader, discardsOverflow, MAX_CHECK_BYTES)) {
             throw new EOFException("the client has left");
         }
-        return discardsOverflow && mayCheck || access == Access.NONE || isAwaitingBytes
-                || clock.getAsLong() - seenAtUs <= SEEN_VALID_US;
+        return access == Access.NONE || isAwaitingBytes || clock.getAsLong() - seenAtUs <= SEEN_VALID_US;
     }
 
-    private boolean check(MessageReader reader, boolean discardsOverflow, long maxBytes) throws IOException {
+    private boolean check(MessageReader reader, boolean discardsOverflow, int maxBytes) throws IOException {
         boolean wasBlocking = access == Access.READING_THREAD;
         isChecking = true;
         try {
@@ -281,11 +273,9 @@
      * Reads what has arrived, about {@code maxBytes} at most; false at the end of the stream. Without a reader, all
      * input is discarded.
      */
-    private boolean readArrived(MessageReader reader, boolean discardsOverflow, long maxBytes) throws IOException {
+    private boolean readArrived(MessageReader reader, boolean discardsOverflow, int maxBytes) throws IOException {
         byte[] discardBuffer = null;
-        boolean awaitsDelivery = false;
-        for (long total = 0; total < maxBytes; ) {
-            int count;
+        for (int total = 0, count; total < maxBytes; total += count) {
             if (reader != null && !reader.isBufferFull()) {
                 count = reader.readAhead();
             } else if (discardsOverflow) {
@@ -295,18 +285,10 @@
             } else {
                 return true;
             }
-            if (count < 0) {
-                return false;
-            }
-            if (count == 0 && (total < OPEN_WINDOW_BYTES || awaitsDelivery)) {
-                seenAtUs = clock.getAsLong();
-                return true;
-            }
-            awaitsDelivery = count == 0;
-            if (awaitsDelivery) {
-                PiecePacer.pause(DELIVERY_MS);
+            if (count <= 0) {
+                seenAtUs = discardedBytes > 0 ? seenAtUs : clock.getAsLong();
+                return count == 0;
             }
-            total += count;
         }
         return true;
     }
--- a/sidecar/src/main/java/dapplequay/net/Exchange.java
+++ b/sidecar/src/main/java/dapplequay/net/Exchange.java
@@ -15,6 +15,7 @@
     private Attempt attempt;
     private boolean committed;
     private boolean received;
+    private volatile boolean hasBegun;
     private volatile long deadlineUs;
 
     /** Counts the request as received now, or, for a long one, once its last byte has arrived. */
@@ -33,6 +34,16 @@
         client.checkClientPresent(this);
     }
 
+    /** Called right before the first byte of an attempt is written. */
+    void attemptBegins() {
+        hasBegun = true;
+    }
+
+    /** Returns whether any attempt has begun. */
+    boolean hasBegun() {
+        return hasBegun;
+    }
+
     /** Counts the request as received completely. */
     synchronized void markReceived() {
         if (!received) {
--- a/sidecar/src/main/java/dapplequay/net/ListeningSocket.java
+++ b/sidecar/src/main/java/dapplequay/net/ListeningSocket.java
@@ -6,7 +6,6 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
-import java.net.StandardSocketOptions;
 import java.nio.channels.Channel;
 import java.nio.channels.ClosedSelectorException;
 import java.nio.channels.SelectionKey;
@@ -66,7 +65,6 @@
 
         Owned(InetSocketAddress listen) throws IOException {
             this(ServerSocketChannel.open().socket());
-            listener.setReceiveBufferSize(SocketCapacity.RECEIVE_BUFFER_BYTES);
             listener.bind(listen, BACKLOG);
         }
 
@@ -192,7 +190,6 @@
             while (!isStopped) {
                 SocketChannel accepted = channel.accept();
                 if (accepted != null) {
-                    accepted.setOption(StandardSocketOptions.SO_RCVBUF, SocketCapacity.RECEIVE_BUFFER_BYTES);
                     return accepted.socket();
                 }
                 try {
--- a/sidecar/src/main/java/dapplequay/net/RequestBodyForwarder.java
+++ b/sidecar/src/main/java/dapplequay/net/RequestBodyForwarder.java
@@ -135,7 +135,7 @@
 
     /** Called right before the last piece is written, from which on the request may run; false if it must not be. */
     private boolean beginFinalWrite(Attempt attempt) throws IOException {
-        input.confirmPresent(reader, true);
+        input.checkPresent(reader, true);
         return listener.dispatcher().beginFinalWrite(attempt, arrival.dueUs());
     }
 }
--- a/sidecar/src/main/java/dapplequay/net/RequestDispatcher.java
+++ b/sidecar/src/main/java/dapplequay/net/RequestDispatcher.java
@@ -138,9 +138,18 @@
         giveUp(exchange, () -> finish(exchange, End.FAULTED, response));
     }
 
-    /** Refuses a long request of which no attempt can have run, as it is not written whole, and gives up the attempt. */
-    void refuseUpload(Exchange exchange) {
-        giveUp(exchange, () -> finish(exchange, End.THROTTLED, ClientResponses.refusal(0)));
+    /**
+     * Called when no attempt may begin, as it is not known whether the client is still there. If it is, it gets its
+     * answer: a refusal, or a failure if an attempt has begun before.
+     */
+    void clientUnseen(Exchange exchange) {
+        giveUp(exchange, () -> {
+            if (exchange.hasBegun()) {
+                finish(exchange, End.FAULTED, ClientResponses.failure(exchange.failureStatus()));
+            } else {
+                finish(exchange, End.THROTTLED, ClientResponses.refusal(0));
+            }
+        });
     }
 
     /** Aborts these attempts as silent; each is reported by the thread of its connection. */
--- a/sidecar/src/main/java/dapplequay/net/UpstreamConnection.java
+++ b/sidecar/src/main/java/dapplequay/net/UpstreamConnection.java
@@ -123,6 +123,7 @@
         if (!tryBegin()) {
             return WriteResult.UNUSABLE;
         }
+        current.exchange.attemptBegins();
         boolean whole = false;
         boolean awaitsBody = false;
         try {
