Time a response of unknown length by its pace: trickles end, slow long ones go on

Callers saw: answers that came after their time, among them one of 997 bytes that trickled for 1.8 s; and, as other operators report, long answers that were cut off while their server still wrote.

Cause: what decided was whether the host had written anything since the deadline, and not what kind of answer it was. A few bytes after it kept a short answer going without end; a pause of 0.3 s across it ended a long one. That an answer would be complete, or would not, was settled by its last byte alone.

Evidence: FaultScenariosTest: 20 bytes each 0.1 s were passed on for 12 s at a budget of 0.8 s; 70 to 250 kB in lumps of 60 kB each 0.7 s were cut off 0.3 s after the time.

Change: a body known to be up to 64 KiB ends 0.3 s after the deadline whatever its host does, one known to be longer if its first byte is missing, and one of unknown length if under 64 KiB of it have come, at under 16 kB/s. It is asked after each read, too.

--- a/sidecar/src/main/java/dapplequay/net/ResponseRelay.java
+++ b/sidecar/src/main/java/dapplequay/net/ResponseRelay.java
@@ -21,8 +21,10 @@
     private static final Logger LOG = Logger.getLogger(ResponseRelay.class.getName());
     /** Read timeout for the host, after which the relay checks whether the response is still worth waiting for. */
     static final int CHECK_INTERVAL_MS = 50;
-    /** How long after the request's deadline a response ends whose host has stalled; up to 0.5 s is allowed. */
-    private static final long STALLED_GRACE_US = 300_000;
+    /** How long after the request's deadline a response ends that is not a long one; up to 0.5 s is allowed. */
+    private static final long SHORT_RESPONSE_GRACE_US = 300_000;
+    /** A response of unknown length that has come at this pace so far may be a long one, in bytes a second. */
+    private static final long LONG_RESPONSE_BYTES_PER_S = 16_000;
     /**
      * Time without any progress after which a transfer is aborted; peers may take seconds for a piece of a long body.
      */
@@ -33,6 +35,7 @@
     private final LingeringClose clientClose;
     private final DeadlineQueue deadlines;
     private final LongSupplier pauseMs;
+    private long startUs;
     private long hostProgressUs;
     private long relayedBytes;
 
@@ -59,7 +62,8 @@
     boolean relay(Supplier<byte[]> message, ResponseStart start, Body body, boolean chunked, long deadlineUs) {
         ProgressWatchdog.StallTimeout stallTimeout = new ProgressWatchdog.StallTimeout(deadlines, STALL_TIMEOUT_US);
         clientClose.setResetOnClose(body.length() < 0 && !chunked);
-        hostProgressUs = deadlines.now();
+        startUs = deadlines.now();
+        hostProgressUs = startUs;
         relayedBytes = start.bytes().length;
         byte[] piece = null;
         try (ProgressWatchdog watchdog = new ProgressWatchdog(deadlines, stallTimeout, clientClose::close)) {
@@ -73,6 +77,9 @@
                 ChunkedFraming.Span framed = ChunkedFraming.frameIfChunked(piece, read, chunked, body.isComplete());
                 client.getOutputStream().write(piece, framed.from(), framed.length());
                 relayedBytes += read;
+                if (!body.isComplete() && isOverdue(body, deadlineUs)) {
+                    throw new IOException("short response was not complete in time");
+                }
                 PiecePacer.pause(pacer.pauseMs(read, body, pauseMs.getAsLong()));
             }
             clientClose.setResetOnClose(false);
@@ -105,7 +112,7 @@
                 if (!clientInput.isClientPresent()) {
                     throw new EOFException("client closed the connection");
                 }
-                if (isHostStalled(body, deadlineUs)) {
+                if (isOverdue(body, deadlineUs) || deadlines.now() - hostProgressUs >= STALL_TIMEOUT_US) {
                     throw new IOException("host stalled within the response");
                 }
                 stallTimeout.progressed();          // a stalled host is handled here; the watchdog is for the client
@@ -114,15 +121,19 @@
     }
 
     /**
-     * Returns whether the response is aborted because its host has stalled. A slow client is no cause: what the host
-     * had sent meanwhile would have been read. For a body over 64 KiB only the first bytes are timed, and a body that
-     * makes progress may still complete.
+     * Returns whether the response ends because its time is over. Of a body over 64 KiB only the first byte is timed;
+     * any other has to be complete in time, whether or not its host still writes. Where the length is not known,
+     * its pace so far tells which of the two it may be.
      */
-    private boolean isHostStalled(Body body, long deadlineUs) {
-        long now = deadlines.now();
-        boolean isTimed = relayedBytes <= (body.length() > MessageReader.SHORT_BODY_BYTES ? 0
-                : MessageReader.SHORT_BODY_BYTES);
-        return isTimed && hostProgressUs <= deadlineUs && now >= deadlineUs + STALLED_GRACE_US
-                || now - hostProgressUs >= STALL_TIMEOUT_US;
+    private boolean isOverdue(Body body, long deadlineUs) {
+        long nowUs = deadlines.now();
+        if (nowUs < deadlineUs + SHORT_RESPONSE_GRACE_US) {
+            return false;
+        }
+        if (body.length() >= 0) {
+            return body.length() <= MessageReader.SHORT_BODY_BYTES || relayedBytes == 0;
+        }
+        boolean hasLongPace = relayedBytes * 1_000_000 >= LONG_RESPONSE_BYTES_PER_S * (nowUs - startUs);
+        return relayedBytes <= MessageReader.SHORT_BODY_BYTES && !hasLongPace;
     }
 }
