What clients send behind a request takes granted memory, so that many of them can't exhaust the heap

Callers saw (operators of other deployments): with hundreds of clients connected a process ran out of memory.

Cause: what a client sends while its answer is due is read ahead, up to 72 kB, to notice its end behind it; nothing bounded the sum. The promise to keep it was made for each connection before its memory was granted.

Change: 8 kB are kept in any case; for more, BodyMemory grants up to 64 KiB, and 8 kB where it is short. The rest is thrown away, as beyond 72 kB before.

The tests' configuration is made in one place.

--- a/sidecar/src/main/java/dapplequay/http/MessageReader.java
+++ b/sidecar/src/main/java/dapplequay/http/MessageReader.java
@@ -35,7 +35,8 @@
         return buffer.size() > 0;
     }
 
-    int bufferedBytes() {
+    /** Returns how many bytes the buffer holds that were received and not yet consumed. */
+    public int bufferedBytes() {
         return buffer.size();
     }
 
--- a/sidecar/src/main/java/dapplequay/net/ClientConnection.java
+++ b/sidecar/src/main/java/dapplequay/net/ClientConnection.java
@@ -78,6 +78,9 @@
 
     private void finish() {
         bodyReader.release();
+        if (input != null) {
+            input.releaseKept();
+        }
         close();
         synchronized (this) {
             listener.deadlines().cancel(idleDeadline);
@@ -89,7 +92,7 @@
     public void run() {
         try {
             socket.setTcpNoDelay(true);
-            input = new ClientInput(socket, listener.deadlines()::now);
+            input = new ClientInput(socket, listener.deadlines()::now, BodyBuffers.MEMORY);
             reader = new MessageReader(input, MessageReader.MAX_BODY_BYTES);
             while (awaitPreviousResponse() && reader.awaitRequest() && startReading()) {
                 readRequest();
@@ -120,6 +123,9 @@
         }
         currentExchange = null;         // an idle connection keeps no body
         bodyReader.release();
+        if (!reader.hasBufferedBytes()) {
+            input.releaseKept();
+        }
         return isOpen();
     }
 
--- a/sidecar/src/main/java/dapplequay/net/ClientInput.java
+++ b/sidecar/src/main/java/dapplequay/net/ClientInput.java
@@ -35,6 +35,8 @@
     private static final int DISCARD_FLOOD_BYTES = 2 << 20;
     private static final int MAX_FLOOD_CHECK_BYTES = 64 * 1024;
     private static final int DISCARD_BUFFER_BYTES = 8 * 1024;
+    /** How many bytes behind a request are kept in any case; for more, memory has to be granted. */
+    private static final int KEPT_BYTES = 8 * 1024;
     /**
      * For how long a client that has sent more than can be kept counts as present after it was last seen, in
      * microseconds. An attempt may begin up to 100 ms after its client has left.
@@ -64,6 +66,7 @@
     private final SocketChannel channel;
     private final InputStream in;
     private final LongSupplier clock;
+    private final BodyMemory memory;
     private final Thread readingThread = Thread.currentThread();
     private volatile long discardedBytes;
     private volatile boolean hasUnprocessedBytes;
@@ -77,14 +80,17 @@
     private boolean isChecking;
     private boolean isHandedOver;
     private boolean readerHasLeft;
+    /** Memory that was granted for input behind a request, bytes. */
+    private int granted;
 
     /**
      * Created by the thread that reads the connection, once that is accepted; the socket belongs to a channel in
-     * blocking mode. {@code clock} returns microseconds.
+     * blocking mode. {@code clock} returns microseconds; {@code memory} grants what is kept behind a request.
      */
-    ClientInput(Socket socket, LongSupplier clock) throws IOException {
+    ClientInput(Socket socket, LongSupplier clock, BodyMemory memory) throws IOException {
         this.socket = socket;
         this.clock = clock;
+        this.memory = memory;
         seenAtUs = clock.getAsLong();
         channel = socket.getChannel();
         in = socket.getInputStream();
@@ -276,7 +282,7 @@
     private boolean readArrived(MessageReader reader, boolean discardsOverflow, int maxBytes) throws IOException {
         byte[] discardBuffer = null;
         for (int total = 0, count; total < maxBytes; total += count) {
-            if (reader != null && !reader.isBufferFull()) {
+            if (reader != null && hasRoom(reader)) {
                 count = reader.readAhead();
             } else if (discardsOverflow) {
                 discardBuffer = discardBuffer == null ? new byte[DISCARD_BUFFER_BYTES] : discardBuffer;
@@ -292,4 +298,19 @@
         }
         return true;
     }
+
+    /** Returns whether more input may be kept: many clients that send much at once must not use up the heap. */
+    private boolean hasRoom(MessageReader reader) {
+        int kept = reader.bufferedBytes();
+        if (kept >= KEPT_BYTES && granted == 0) {
+            granted = memory.reserve(BodyMemory.MAX_GRANT);
+        }
+        return kept < KEPT_BYTES + granted && !reader.isBufferFull();
+    }
+
+    /** Gives back the memory of input that has been kept; called once it is consumed, or not needed any more. */
+    synchronized void releaseKept() {
+        memory.release(granted);
+        granted = 0;
+    }
 }
--- a/sidecar/src/test/java/dapplequay/cli/DepartureSoakTest.java
+++ b/sidecar/src/test/java/dapplequay/cli/DepartureSoakTest.java
@@ -61,17 +61,7 @@
     }
 
     private SidecarProcess sidecar(int number, int port, List<Integer> servers) throws Exception {
-        StringBuilder targets = new StringBuilder();
-        for (int i = 0; i < servers.size(); i++) {
-            targets.append(i == 0 ? "" : ",").append("{\"uid\":\"s").append(i).append("\",\"endpoint\":\"127.0.0.1:")
-                    .append(servers.get(i)).append("\",\"az\":\"north\",\"pod_group\":0,\"state\":\"SERVING\"}");
-        }
-        String text = Files.readString(Path.of("example/config.json"))
-                .replaceAll("(?s)\"known\": \\{.*?]},",
-                        "\"known\": {\"rev\":1,\"all\":true,\"targets\":[" + targets + "]},")
-                .replaceAll("\"listen\": \"[^\"]*\"", "\"listen\": \"127.0.0.1:" + port + "\"")
-                .replace("\"balancers\": 1", "\"balancers\": " + SIDECARS)
-                .replace("\"quota_per_s\": 20.0", "\"quota_per_s\": 2000.0");
+        String text = ExampleConfig.of(port, servers).replace("\"balancers\": 1", "\"balancers\": " + SIDECARS);
         Path config = Files.writeString(folder.resolve(number + ".json"), text);
         return new SidecarProcess(config, null, SidecarProcess.freePort(), false, List.of(),
                 List.of("--log", "FINE")).awaitReady();
--- a/sidecar/src/test/java/dapplequay/cli/FaultFleet.java
+++ b/sidecar/src/test/java/dapplequay/cli/FaultFleet.java
@@ -36,19 +36,10 @@
         for (int i = 0; i < serverCount; i++) {
             servers.add(new FaultServer(records));
         }
-        StringBuilder targets = new StringBuilder();
-        for (int i = 0; i < serverCount; i++) {
-            targets.append(i == 0 ? "" : ",").append("{\"uid\":\"s").append(i).append("\",\"endpoint\":\"127.0.0.1:")
-                    .append(servers.get(i).port())
-                    .append("\",\"az\":\"north\",\"pod_group\":0,\"state\":\"SERVING\"}");
-        }
-        String text = Files.readString(Path.of("example/config.json"))
-                .replaceAll("(?s)\"known\": \\{.*?]},",
-                        "\"known\": {\"rev\":1,\"all\":true,\"targets\":[" + targets + "]},")
-                .replaceAll("\"listen\": \"[^\"]*\"", "\"listen\": \"127.0.0.1:" + port + "\"")
+        List<Integer> ports = servers.stream().map(FaultServer::port).toList();
+        String text = ExampleConfig.of(port, ports)
                 .replace("{\"name\": \"pay\", \"semantics\": \"dedup\", \"group\": \"cell\", \"window_us\": 4000000,",
-                        "{\"name\": \"order\", \"semantics\": \"fragile\",")
-                .replace("\"quota_per_s\": 20.0", "\"quota_per_s\": 2000.0");
+                        "{\"name\": \"order\", \"semantics\": \"fragile\",");
         Path config = Files.writeString(folder.resolve("config.json"), text);
         sidecar = new SidecarProcess(config, null, SidecarProcess.freePort(), false, List.of(),
                 List.of("--log", "FINE")).awaitReady();
