An id belongs to its request from its head to a time after its end, not from its head on

Callers saw: an id ran twice when it came again.

Cause: an id was kept for twice the longest deadline from the request's head on, whatever became of the request. A long request's time counts from its last byte, so that its id was free again while it was still being written; both ran. And ids of requests that never reached a server were kept just as long, so that the number of ids was the client's to choose.

Evidence: FaultScenariosTest#idThatComesAgainWhileItsLongRequestIsStillBeingWrittenIsNotRunTwice: 200 where 409 is due, at a deadline of 0.4 s and 1.9 s of writing.

One that never began is free at once, as a refusal promises.

--- a/sidecar/src/main/java/dapplequay/net/ClientConnection.java
+++ b/sidecar/src/main/java/dapplequay/net/ClientConnection.java
@@ -292,6 +292,7 @@
         if (remainingBody == null) {
             input.checkPresent(reader, true);
         }
+        RequestInfo info = request.toRequestInfo(request.budgetUs() - (listener.deadlines().now() - receivedUs));
         long callId = request.callId();
         if (!listener.registerCallId(callId, receivedUs)) {
             throw new BadMessageException(409, "X-Call-Id of another request");
@@ -300,6 +301,7 @@
             hasRequested = true;
         }
         Exchange exchange = new Exchange(listener.nextExchangeId(), this, request, listener.counts());
+        exchange.onEnd(() -> listener.requestEnded(callId, exchange.hasBegun()));
         exchange.setDeadline(receivedUs + request.budgetUs());
         LOG.fine(() -> "request " + Long.toHexString(callId) + " is " + exchange.id);
         currentExchange = exchange;
@@ -308,7 +310,6 @@
             writeResponse(ClientResponses.refusal(0));
             return;
         }
-        RequestInfo info = request.toRequestInfo(request.budgetUs() - (listener.deadlines().now() - receivedUs));
         listener.dispatcher().begin(exchange, info);
     }
 
--- a/sidecar/src/main/java/dapplequay/net/ClientListener.java
+++ b/sidecar/src/main/java/dapplequay/net/ClientListener.java
@@ -97,9 +97,14 @@
         return setup.get();
     }
 
-    /** Registers the id of a request; false if a recent request has the same id. */
+    /** Registers the id of a request; false if a request with the same id is open or may have run recently. */
     boolean registerCallId(long callId, long nowUs) {
-        return recentCallIds.addIfNew(callId, nowUs, 2 * setup().longestDeadlineUs());
+        return recentCallIds.begin(callId, nowUs);
+    }
+
+    /** Called when a request that was registered has ended; {@code mayHaveRun}: an attempt of it has begun. */
+    void requestEnded(long callId, boolean mayHaveRun) {
+        recentCallIds.end(callId, mayHaveRun, deadlines.now(), 2 * setup().longestDeadlineUs());
     }
 
     long nextExchangeId() {
--- a/sidecar/src/main/java/dapplequay/net/Exchange.java
+++ b/sidecar/src/main/java/dapplequay/net/Exchange.java
@@ -16,6 +16,7 @@
     private boolean committed;
     private boolean received;
     private volatile boolean hasBegun;
+    private volatile Runnable onEnd = () -> { };
     private volatile long deadlineUs;
 
     /** Counts the request as received now, or, for a long one, once its last byte has arrived. */
@@ -34,12 +35,12 @@
         client.checkClientPresent(this);
     }
 
-    /** Called right before the first byte of an attempt is written. */
+    /** Called before the last check of whether an attempt may be written. */
     void attemptBegins() {
         hasBegun = true;
     }
 
-    /** Returns whether any attempt has begun. */
+    /** Returns whether any attempt may have begun. */
     boolean hasBegun() {
         return hasBegun;
     }
@@ -61,10 +62,16 @@
         return deadlineUs;
     }
 
+    /** Sets an action for {@link #recordEnd}. */
+    void onEnd(Runnable action) {
+        onEnd = action;
+    }
+
     /** Counts the outcome; called once, by the thread that claimed the exchange. */
     void recordEnd(RequestCounts.End end) {
         markReceived();
         counts.ended(request.className(), end);
+        onEnd.run();
     }
 
     /** Returns true for the first caller only, which must send the response. */
--- a/sidecar/src/main/java/dapplequay/net/UpstreamConnection.java
+++ b/sidecar/src/main/java/dapplequay/net/UpstreamConnection.java
@@ -117,13 +117,13 @@
         byte[] message = request.toBytes(endpoint.address(), current.expiresAtUs() - pool.now());
         current.exchange.checkClientPresence();
         long checkedUs = pool.now();
+        current.exchange.attemptBegins();
         if (!pool.mayBegin(current, endpoint)) {
             return WriteResult.STOPPED;
         }
         if (!tryBegin()) {
             return WriteResult.UNUSABLE;
         }
-        current.exchange.attemptBegins();
         boolean whole = false;
         boolean awaitsBody = false;
         try {
--- a/sidecar/src/test/java/dapplequay/cli/FaultFleet.java
+++ b/sidecar/src/test/java/dapplequay/cli/FaultFleet.java
@@ -26,6 +26,8 @@
     /** For how long the rest of a long answer may be held back. */
     private static final long HELD_BACK_MS = 2_000;
 
+    private static final int LONGEST_DEADLINE_MS = 2_000;
+
     private final Map<String, FaultRecord> records = new ConcurrentHashMap<>();
     private final List<FaultServer> servers = new ArrayList<>();
     private final int port = SidecarProcess.freePort();
@@ -33,6 +35,11 @@
 
     /** Starts the processes; {@code folder} takes the configuration. */
     FaultFleet(Path folder, int serverCount) throws Exception {
+        this(folder, serverCount, LONGEST_DEADLINE_MS);
+    }
+
+    /** {@code deadlineMs}: the deadline of all classes. */
+    FaultFleet(Path folder, int serverCount, int deadlineMs) throws Exception {
         for (int i = 0; i < serverCount; i++) {
             servers.add(new FaultServer(records));
         }
@@ -40,6 +47,8 @@
         String text = ExampleConfig.of(port, ports)
                 .replace("{\"name\": \"pay\", \"semantics\": \"dedup\", \"group\": \"cell\", \"window_us\": 4000000,",
                         "{\"name\": \"order\", \"semantics\": \"fragile\",");
+        text = text.replaceAll("\"aim_us\": \\d+, \"deadline_us\": \\d+",
+                "\"aim_us\": " + 250 * deadlineMs + ", \"deadline_us\": " + 1_000 * deadlineMs);
         Path config = Files.writeString(folder.resolve("config.json"), text);
         sidecar = new SidecarProcess(config, null, SidecarProcess.freePort(), false, List.of(),
                 List.of("--log", "FINE")).awaitReady();
@@ -47,10 +56,15 @@
 
     /** Starts a scenario, whose number must be new; the result is there once its client has ended. */
     Future<FaultRecord> start(FaultScenario scenario) {
+        return start(scenario, Integer.toHexString(scenario.number() + 1));
+    }
+
+    /** Starts a scenario whose request has this id. */
+    Future<FaultRecord> start(FaultScenario scenario, String callId) {
         FaultRecord record = new FaultRecord(scenario);
         records.put(String.valueOf(scenario.number()), record);
         FutureTask<FaultRecord> played = new FutureTask<>(() -> {
-            new FaultClient(port, record, callId(record)).play();
+            new FaultClient(port, record, callId).play();
             return record;
         });
         Host.daemon(played::run);
--- a/sidecar/src/test/java/dapplequay/cli/FaultScenario.java
+++ b/sidecar/src/test/java/dapplequay/cli/FaultScenario.java
@@ -73,6 +73,11 @@
                 answer, answerFraming, answerBytes, headDelayMs);
     }
 
+    FaultScenario withPace(Pace pace) {
+        return new FaultScenario(number, requestFraming, requestBytes, pace, budgetMs, behindBytes, departure, stayMs,
+                againMs, reading, firstAttempt, attemptDelayMs, answer, answerFraming, answerBytes, headDelayMs);
+    }
+
     FaultScenario withRequest(Framing framing, int bytes) {
         return new FaultScenario(number, framing, bytes, requestPace, budgetMs, behindBytes, departure, stayMs, againMs,
                 reading, firstAttempt, attemptDelayMs, answer, answerFraming, answerBytes, headDelayMs);
--- a/sidecar/src/test/java/dapplequay/cli/FaultScenariosTest.java
+++ b/sidecar/src/test/java/dapplequay/cli/FaultScenariosTest.java
@@ -23,6 +23,9 @@
     private static final int STAY_MS = 60;
     private static final int[] SLOW_LONG_BYTES = {70_000, 130_000, 250_000};
     private static final int SHORT_BUDGET_MS = 500;
+    private static final int SHORT_DEADLINE_MS = 400;
+    /** Takes 1.9 s at the pace of a steady client. */
+    private static final int SLOW_REQUEST_BYTES = 300_000;
     private static final long PLAY_TIMEOUT_S = 40;
 
     @TempDir
@@ -78,4 +81,19 @@
         }
         play(scenarios);
     }
+
+    @Test
+    void idThatComesAgainWhileItsLongRequestIsStillBeingWrittenIsNotRunTwice() throws Exception {
+        FaultScenario slow = FaultScenario.orderly(0).withRequest(Framing.LENGTH, SLOW_REQUEST_BYTES)
+                .withPace(FaultScenario.Pace.STEADY).withBudget(SHORT_DEADLINE_MS);
+        try (FaultFleet fleet = new FaultFleet(folder, SERVERS, SHORT_DEADLINE_MS)) {
+            Future<FaultRecord> first = fleet.start(slow, "77");
+            Thread.sleep(3 * SHORT_DEADLINE_MS);
+            FaultRecord again = fleet.start(FaultScenario.orderly(1).withBudget(SHORT_DEADLINE_MS), "77")
+                    .get(PLAY_TIMEOUT_S, TimeUnit.SECONDS);
+            assertThat(again.status).isEqualTo(409);
+            assertThat(first.get(PLAY_TIMEOUT_S, TimeUnit.SECONDS).status).isEqualTo(200);
+            assertThat(again.attempts).isEmpty();
+        }
+    }
 }
