--- a/sidecar/src/test/java/dapplequay/cli/FaultScenario.java
+++ b/sidecar/src/test/java/dapplequay/cli/FaultScenario.java
@@ -66,7 +66,7 @@
                 FirstAttempt.SERVED, 0, Answer.SHORT, Framing.LENGTH, 100, 0);
     }
 
-    /** Returns a copy whose client writes this behind its request and leaves, and whose first attempt ends later. */
+    /** Returns a copy whose client writes this behind its request and leaves; its first attempt is turned away. */
     FaultScenario leaving(int newBehindBytes, int newStayMs, int newAttemptDelayMs) {
         return new FaultScenario(number, requestFraming, requestBytes, requestPace, budgetMs, newBehindBytes,
                 Departure.AFTER_ITS_REQUEST, newStayMs, againMs, reading, FirstAttempt.TURNED_AWAY, newAttemptDelayMs,
