--- a/sidecar/src/main/java/dapplequay/net/ClientListener.java
+++ b/sidecar/src/main/java/dapplequay/net/ClientListener.java
@@ -59,6 +59,7 @@
     private final Set<ClientConnection> connections = new LinkedHashSet<>();
     private final CountDownLatch acceptingStopped = new CountDownLatch(1);
     private final RecentCallIds recentCallIds = new RecentCallIds();
+    private volatile SharedCallIds sharedCallIds = SharedCallIds.none();
     private final RequestCounts counts;
     private final SidecarLifecycle lifecycle;
     private volatile boolean isShutdownTimeOver;
@@ -92,6 +93,11 @@
         return listeningSocket.address();
     }
 
+    /** Sets the ids that other processes have met; called before clients are accepted. */
+    void shareCallIds(SharedCallIds shared) {
+        sharedCallIds = shared;
+    }
+
     /** Returns the current settings. */
     Setup setup() {
         return setup.get();
@@ -99,11 +105,19 @@
 
     /** Registers the id of a request; false if a request with the same id is open or may have run recently. */
     boolean registerCallId(long callId, long nowUs) {
-        return recentCallIds.begin(callId, nowUs);
+        boolean isNew = recentCallIds.begin(callId, nowUs);
+        if (isNew && !sharedCallIds.addIfNew(callId)) {
+            recentCallIds.end(callId, false, nowUs, 0);
+            return false;
+        }
+        return isNew;
     }
 
     /** Called when a request that was registered has ended; {@code mayHaveRun}: an attempt of it has begun. */
     void requestEnded(long callId, boolean mayHaveRun) {
+        if (!mayHaveRun) {
+            sharedCallIds.remove(callId);
+        }
         recentCallIds.end(callId, mayHaveRun, deadlines.now(), 2 * setup().longestDeadlineUs());
     }
 
--- a/sidecar/src/main/java/dapplequay/net/Sidecar.java
+++ b/sidecar/src/main/java/dapplequay/net/Sidecar.java
@@ -16,6 +16,7 @@
 import java.io.IOException;
 import java.io.InterruptedIOException;
 import java.net.InetSocketAddress;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Objects;
@@ -250,6 +251,9 @@
             clientListener = new ClientListener(opener.open(), () -> setup, facade, dispatcher, deadlines, counts,
                     lifecycle, bodyThrottle, options.maxClients(), options.crowdThreshold(), options.maxUploads(),
                     threads);
+            if (options.inheritsListener()) {
+                clientListener.shareCallIds(SharedCallIds.open(sharedFolder(), clientListener.address().getPort()));
+            }
             if (!listIsPushed) {
                 startDaemon(discovery, "discovery");
             }
@@ -259,6 +263,11 @@
         LOG.log(Level.INFO, "serving on {0}", Sockets.hostAndPort(address()));
     }
 
+    /** Returns the folder for temporary files, which is the same for all processes on one listening socket. */
+    private static Path sharedFolder() {
+        return Path.of(Objects.requireNonNullElse(System.getenv("TMPDIR"), System.getProperty("java.io.tmpdir")));
+    }
+
     private void awaitAgentsList() throws InterruptedIOException {
         try {
             discovery.awaitAgentsList(AGENT_SILENT_US, AGENT_ANSWER_US);
