Hold the first bytes of a response of unknown length no longer than its request has time

Cause: a response of unknown length is buffered for 0.1 s, as most are short, whatever is left of the request's time. A long one, of which only the first bytes are timed, was late by that, or cut at the end of the time although its head had come before.

Change: it is buffered until 20 ms before the attempt's end at the latest; what has arrived by then is always read.

--- a/sidecar/src/main/java/dapplequay/net/ResponseStart.java
+++ b/sidecar/src/main/java/dapplequay/net/ResponseStart.java
@@ -38,14 +38,15 @@
      * @param socket     the connection that the body arrives on; its read timeout is 0 afterwards
      * @param clock      in microseconds
      * @param isRelayable whether the body is relayed if it is long; if not, its first bytes are read all the same
+     * @param latestUs   a body of unknown length is not waited for beyond this time, in microseconds
      */
-    static ResponseStart read(Body body, Socket socket, LongSupplier clock, BodyMemory memory, boolean isRelayable)
-            throws IOException {
+    static ResponseStart read(Body body, Socket socket, LongSupplier clock, BodyMemory memory, boolean isRelayable,
+            long latestUs) throws IOException {
         ResponseStart start = new ResponseStart(memory);
         boolean isRead = false;
         try {
             if (body.length() < 0) {
-                start.readUnknownLength(body, socket, clock);
+                start.readUnknownLength(body, socket, clock, latestUs);
             } else {
                 start.readKnownLength(body, isRelayable);
             }
@@ -82,12 +83,12 @@
         }
     }
 
-    private void readUnknownLength(Body body, Socket socket, LongSupplier clock) throws IOException {
-        long bufferUntilUs = clock.getAsLong() + BUFFER_RESPONSE_US;
+    private void readUnknownLength(Body body, Socket socket, LongSupplier clock, long latestUs) throws IOException {
+        long bufferUntilUs = Math.min(clock.getAsLong() + BUFFER_RESPONSE_US, latestUs);
         int limit = BodyMemory.MIN_GRANT;
         bytes = new byte[limit];
         try {
-            while (!body.isComplete() && clock.getAsLong() < bufferUntilUs) {
+            do {
                 if (size == BodyMemory.MIN_GRANT && reserved == 0) {
                     limit = reserve(MessageReader.SHORT_BODY_BYTES);
                 }
@@ -99,7 +100,7 @@
                 }
                 socket.setSoTimeout((int) Math.max(1, (bufferUntilUs - clock.getAsLong()) / 1000));
                 size += Math.max(0, body.read(bytes, size, bytes.length - size));
-            }
+            } while (!body.isComplete() && clock.getAsLong() < bufferUntilUs);
         } catch (SocketTimeoutException e) {
             LOG.log(Level.FINE, "response from {0} is slow and is relayed as it comes",
                     socket.getRemoteSocketAddress());
--- a/sidecar/src/main/java/dapplequay/net/UpstreamConnection.java
+++ b/sidecar/src/main/java/dapplequay/net/UpstreamConnection.java
@@ -26,6 +26,8 @@
 
     /** How long a response waits for its request's write to end: longer, and the host has not read the request. */
     private static final long WRITE_END_WAIT_MS = 100;
+    /** How long before the end of the attempt's time the relay of a response of unknown length begins at the latest. */
+    private static final long RELAY_MARGIN_US = 20_000;
 
     final Endpoints.Endpoint endpoint;
     private final UpstreamPool pool;
@@ -345,7 +347,7 @@
                 throw new BadMessageException(502, "200 before the request was written completely");
             }
             ResponseStart start = ResponseStart.read(body, socket, pool::now, BodyBuffers.MEMORY,
-                    end == AttemptEnd.SERVED);
+                    end == AttemptEnd.SERVED, current.expiresAtUs() - RELAY_MARGIN_US);
             try {
                 return passOnResponse(current, reader, head, body, end, start);
             } finally {
