--- a/sidecar/src/main/java/dapplequay/net/SharedCallIds.java
+++ b/sidecar/src/main/java/dapplequay/net/SharedCallIds.java
@@ -14,9 +14,9 @@
 
 /**
  * The ids of recent requests at all processes that accept clients from one listening socket: a table in a file that
- * each of them maps. An id has its place in one of a few neighbouring slots; where all of these are taken, the oldest is
- * replaced. A slot is one word, so that it changes at once: the high bits are a part of the id's hash, the low ones the
- * second in which it was added, by {@link System#nanoTime}, which the processes of a machine have in common.
+ * each of them maps. An id has its place in one of a few neighbouring slots; where all of these are taken, the oldest
+ * is replaced. A slot is one word, so that it changes at once: the high bits are a part of the id's hash, the low ones
+ * the second in which it was added, by {@link System#nanoTime}, which the processes of a machine have in common.
  * Thread-safe.
  */
 final class SharedCallIds {
--- a/sidecar/src/test/java/dapplequay/cli/FaultScenario.java
+++ b/sidecar/src/test/java/dapplequay/cli/FaultScenario.java
@@ -91,7 +91,8 @@
 
     FaultScenario withBudget(int newBudgetMs) {
         return new FaultScenario(number, requestFraming, requestBytes, requestPace, newBudgetMs, behindBytes, departure,
-                stayMs, againMs, reading, firstAttempt, attemptDelayMs, answer, answerFraming, answerBytes, headDelayMs);
+                stayMs, againMs, reading, firstAttempt, attemptDelayMs, answer, answerFraming, answerBytes,
+                headDelayMs);
     }
 
     private static int pick(Random random, int[] values) {
