Time that a slow client takes to read does not end its short response

Cause, found in reading the change again: a response of up to 64 KiB was asked for its time after each read, also where the host had sent all of it and a client that reads slowly had held the relay up in its write; before, only a host with nothing to read was asked.

Change: the time spent in writes to the client is left out. Test: three new cases of ResponseRelayTest (failed before, each); two tests that move the clock first wait until the write before has ended, as its time would count for the client's. Their assertions are as they were.

--- a/sidecar/src/main/java/dapplequay/net/ResponseRelay.java
+++ b/sidecar/src/main/java/dapplequay/net/ResponseRelay.java
@@ -37,6 +37,8 @@
     private final LongSupplier pauseMs;
     private long startUs;
     private long hostProgressUs;
+    /** Time that was spent writing to the client: if it reads slowly, that is no delay of the host. */
+    private long clientWriteUs;
     private long relayedBytes;
 
     /** {@code pauseMs} is how long to pause after a piece in favour of other requests, milliseconds. */
@@ -75,7 +77,7 @@
                 int read = readPiece(body, piece, stallTimeout, deadlineUs);
                 stallTimeout.progressed();
                 ChunkedFraming.Span framed = ChunkedFraming.frameIfChunked(piece, read, chunked, body.isComplete());
-                client.getOutputStream().write(piece, framed.from(), framed.length());
+                writeToClient(piece, framed.from(), framed.length());
                 relayedBytes += read;
                 if (!body.isComplete() && isOverdue(body, deadlineUs)) {
                     throw new IOException("short response was not complete in time");
@@ -97,10 +99,17 @@
 
     /** A method of its own, so that no stack frame holds the message for as long as the transfer takes. */
     private void writeStart(Supplier<byte[]> message, ResponseStart start) throws IOException {
-        client.getOutputStream().write(message.get());
+        byte[] first = message.get();
+        writeToClient(first, 0, first.length);
         start.release();
     }
 
+    private void writeToClient(byte[] bytes, int offset, int length) throws IOException {
+        long writeStartUs = deadlines.now();
+        client.getOutputStream().write(bytes, offset, length);
+        clientWriteUs += deadlines.now() - writeStartUs;
+    }
+
     private int readPiece(Body body, byte[] piece, ProgressWatchdog.StallTimeout stallTimeout, long deadlineUs)
             throws IOException {
         while (true) {
@@ -123,10 +132,10 @@
     /**
      * Returns whether the response ends because its time is over. Of a body over 64 KiB only the first byte is timed;
      * any other has to be complete in time, whether or not its host still writes. Where the length is not known,
-     * its pace so far tells which of the two it may be.
+     * its pace so far tells which of the two it may be. A slow client is no cause.
      */
     private boolean isOverdue(Body body, long deadlineUs) {
-        long nowUs = deadlines.now();
+        long nowUs = deadlines.now() - clientWriteUs;
         if (nowUs < deadlineUs + SHORT_RESPONSE_GRACE_US) {
             return false;
         }
--- a/sidecar/src/test/java/dapplequay/net/ResponseRelayTest.java
+++ b/sidecar/src/test/java/dapplequay/net/ResponseRelayTest.java
@@ -38,6 +38,8 @@
     private final CountDownLatch continueHost = new CountDownLatch(1);
     private final CountDownLatch secondThreadReads = new CountDownLatch(1);
     private final CountDownLatch connectionEnds = new CountDownLatch(1);
+    /** How long, by the clock, each write to the client takes from the response's start on, in microseconds. */
+    private long clientWriteUs;
     private ClientRig rig;
     private Host.Client client;
     private MessageReader reader;
@@ -93,6 +95,11 @@
                 }
             }
 
+            @Override
+            void beforeWrite(ClientRig.Accepted connection) {
+                rig.stopClock(clientWriteUs);
+            }
+
             @Override
             void beforeClose() {
                 connectionEnds.countDown();
@@ -136,6 +143,7 @@
     void responseOfAStalledHostEndsInTimeAndIsSeenAsTruncated(String framing, String version) throws Exception {
         Host host = host(begun(framing), null);
         Body body = request(host, version, framing.equals("head") ? 0 : 5);
+        awaitSecondThread();
         rig.stopClock(BUDGET_MS * 1_000 + GRACE_US);
         assertThat(catchThrowable(() -> readRest(body))).isNotInstanceOf(SocketTimeoutException.class)
                 .isInstanceOf(version.equals("1.0") ? SocketException.class : IOException.class);
@@ -173,15 +181,31 @@
     void responseThatTricklesEndsInTimeAndIsSeenAsTruncated(String framing, String version) throws Exception {
         Host host = host(begun(framing), null);
         Body body = request(host, version, 5);
+        awaitSecondThread();
         rig.stopClock(BUDGET_MS * 1_000 + 100_000);
         write(host.next(), framing.equals("chunked") ? chunk("more") : "more");
         read(body, 4);
+        Thread.sleep(SEVERAL_CHECKS_MS);        // the write to the client has ended before the clock moves
         rig.stopClock(GRACE_US);
         assertThat(catchThrowable(() -> readRest(body))).isNotInstanceOf(SocketTimeoutException.class)
                 .isInstanceOf(version.equals("1.0") ? SocketException.class : IOException.class);
         assertThat(host.closed.poll(TIMEOUT_S, TimeUnit.SECONDS)).as("the attempt is given up").isTrue();
     }
 
+    @ParameterizedTest
+    @CsvSource({"chunked,1.1", "chunked,1.0", "end,1.1"})
+    void shortResponseIsNotEndedBecauseItsClientReadsSlowly(String framing, String version) throws Exception {
+        clientWriteUs = 2 * BUDGET_MS * 1_000;
+        String more = framing.equals("end") ? "more" : chunk("more");
+        Host host = host(begun(framing), more + (framing.equals("end") ? "" : "0\r\n\r\n"));
+        Body body = request(host, version, 5);
+        write(host.next(), more);
+        read(body, 4);
+        Thread.sleep(SEVERAL_CHECKS_MS);
+        continueHost.countDown();
+        assertThat(readRest(body)).isEqualTo(4);
+    }
+
     @Test
     void slowClientReceivesItsWholeResponseAfterTheDeadline() throws Exception {
         int length = 16 << 20;
