Link the access to the shared ids at the start, and not with the first request

Cause: the first call of a variable handle builds its classes. Change: an id is added and removed when the table is opened. Result: SharedCallIdsTest, CallIdAcrossUpgradeTest and UpgradeTest pass.

--- a/sidecar/src/main/java/dapplequay/net/SharedCallIds.java
+++ b/sidecar/src/main/java/dapplequay/net/SharedCallIds.java
@@ -32,6 +32,7 @@
     private static final int FILE_BYTES = BUCKETS * SLOTS_PER_ID * SLOT_BYTES;
     /** Spreads ids that differ in few bits over all bits of the hash. */
     private static final long HASH_MULTIPLIER = 0x9E3779B97F4A7C15L;
+    private static final long WARM_UP_ID = -1;
     private static final VarHandle LONGS =
             MethodHandles.byteBufferViewVarHandle(long[].class, ByteOrder.nativeOrder());
 
@@ -56,13 +57,21 @@
             for (long size = channel.size(); size < FILE_BYTES; size = channel.size()) {
                 channel.write(ByteBuffer.allocate((int) (FILE_BYTES - size)), size);
             }
-            return new SharedCallIds(channel.map(FileChannel.MapMode.READ_WRITE, 0, FILE_BYTES));
+            SharedCallIds ids = new SharedCallIds(channel.map(FileChannel.MapMode.READ_WRITE, 0, FILE_BYTES));
+            ids.warmUp();
+            return ids;
         } catch (IOException | RuntimeException | OutOfMemoryError e) {
             LOG.log(Level.WARNING, "ids are not shared with other processes: {0}", e.toString());
             return none();
         }
     }
 
+    /** Links what accesses the table, so that no client waits for it. */
+    private void warmUp() {
+        addIfNew(WARM_UP_ID);
+        remove(WARM_UP_ID);
+    }
+
     /** Adds an id; returns false if a process has added it recently. */
     boolean addIfNew(long id) {
         ByteBuffer slots = table;
