Fault play: an attempt is late by when the sidecar wrote it, as in the soak of departures

Cause: the play took the time at which a server's thread read an attempt, which is late where the processor is short. Change: what arrives over 0.1 s after the close is judged by the sidecar's log, as DepartureSoakTest does, by one method; without a log line it counts as late. Result: the test of departures fails as before where the check always says yes (tried), and passes as it is.

--- a/sidecar/src/test/java/dapplequay/cli/DepartureSoakTest.java
+++ b/sidecar/src/test/java/dapplequay/cli/DepartureSoakTest.java
@@ -101,13 +101,6 @@
         }
     }
 
-    /** True if the last attempt for the request was written so late, or if the log does not show when. */
-    private static boolean isWrittenAfter(Instant latest, List<String> logOfRequest) {
-        List<Instant> written = logOfRequest.stream().filter(line -> line.contains(" wrote "))
-                .map(line -> Instant.parse(line.substring(0, line.indexOf(' ')))).toList();
-        return written.isEmpty() || written.get(written.size() - 1).isAfter(latest);
-    }
-
     /**
      * Returns the attempts that began too late. A server may record an arrival later than it was written; when it was
      * written at the latest is in the sidecar's log.
@@ -121,7 +114,7 @@
             }
             List<String> logOfRequest = sidecars.stream()
                     .flatMap(sidecar -> sidecar.logOfRequest(callIds.get(arrival.key)).stream()).toList();
-            if (isWrittenAfter(closed.plusMillis(ALLOWED_MS), logOfRequest)) {
+            if (SidecarProcess.isWrittenAfter(closed.plusMillis(ALLOWED_MS), logOfRequest)) {
                 late.add("closed " + closed + ", arrived " + arrival.at + "\n" + String.join("\n", logOfRequest));
             }
         }
--- a/sidecar/src/test/java/dapplequay/cli/FaultClient.java
+++ b/sidecar/src/test/java/dapplequay/cli/FaultClient.java
@@ -13,6 +13,7 @@
 import java.net.InetAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.time.Instant;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 
@@ -72,6 +73,7 @@
             isWritten.await(MAX_WRITE_MS, TimeUnit.MILLISECONDS);
             Thread.sleep(scenario.stayMs());
         } finally {
+            record.closedAt = Instant.now();
             record.closedNs = System.nanoTime();
         }
         if (scenario.againMs() >= 0) {
--- a/sidecar/src/test/java/dapplequay/cli/FaultFleet.java
+++ b/sidecar/src/test/java/dapplequay/cli/FaultFleet.java
@@ -89,12 +89,18 @@
         return TimeUnit.NANOSECONDS.toMillis(ns);
     }
 
-    private static List<String> brokenRules(FaultRecord record) {
+    /** A server may read an attempt later than it was written; when it was written is in the sidecar's log. */
+    private boolean isSentOn(FaultRecord record) {
+        return record.attempts.stream()
+                .anyMatch(attempt -> ms(attempt.firstByteNs - record.closedNs) > DEPARTURE_ALLOWANCE_MS)
+                && SidecarProcess.isWrittenAfter(record.closedAt.plusMillis(DEPARTURE_ALLOWANCE_MS),
+                sidecar.logOfRequest(callId(record)));
+    }
+
+    private List<String> brokenRules(FaultRecord record) {
         List<String> broken = new ArrayList<>();
         if (record.closedNs != 0) {
-            boolean isSentOn = record.attempts.stream()
-                    .anyMatch(attempt -> ms(attempt.firstByteNs - record.closedNs) > DEPARTURE_ALLOWANCE_MS);
-            if (isSentOn && record.scenario.againMs() < 0) {
+            if (record.scenario.againMs() < 0 && isSentOn(record)) {
                 broken.add("sent on after its client had left");
             }
         } else if (record.lastByteNs != 0) {
--- a/sidecar/src/test/java/dapplequay/cli/FaultRecord.java
+++ b/sidecar/src/test/java/dapplequay/cli/FaultRecord.java
@@ -1,5 +1,6 @@
 package dapplequay.cli;
 
+import java.time.Instant;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 
@@ -10,6 +11,7 @@
     volatile long firstByteNs;
     volatile long lastByteNs;
     volatile long closedNs;
+    volatile Instant closedAt;
     volatile int status;
     volatile long answerBeganNs;
     volatile long answerEndedNs;
--- a/sidecar/src/test/java/dapplequay/cli/SidecarProcess.java
+++ b/sidecar/src/test/java/dapplequay/cli/SidecarProcess.java
@@ -15,6 +15,7 @@
 import java.nio.channels.ServerSocketChannel;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
+import java.time.Instant;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
@@ -166,6 +167,13 @@
                 .toList();
     }
 
+    /** True if the last attempt for the request was written so late, or if its log does not show when. */
+    static boolean isWrittenAfter(Instant latest, List<String> logOfRequest) {
+        List<Instant> written = logOfRequest.stream().filter(line -> line.contains(" wrote "))
+                .map(line -> Instant.parse(line.substring(0, line.indexOf(' ')))).toList();
+        return written.isEmpty() || written.get(written.size() - 1).isAfter(latest);
+    }
+
     private boolean isRunning() {
         if (!process.isAlive()) {
             throw new AssertionError("process exited: " + log);
