Log each late response with its timeline at the default level, and count them by cause

What operators saw: two reports of late answers whose logs held one or two lines, none of which told when a byte was read, from when the time counted, or who was waited for.

Change: `RequestTimeline` records a request's first byte (at the earliest: a connection may have waited to be accepted), its accept, head and last byte, from when its time counts, its waits by kind, and each attempt. A response that begins after first byte and budget is one WARNING, at most 20 a second, and counts in `svc_late_responses_total` by what took longest. The warnings of the limit of upstream connections and of invalid responses carry the request's id. `AcceptQueue` tells since when the next connection may have waited. The end of a streamed request moves to `RequestBodyForwarder`.

--- a/sidecar/src/main/java/dapplequay/management/RequestCounts.java
+++ b/sidecar/src/main/java/dapplequay/management/RequestCounts.java
@@ -17,6 +17,7 @@
     public record Reading(Map<String, long[]> ended, long accepted, long open, long relayed) { }
 
     private final Map<String, long[]> ended = new LinkedHashMap<>();
+    private final LateResponseCounts lateResponses = new LateResponseCounts();
     private long accepted;
     private long open;
     private long relayed;
@@ -47,6 +48,11 @@
         relayed++;
     }
 
+    /** Returns the counts of late responses, which are read apart from the others. */
+    public LateResponseCounts lateResponses() {
+        return lateResponses;
+    }
+
     public synchronized Reading read() {
         Map<String, long[]> copy = new TreeMap<>();
         ended.forEach((name, counts) -> copy.put(name, counts.clone()));
--- a/sidecar/src/main/java/dapplequay/net/Attempt.java
+++ b/sidecar/src/main/java/dapplequay/net/Attempt.java
@@ -14,7 +14,9 @@
 final class Attempt {
     final Exchange exchange;
     final Decision.Send decision;
+    private final long decidedUs;
     private long startUs;
+    private long begunUs = -1;           // -1: no byte has been sent
     /** When the attempt times out, microseconds. */
     private long expiresAtUs;
     /** True for a long request until its last piece is about to be written: until then it can't have run. */
@@ -30,9 +32,15 @@
     private UpstreamConnection connection;
     private DeadlineQueue.Deadline timeout;
 
+    /**
+     * When the attempt was decided on, begun, written completely and ended, microseconds; -1 for what did not happen.
+     */
+    record Times(long decidedUs, long begunUs, long writtenUs, long endedUs) { }
+
     Attempt(Exchange exchange, Decision.Send decision, long startUs) {
         this.exchange = exchange;
         this.decision = decision;
+        decidedUs = startUs;
         this.startUs = startUs;
         expiresAtUs = startUs + decision.timeoutUs();
         uploading = exchange.request.isStreamed();
@@ -133,6 +141,16 @@
         return timeout;
     }
 
+    /** Called right before the first byte is written. */
+    synchronized void begins(long nowUs) {
+        begunUs = nowUs;
+    }
+
+    /** Returns the times of an attempt that ends now. */
+    synchronized Times timesAtEnd(long nowUs) {
+        return new Times(decidedUs, begunUs, writtenAtUs, nowUs);
+    }
+
     /** Called when the operating system has accepted the last byte, or the write has failed before that. */
     synchronized void writeEnded(boolean whole, long nowUs) {
         writing = false;
--- a/sidecar/src/main/java/dapplequay/net/ClientConnection.java
+++ b/sidecar/src/main/java/dapplequay/net/ClientConnection.java
@@ -51,6 +51,9 @@
     private final LingeringClose lingeringClose;
     private final RequestBodyReader bodyReader;
     private final long acceptedUs;
+    /** From when on the next request's first byte may have arrived, microseconds. */
+    private volatile long readableSinceUs;
+    private volatile RequestTimeline timeline;
     private State state = State.IDLE;
     private boolean hasRequested;
     private volatile boolean isRequestLate;
@@ -63,12 +66,14 @@
     private MessageReader reader;
     private volatile Exchange currentExchange;
 
-    ClientConnection(ClientListener listener, Socket socket) {
+    /** {@code arrivedUs}: when the connection may have been made at the earliest, microseconds. */
+    ClientConnection(ClientListener listener, Socket socket, long arrivedUs) {
         this.listener = listener;
         this.socket = socket;
         lingeringClose = new LingeringClose(socket, listener.deadlines());
         bodyReader = new RequestBodyReader(listener.deadlines(), BodyBuffers.MEMORY, this::requestTimedOut);
         acceptedUs = listener.deadlines().now();
+        readableSinceUs = arrivedUs;
         idleDeadline = listener.deadlines().schedule(IDLE_TIMEOUT_US, () -> listener.idleTimeout(this));
     }
 
@@ -151,6 +156,8 @@
             return false;
         }
         state = State.READING;
+        timeline = new RequestTimeline(Math.max(readableSinceUs, input.lastWaitEndUs()),
+                acceptedUs, input::waitedUs);
         listener.deadlines().cancel(idleDeadline);
         currentExchange = null;
         return true;
@@ -185,6 +192,7 @@
             listener.deadlines().cancel(headDeadline);
             httpVersion = head.startLine[2];
             body = reader.requestBody(head);
+            timeline.headRead(head, body, listener.deadlines().now());
             if (head.hasToken("Expect", "100-continue") && !httpVersion.equals("HTTP/1.0") && !body.isFullyBuffered()) {
                 socket.getOutputStream().write(CONTINUE_RESPONSE);
             }
@@ -204,6 +212,14 @@
             listener.deadlines().cancel(headDeadline);
         }
         requestComplete();
+        long receivedUs = listener.deadlines().now();
+        if (body.isComplete()) {
+            timeline.lastByteRead(receivedUs);
+        }
+        if (bodyReader.wasMemoryShort()) {
+            timeline.memoryWasShort();
+        }
+        timeline.timeBegan(receivedUs);
         // A response to HEAD ends after its head, but HEAD is not supported: the connection closes.
         isLastRequest = head.closesConnection(httpVersion) || head.startLine[0].equals("HEAD");
         isUploading = !body.isComplete();
@@ -214,9 +230,10 @@
                 bodyReader.finish();
                 input.requestComplete();
             }
-            handle(head, bufferedBody, body.isComplete() ? null : body, listener.deadlines().now());
+            handle(head, bufferedBody, body.isComplete() ? null : body, receivedUs);
             if (isUploading && currentExchange != null) {
-                forwardBody(currentExchange, body);
+                new RequestBodyForwarder(listener, input, reader, bodyReader, this::requestTimedOut)
+                        .forwardOrReject(currentExchange, body, () -> isUploading = false, () -> isRequestLate);
                 bodyReader.finish();
             }
         } catch (BadMessageException e) {
@@ -257,31 +274,6 @@
         return isUploadAdmitted;
     }
 
-    /** Passes the rest of a streamed request on to the current attempt until the request or the exchange ends. */
-    private void forwardBody(Exchange exchange, Body body) throws IOException {
-        try {
-            new RequestBodyForwarder(listener, input, reader, bodyReader, this::requestTimedOut)
-                    .forward(exchange, body, () -> isUploading = false);
-        } catch (BadMessageException e) {
-            listener.dispatcher().rejectUpload(exchange, ClientResponses.plainText(e.status, e.getMessage()));
-        } catch (EOFException e) {
-            if (!isRequestLate) {
-                listener.dispatcher().clientLeft(exchange);
-                throw e;
-            }
-            listener.dispatcher().rejectUpload(exchange, ClientResponses.requestTimeout());
-        } catch (IOException e) {
-            listener.dispatcher().clientLeft(exchange);
-            throw e;
-        } finally {
-            // This thread reports the attempt's end, if that was its task and nothing waits for the response yet.
-            Attempt lastAttempt = exchange.attempt();
-            if (lastAttempt != null && lastAttempt.connection() != null) {
-                lastAttempt.connection().uploadEnded(false);
-            }
-        }
-    }
-
     private void handle(Head head, byte[] bufferedBody, Body remainingBody, long receivedUs) throws IOException {
         if (head.startLine[1].equals("/healthz")) {
             writeResponse(head.startLine[0].equals("GET") ? listener.health()
@@ -300,7 +292,7 @@
         synchronized (this) {
             hasRequested = true;
         }
-        Exchange exchange = new Exchange(listener.nextExchangeId(), this, request, listener.counts());
+        Exchange exchange = new Exchange(listener.nextExchangeId(), this, request, listener.counts(), timeline);
         exchange.onEnd(() -> listener.requestEnded(callId, exchange.hasBegun()));
         exchange.setDeadline(receivedUs + request.budgetUs());
         LOG.fine(() -> "request " + Long.toHexString(callId) + " is " + exchange.id);
@@ -329,6 +321,7 @@
         DeadlineQueue.Deadline writeDeadline = listener.deadlines().schedule(WRITE_TIMEOUT_US, this::close);
         try {
             input.beginResponse();
+            listener.lateResponses().responseBegins(timeline, response.status());
             socket.getOutputStream().write(response.toBytes(connectionField(last)));
             if (last) {
                 lingeringClose.begin(isUploading ? UPLOAD_LINGER_US : LINGER_US);
@@ -345,6 +338,7 @@
 
     private synchronized void responseWritten(boolean last) {
         state = last ? State.CLOSED : State.IDLE;
+        readableSinceUs = listener.deadlines().now();
         input.responseWritten();
         if (!last) {
             idleDeadline = listener.deadlines().schedule(IDLE_TIMEOUT_US, () -> listener.idleTimeout(this));
@@ -363,6 +357,7 @@
         input.handOver();
         try {
             input.beginResponse();
+            listener.lateResponses().responseBegins(timeline, Integer.parseInt(upstreamHead.startLine[1]));
             isComplete = new ResponseRelay(socket, input, lingeringClose, listener.deadlines(), listener::streamPauseMs)
                     .relay(() -> ClientResponses.streamStart(upstreamHead, body, start.bytes(), httpVersion,
                             connectionField(true)),
--- a/sidecar/src/main/java/dapplequay/net/ClientInput.java
+++ b/sidecar/src/main/java/dapplequay/net/ClientInput.java
@@ -75,6 +75,11 @@
     private volatile boolean isAwaitingBytes;
     /** When the client was last known to be there, microseconds of the clock. */
     private volatile long seenAtUs;
+    /** When a read last had to wait for its bytes, and for how long all such reads have waited, microseconds. */
+    private volatile long lastWaitEndUs;
+    private volatile long waitedUs;
+    /** Since when a read waits, microseconds; 0: none does. */
+    private volatile long waitStartUs;
     /** Guarded by this object's lock, as are the fields below. */
     private Access access = Access.READING_THREAD;
     private boolean isChecking;
@@ -124,6 +129,7 @@
     private int awaitBytes(byte[] into, int from, int length) throws IOException {
         hasUnprocessedBytes = false;
         boolean waits = in.available() == 0;
+        waitStartUs = waits ? clock.getAsLong() : 0;
         isAwaitingBytes = true;
         int count;
         try {
@@ -133,7 +139,7 @@
         }
         hasUnprocessedBytes = count > 0;
         if (waits) {
-            seenAtUs = clock.getAsLong();
+            waitEnded(clock.getAsLong());
         }
         if (count > 0 && length > 1 && in.available() > 0) {
             count += Math.max(0, in.read(into, from + 1, length - 1));
@@ -141,6 +147,13 @@
         return count;
     }
 
+    private void waitEnded(long nowUs) {
+        seenAtUs = nowUs;
+        lastWaitEndUs = nowUs;
+        waitedUs = waitedUs + nowUs - waitStartUs;
+        waitStartUs = 0;
+    }
+
     /**
      * Called by the reading thread once a request is complete: it does not read again before its response is written,
      * and any thread may check for the client until {@link #beginResponse}.
@@ -215,6 +228,17 @@
         return hasUnprocessedBytes;
     }
 
+    /** Returns when a read last had to wait for the client's bytes, microseconds; 0 for never. */
+    long lastWaitEndUs() {
+        return lastWaitEndUs;
+    }
+
+    /** Returns for how long reads have waited for the client's bytes so far, microseconds. */
+    long waitedUs() {
+        long sinceUs = waitStartUs;
+        return waitedUs + (sinceUs == 0 ? 0 : clock.getAsLong() - sinceUs);
+    }
+
     /** True if input was discarded, so that the start of the next request is unknown. Any thread may call this. */
     boolean hasDiscardedBytes() {
         return discardedBytes > 0;
--- a/sidecar/src/main/java/dapplequay/net/ClientListener.java
+++ b/sidecar/src/main/java/dapplequay/net/ClientListener.java
@@ -61,6 +61,8 @@
     private final RecentCallIds recentCallIds = new RecentCallIds();
     private volatile SharedCallIds sharedCallIds = SharedCallIds.none();
     private final RequestCounts counts;
+    private final LateResponseLog lateResponses;
+    private final AcceptQueue acceptQueue = new AcceptQueue();
     private final SidecarLifecycle lifecycle;
     private volatile boolean isShutdownTimeOver;
     /** Whether clients were crowded at any time since shutdown began; used only by the accepting thread. */
@@ -80,6 +82,7 @@
         this.dispatcher = dispatcher;
         this.deadlines = deadlines;
         this.counts = counts;
+        lateResponses = new LateResponseLog(deadlines::now, counts.lateResponses());
         this.lifecycle = lifecycle;
         this.bodyThrottle = bodyThrottle;
         this.maxConnections = maxConnections;
@@ -145,6 +148,10 @@
         return counts;
     }
 
+    LateResponseLog lateResponses() {
+        return lateResponses;
+    }
+
     /** Counts another streamed request; false if there are too many at once, so that no attempt may begin for it. */
     boolean beginUpload() {
         return uploads.incrementAndGet() <= maxUploads;
@@ -188,16 +195,18 @@
                     listeningSocket.stopAccepting();
                     return;
                 }
+                long callUs = deadlines.now();
                 socket = listeningSocket.accept();
                 if (socket == null) {
                     return;
                 }
+                long arrivedUs = acceptQueue.accepted(deadlines.now() - callUs, deadlines.now());
                 if (stopsForCrowd()) {
                     Sockets.closeQuietly(socket);
                     listeningSocket.stopAccepting();
                     return;
                 }
-                ClientConnection connection = new ClientConnection(this, socket);
+                ClientConnection connection = new ClientConnection(this, socket, arrivedUs);
                 synchronized (this) {
                     connections.add(connection);
                 }
@@ -273,7 +282,9 @@
     /** Waits, at the connection limit, until a connection has ended. */
     private void awaitRoom() throws IOException, InterruptedException {
         while (isFull() && !listeningSocket.isStopped()) {
-            makeRoom(listeningSocket.awaitClient(RETRY_PAUSE_MS));
+            boolean isClientWaiting = listeningSocket.awaitClient(RETRY_PAUSE_MS);
+            acceptQueue.heldUp(!isClientWaiting, deadlines.now());
+            makeRoom(isClientWaiting);
         }
     }
 
--- a/sidecar/src/main/java/dapplequay/net/ClientResponses.java
+++ b/sidecar/src/main/java/dapplequay/net/ClientResponses.java
@@ -22,6 +22,11 @@
 
     /** A response: its head up to but without Content-Length and the final empty line, and its body. */
     record Response(StringBuilder head, byte[] body) {
+        int status() {
+            int offset = "HTTP/1.1 ".length();
+            return Integer.parseInt(head.substring(offset, offset + 3));
+        }
+
         /**
          * Returns the whole message. {@code connectionField}: the Connection field with its line end, or an empty
          * string.
--- a/sidecar/src/main/java/dapplequay/net/Exchange.java
+++ b/sidecar/src/main/java/dapplequay/net/Exchange.java
@@ -9,6 +9,7 @@
     final long id;
     final ClientConnection client;
     final ClientRequest request;
+    final RequestTimeline timeline;
     private final RequestCounts counts;
     private boolean claimed;
     private boolean timedOut;
@@ -20,7 +21,8 @@
     private volatile long deadlineUs;
 
     /** Counts the request as received now, or, for a long one, once its last byte has arrived. */
-    Exchange(long id, ClientConnection client, ClientRequest request, RequestCounts counts) {
+    Exchange(long id, ClientConnection client, ClientRequest request, RequestCounts counts, RequestTimeline timeline) {
+        this.timeline = timeline;
         this.id = id;
         this.client = client;
         this.request = request;
--- a/sidecar/src/main/java/dapplequay/net/RequestBodyForwarder.java
+++ b/sidecar/src/main/java/dapplequay/net/RequestBodyForwarder.java
@@ -1,8 +1,12 @@
 package dapplequay.net;
 
+import dapplequay.http.BadMessageException;
 import dapplequay.http.Body;
 import dapplequay.http.MessageReader;
+import java.io.EOFException;
 import java.io.IOException;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 
 /**
  * Passes on the part of a long request's body that is not kept for another attempt. Runs on the client's thread, and
@@ -34,6 +38,36 @@
         this.onClientStalled = onClientStalled;
     }
 
+    /**
+     * Does as {@link #forward}, and ends the exchange if the client has left, or its body is malformed or too slow.
+     *
+     * @param isRequestLate tells, at the end of the stream, whether it was ended as the client was too slow
+     * @throws IOException if the client has left
+     */
+    void forwardOrReject(Exchange exchange, Body body, Runnable onBodyComplete, BooleanSupplier isRequestLate)
+            throws IOException {
+        try {
+            forward(exchange, body, onBodyComplete);
+        } catch (BadMessageException e) {
+            listener.dispatcher().rejectUpload(exchange, ClientResponses.plainText(e.status, e.getMessage()));
+        } catch (EOFException e) {
+            if (!isRequestLate.getAsBoolean()) {
+                listener.dispatcher().clientLeft(exchange);
+                throw e;
+            }
+            listener.dispatcher().rejectUpload(exchange, ClientResponses.requestTimeout());
+        } catch (IOException e) {
+            listener.dispatcher().clientLeft(exchange);
+            throw e;
+        } finally {
+            // This thread reports the attempt's end, if that was its task and nothing waits for the response yet.
+            Attempt lastAttempt = exchange.attempt();
+            if (lastAttempt != null && lastAttempt.connection() != null) {
+                lastAttempt.connection().uploadEnded(false);
+            }
+        }
+    }
+
     /**
      * Passes the rest of the body on to the exchange's current attempt, until the body or the exchange ends. Fails the
      * attempt once the request's time is over, as the client may have written the last byte although it was not read.
@@ -41,7 +75,7 @@
      * @param onBodyComplete called when the last byte has been read, before it is passed on
      * @throws IOException if the client has left, or its body is malformed
      */
-    void forward(Exchange exchange, Body body, Runnable onBodyComplete) throws IOException {
+    private void forward(Exchange exchange, Body body, Runnable onBodyComplete) throws IOException {
         byte[] piece = BodyBuffers.acquire();
         PiecePacer pacer = new PiecePacer(BodyBuffers.capacity(piece), body.framing());
         arrival = new BodyArrival(listener.deadlines()::now, exchange.request.budgetUs());
@@ -53,6 +87,7 @@
                 int count = readPiece(body, piece);
                 boolean last = body.isComplete();
                 if (last) {
+                    exchange.timeline.lastByteRead(listener.deadlines().now());
                     onBodyComplete.run();
                 }
                 attempt = committedAttempt(exchange, attempt, last);
@@ -62,7 +97,10 @@
                 stallTimeout.progressed();
                 ChunkedFraming.Span span = ChunkedFraming.frameIfChunked(piece, count, exchange.request.isChunked(),
                         last);
-                if (!attempt.connection().writePiece(attempt, piece, span, last)) {
+                long writeStartUs = listener.deadlines().now();
+                boolean isWritten = attempt.connection().writePiece(attempt, piece, span, last);
+                exchange.timeline.add(RequestTimeline.Wait.SERVER, listener.deadlines().now() - writeStartUs);
+                if (!isWritten) {
                     return;
                 }
                 stallTimeout.progressed();
@@ -74,6 +112,7 @@
                     arrival.observe(body, input.available(), !reader.hasBufferedBytes());
                 }
                 PiecePacer.pause(pauseMs);
+                exchange.timeline.add(RequestTimeline.Wait.PAUSE, TimeUnit.MILLISECONDS.toMicros(pauseMs));
             }
         } finally {
             BodyBuffers.release(piece);
@@ -136,6 +175,7 @@
     /** Called right before the last piece is written, from which on the request may run; false if it must not be. */
     private boolean beginFinalWrite(Attempt attempt) throws IOException {
         input.checkPresent(reader, true);
+        attempt.exchange.timeline.timeBegan(arrival.dueUs() - attempt.exchange.request.budgetUs());
         return listener.dispatcher().beginFinalWrite(attempt, arrival.dueUs());
     }
 }
--- a/sidecar/src/main/java/dapplequay/net/RequestBodyReader.java
+++ b/sidecar/src/main/java/dapplequay/net/RequestBodyReader.java
@@ -19,6 +19,7 @@
     private final BodyMemory memory;
     private final Runnable onTooSlow;
     private int reserved;
+    private boolean wasMemoryShort;
     private volatile ProgressWatchdog.MinimumRate rate;
     private ProgressWatchdog watchdog;
 
@@ -34,6 +35,7 @@
      * short counts as long. The buffer grows as the body arrives. The bytes have to be given up by {@link #release}.
      */
     byte[] readReplayable(Body body) throws IOException {
+        wasMemoryShort = false;
         int maxBytes = body.length() < 0 ? BodyMemory.MIN_GRANT : reserveKnownLength(body.length());
         byte[] buffer = new byte[Math.min(maxBytes, INITIAL_BUFFER_BYTES)];
         int size = 0;
@@ -41,6 +43,7 @@
             if (size == maxBytes && body.length() < 0 && reserved == 0) {
                 reserved = memory.reserve(MessageReader.SHORT_BODY_BYTES);
                 maxBytes = reserved;
+                wasMemoryShort = reserved < MessageReader.SHORT_BODY_BYTES;
             }
             if (size == maxBytes) {
                 break;
@@ -64,10 +67,16 @@
                 return reserved;
             }
             release();
+            wasMemoryShort = true;
         }
         return REPLAYABLE_BYTES;
     }
 
+    /** Returns whether the last body was granted less memory than it asked for. */
+    boolean wasMemoryShort() {
+        return wasMemoryShort;
+    }
+
     /** Gives back the memory of the last request, which is answered; may be called again without one. */
     void release() {
         memory.release(reserved);
--- a/sidecar/src/main/java/dapplequay/net/RequestDispatcher.java
+++ b/sidecar/src/main/java/dapplequay/net/RequestDispatcher.java
@@ -63,6 +63,7 @@
         Exchange exchange = attempt.exchange;
         activeAttempts.remove(exchange.id, attempt);
         RequestBodyState bodyState = exchange.detach(attempt);
+        recordEnd(attempt, end);
         if (LOG.isLoggable(Level.FINE)) {       // runs for each attempt: build the text only if it is logged
             LOG.fine("attempt " + attempt.decision.host() + ' ' + end + ' ' + (upstreamPool.now() - attempt.startUs())
                     + ' ' + attempt.connectionIdleUs() + ' ' + exchange.id);
@@ -93,6 +94,7 @@
         Exchange exchange = attempt.exchange;
         activeAttempts.remove(exchange.id, attempt);
         RequestBodyState bodyState = exchange.detach(attempt);
+        recordEnd(attempt, AttemptEnd.SERVED);
         boolean claimed = exchange.claim();
         runGuarded(exchange, () -> facade.reportAttempt(exchange.id, attempt.decision.attempt(),
                 attempt.decision.host(), AttemptEnd.SERVED,
@@ -167,11 +169,18 @@
         giveUp(exchange, () -> exchange.recordEnd(End.FAULTED));
     }
 
+    private void recordEnd(Attempt attempt, AttemptEnd end) {
+        attempt.exchange.timeline.attemptEnded(attempt.timesAtEnd(upstreamPool.now()), attempt.decision.host(), end);
+    }
+
     private void giveUp(Exchange exchange, Runnable end) {
         if (exchange.claim()) {
+            Attempt attempt = exchange.attempt();
+            if (attempt != null) {
+                recordEnd(attempt, AttemptEnd.GIVEN_UP);
+            }
             end.run();
             facade.clientGone(exchange.id);
-            Attempt attempt = exchange.attempt();
             if (attempt != null) {
                 attempt.abort(AttemptEnd.GIVEN_UP);
             }
--- a/sidecar/src/main/java/dapplequay/net/Sidecar.java
+++ b/sidecar/src/main/java/dapplequay/net/Sidecar.java
@@ -289,7 +289,7 @@
             return MetricsText.render(counts.read(),
                     new MetricsText.ProcessValues(endpoints.size(), hostsOutOfRotation, acceptedConfigs.get(),
                             rejectedConfigs.get(),
-                            facade.moduleFaults())) + discoveryMetrics.text();
+                            facade.moduleFaults())) + discoveryMetrics.text() + counts.lateResponses().text();
         }
 
         @Override
--- a/sidecar/src/main/java/dapplequay/net/UpstreamConnection.java
+++ b/sidecar/src/main/java/dapplequay/net/UpstreamConnection.java
@@ -128,6 +128,7 @@
         }
         boolean whole = false;
         boolean awaitsBody = false;
+        current.begins(checkedUs);
         try {
             socket.getOutputStream().write(message);
             LOG.fine(() -> "wrote " + current.exchange.id + " to " + endpoint.address() + ", "
@@ -354,7 +355,8 @@
                 start.release();
             }
         } catch (BadMessageException e) {
-            LOG.log(Level.WARNING, "invalid response from {0}: {1}", new Object[] {endpoint.address(), e.getMessage()});
+            LOG.log(Level.WARNING, "invalid response from {0}: {1}; request {2}",
+                    new Object[] {endpoint.address(), e.getMessage(), current.exchange.timeline.callId()});
             current.tryEnd(AttemptEnd.ERROR);
             return false;
         }
--- a/sidecar/src/main/java/dapplequay/net/UpstreamPool.java
+++ b/sidecar/src/main/java/dapplequay/net/UpstreamPool.java
@@ -217,7 +217,8 @@
             evicted.close();
         }
         if (connection == null) {
-            LOG.warning("limit of upstream connections reached; attempt not sent");
+            LOG.log(Level.WARNING, "limit of upstream connections reached; attempt not sent; request {0}",
+                    attempt.exchange.timeline.callId());
             reportUnsent(attempt);
             return;
         }
--- a/sidecar/src/test/java/dapplequay/net/UpstreamRig.java
+++ b/sidecar/src/test/java/dapplequay/net/UpstreamRig.java
@@ -45,7 +45,7 @@
     /** An exchange without a client connection, whose client counts as present. */
     static final class ConnectionlessExchange extends Exchange {
         ConnectionlessExchange(long id, ClientRequest request) {
-            super(id, null, request, new RequestCounts());
+            super(id, null, request, new RequestCounts(), new RequestTimeline(0, 0, () -> 0));
         }
 
         @Override
