--- a/sidecar/src/test/java/dapplequay/cli/FaultClient.java
+++ b/sidecar/src/test/java/dapplequay/cli/FaultClient.java
@@ -35,8 +35,11 @@
     private final FaultRecord record;
     private final FaultScenario scenario;
     private final String callId;
+    private final String extraFields;
 
-    FaultClient(int port, FaultRecord record, String callId) {
+    /** {@code extraFields}: further header lines, each with its CRLF. */
+    FaultClient(int port, FaultRecord record, String callId, String extraFields) {
+        this.extraFields = extraFields;
         this.port = port;
         this.record = record;
         scenario = record.scenario;
@@ -97,8 +100,8 @@
 
     private String head(String framing) {
         return "POST /order/1 HTTP/1.1\r\nX-Call-Id: " + callId + "\r\nX-Caller: shop-a\r\nX-Budget-Ms: "
-                + scenario.budgetMs() + "\r\n" + FaultServer.FIELD + ": " + scenario.number() + "\r\n" + framing
-                + "\r\n\r\n";
+                + scenario.budgetMs() + "\r\n" + extraFields + FaultServer.FIELD + ": " + scenario.number() + "\r\n"
+                + framing + "\r\n\r\n";
     }
 
     /** Writes this share of the request's body, and its end if the share is 1. */
--- a/sidecar/src/test/java/dapplequay/cli/FaultFleet.java
+++ b/sidecar/src/test/java/dapplequay/cli/FaultFleet.java
@@ -5,6 +5,7 @@
 import dapplequay.http.MessageReader;
 import dapplequay.net.Host;
 import java.io.IOException;
+import java.nio.channels.ServerSocketChannel;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -15,6 +16,7 @@
 import java.util.concurrent.Future;
 import java.util.concurrent.FutureTask;
 import java.util.concurrent.TimeUnit;
+import java.util.function.UnaryOperator;
 import java.util.stream.Collectors;
 
 /** A sidecar process and servers that play {@link FaultScenario}s, judged by the rule on lost requests. */
@@ -30,7 +32,8 @@
 
     private final Map<String, FaultRecord> records = new ConcurrentHashMap<>();
     private final List<FaultServer> servers = new ArrayList<>();
-    private final int port = SidecarProcess.freePort();
+    private final int port;
+    private final boolean isKeyed;
     private final SidecarProcess sidecar;
 
     /** Starts the processes; {@code folder} takes the configuration. */
@@ -40,17 +43,39 @@
 
     /** {@code deadlineMs}: the deadline of all classes. */
     FaultFleet(Path folder, int serverCount, int deadlineMs) throws Exception {
+        this(folder, serverCount, deadlineMs, false, null, text -> text);
+    }
+
+    /**
+     * Returns one with the usual deadlines.
+     *
+     * @param isKeyed        whether the class of the scenarios' requests is keyed, and not unsafe to repeat
+     * @param inheritsSocket whether the sidecar inherits its listening socket
+     * @param edit           changes the configuration
+     */
+    static FaultFleet of(Path folder, int serverCount, boolean isKeyed, boolean inheritsSocket,
+            UnaryOperator<String> edit) throws Exception {
+        try (ServerSocketChannel socket = inheritsSocket ? SidecarProcess.platformSocket() : null) {
+            return new FaultFleet(folder, serverCount, LONGEST_DEADLINE_MS, isKeyed, socket, edit);
+        }
+    }
+
+    private FaultFleet(Path folder, int serverCount, int deadlineMs, boolean isKeyed, ServerSocketChannel socket,
+            UnaryOperator<String> edit) throws Exception {
+        this.isKeyed = isKeyed;
+        port = socket == null ? SidecarProcess.freePort() : socket.socket().getLocalPort();
         for (int i = 0; i < serverCount; i++) {
             servers.add(new FaultServer(records));
         }
         List<Integer> ports = servers.stream().map(FaultServer::port).toList();
         String text = ExampleConfig.of(port, ports)
                 .replace("{\"name\": \"pay\", \"semantics\": \"dedup\", \"group\": \"cell\", \"window_us\": 4000000,",
-                        "{\"name\": \"order\", \"semantics\": \"fragile\",");
+                        isKeyed ? "{\"name\": \"order\", \"semantics\": \"dedup\", \"group\": \"cell\", "
+                                + "\"window_us\": 4000000," : "{\"name\": \"order\", \"semantics\": \"fragile\",");
         text = text.replaceAll("\"aim_us\": \\d+, \"deadline_us\": \\d+",
                 "\"aim_us\": " + 250 * deadlineMs + ", \"deadline_us\": " + 1_000 * deadlineMs);
-        Path config = Files.writeString(folder.resolve("config.json"), text);
-        sidecar = new SidecarProcess(config, null, SidecarProcess.freePort(), false, List.of(),
+        Path config = Files.writeString(folder.resolve("config.json"), edit.apply(text));
+        sidecar = new SidecarProcess(config, socket, SidecarProcess.freePort(), false, List.of(),
                 List.of("--log", "FINE")).awaitReady();
     }
 
@@ -64,13 +89,17 @@
         FaultRecord record = new FaultRecord(scenario);
         records.put(String.valueOf(scenario.number()), record);
         FutureTask<FaultRecord> played = new FutureTask<>(() -> {
-            new FaultClient(port, record, callId).play();
+            new FaultClient(port, record, callId, isKeyed ? "Idempotency-Key: k" + callId + "\r\n" : "").play();
             return record;
         });
         Host.daemon(played::run);
         return played;
     }
 
+    int port() {
+        return port;
+    }
+
     private static String callId(FaultRecord record) {
         return Integer.toHexString(record.scenario.number() + 1);
     }
