Answer clients in time that come while others take all places

Cause: at the limit of client connections accepting stopped until one ended. Idle and unproven connections are closed for it, but clients with a request in progress can't be, and those that wait were left in the accept queue for as long as a long answer takes. `ClientListener.awaitRoom` had no bound.

Change: a client that may have waited for 100 ms is accepted over the limit, on one of four to eight places that are reserved for that (spared from the limit where it is 32 or more). Its complete request takes the place of an idle client, or waits for one up to half of its time while another reserved place is free; else it is refused (503) at once, and a bounded WARNING has its id. Clients that have sent nothing keep their 50 ms in any case: with requests that ask for places, a new one was closed in its first millisecond.

Evidence: LateAtClientLimitTest, all six cases, failed before (first bytes 1.4 to 5.8 s after the request's) and pass now. RoomForClientsTest, EndingInCrowdTest, DescriptorsTest, SidecarTest, ThreadShortageTest, LastMomentTest and StartAndEndTest pass.

--- a/sidecar/src/main/java/dapplequay/net/ClientConnection.java
+++ b/sidecar/src/main/java/dapplequay/net/ClientConnection.java
@@ -51,6 +51,7 @@
     private final LingeringClose lingeringClose;
     private final RequestBodyReader bodyReader;
     private final long acceptedUs;
+    private final boolean isOverLimit;
     /** From when on the next request's first byte may have arrived, microseconds. */
     private volatile long readableSinceUs;
     private volatile RequestTimeline timeline;
@@ -66,8 +67,12 @@
     private MessageReader reader;
     private volatile Exchange currentExchange;
 
-    /** {@code arrivedUs}: when the connection may have been made at the earliest, microseconds. */
-    ClientConnection(ClientListener listener, Socket socket, long arrivedUs) {
+    /**
+     * {@code arrivedUs}: when the connection may have been made at the earliest, microseconds; {@code isOverLimit}: it
+     * was accepted at the limit of connections.
+     */
+    ClientConnection(ClientListener listener, Socket socket, long arrivedUs, boolean isOverLimit) {
+        this.isOverLimit = isOverLimit;
         this.listener = listener;
         this.socket = socket;
         lingeringClose = new LingeringClose(socket, listener.deadlines());
@@ -134,6 +139,11 @@
         return isOpen();
     }
 
+    /** True if the connection was accepted at the limit of connections. */
+    boolean isOverLimit() {
+        return isOverLimit;
+    }
+
     private synchronized boolean isOpen() {
         return state != State.CLOSED;
     }
@@ -284,6 +294,7 @@
         if (remainingBody == null) {
             input.checkPresent(reader, true);
         }
+        boolean hasPlace = listener.awaitPlace(this, timeline.callId(), receivedUs + request.budgetUs() / 2);
         RequestInfo info = request.toRequestInfo(request.budgetUs() - (listener.deadlines().now() - receivedUs));
         long callId = request.callId();
         if (!listener.registerCallId(callId, receivedUs)) {
@@ -297,12 +308,13 @@
         exchange.setDeadline(receivedUs + request.budgetUs());
         LOG.fine(() -> "request " + Long.toHexString(callId) + " is " + exchange.id);
         currentExchange = exchange;
-        if (listener.isShutdownTimeOver() && exchange.claim()) {
-            exchange.recordEnd(End.THROTTLED);   // it never ran, and there is no time left
+        if (!listener.isShutdownTimeOver() && hasPlace) {
+            listener.dispatcher().begin(exchange, info);
+        } else if (exchange.claim()) {
+            isLastRequest = true;
+            exchange.recordEnd(End.THROTTLED);   // it never ran, and there is no time or no place left
             writeResponse(ClientResponses.refusal(0));
-            return;
         }
-        listener.dispatcher().begin(exchange, info);
     }
 
     /** True if the connection closes after the current response, as after one that precedes the request's end. */
--- a/sidecar/src/main/java/dapplequay/net/ClientListener.java
+++ b/sidecar/src/main/java/dapplequay/net/ClientListener.java
@@ -6,6 +6,7 @@
 import dapplequay.settings.SettingsReader.Setup;
 import dapplequay.time.DeadlineQueue;
 import java.io.IOException;
+import java.io.InterruptedIOException;
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.util.ArrayList;
@@ -46,12 +47,22 @@
     private static final int MIN_CONNECTIONS = 4;
     /** After this time without a shortage of threads, the connection limit is restored, in microseconds. */
     private static final long LIMIT_RECOVERY_US = 60_000_000;
+    /** How long a client may wait to be accepted before it gets a place over the limit, in microseconds. */
+    private static final long MAX_ACCEPT_WAIT_US = 100_000;
+    /** The share of the connections that is reserved for clients over the limit, and the least and most of these. */
+    private static final double RESERVE_SHARE = 0.125;
+    private static final int MIN_RESERVE = 4;
+    private static final int MAX_RESERVE = 8;
+    private static final long REFUSAL_LOG_INTERVAL_US = 1_000_000;
+    private static final int REFUSAL_LOG_BURST = 10;
 
     private final Supplier<Setup> setup;
     private final Facade facade;
     private final RequestDispatcher dispatcher;
     private final DeadlineQueue deadlines;
     private final int maxConnections;
+    /** Places over the limit, for clients whose requests are refused if no other place becomes free. */
+    private final int reservedPlaces;
     private final int crowdThreshold;
     private final int maxUploads;
     private final AtomicInteger uploads = new AtomicInteger();
@@ -62,6 +73,7 @@
     private volatile SharedCallIds sharedCallIds = SharedCallIds.none();
     private final RequestCounts counts;
     private final LateResponseLog lateResponses;
+    private final LogLimiter refusalLog;
     private final AcceptQueue acceptQueue = new AcceptQueue();
     private final SidecarLifecycle lifecycle;
     private volatile boolean isShutdownTimeOver;
@@ -85,9 +97,12 @@
         lateResponses = new LateResponseLog(deadlines::now, counts.lateResponses());
         this.lifecycle = lifecycle;
         this.bodyThrottle = bodyThrottle;
-        this.maxConnections = maxConnections;
+        int spared = (int) Math.min(MAX_RESERVE, maxConnections * RESERVE_SHARE);
+        reservedPlaces = Math.max(MIN_RESERVE, spared);
+        this.maxConnections = maxConnections - spared;
+        refusalLog = new LogLimiter(deadlines::now, REFUSAL_LOG_INTERVAL_US, REFUSAL_LOG_BURST);
         this.threads = threads;
-        connectionLimit = maxConnections;
+        connectionLimit = this.maxConnections;
         threads.onShortage(this::lowerConnectionLimit);
         this.crowdThreshold = crowdThreshold;
     }
@@ -206,14 +221,16 @@
                     listeningSocket.stopAccepting();
                     return;
                 }
-                ClientConnection connection = new ClientConnection(this, socket, arrivedUs);
+                ClientConnection connection = new ClientConnection(this, socket, arrivedUs, isFull());
                 synchronized (this) {
                     connections.add(connection);
+                    notifyAll();
                 }
                 startThread(connection);
             } catch (IOException | RuntimeException | OutOfMemoryError e) {
                 // Out of descriptors, threads or memory: other connections will end and release theirs.
                 if (!listeningSocket.isStopped()) {
+                    acceptQueue.heldUp(false, deadlines.now());
                     Sockets.closeQuietly(socket);
                     Logs.severeLine(LOG, "connection could not be accepted", e);
                     pauseBeforeRetry();
@@ -279,15 +296,61 @@
         }
     }
 
-    /** Waits, at the connection limit, until a connection has ended. */
+    /**
+     * Waits, at the connection limit, until a connection has ended, or until a client has waited for too long: its
+     * request's time may be passing, and it has to be answered.
+     */
     private void awaitRoom() throws IOException, InterruptedException {
         while (isFull() && !listeningSocket.isStopped()) {
             boolean isClientWaiting = listeningSocket.awaitClient(RETRY_PAUSE_MS);
             acceptQueue.heldUp(!isClientWaiting, deadlines.now());
+            if (isClientWaiting && acceptQueue.longestWaitUs(deadlines.now()) >= MAX_ACCEPT_WAIT_US
+                    && hasReservedPlace()) {
+                return;
+            }
             makeRoom(isClientWaiting);
         }
     }
 
+    private synchronized boolean hasReservedPlace() {
+        return connections.size() < connectionLimit + reservedPlaces;
+    }
+
+    /**
+     * Called with a complete request; returns whether there is a place for it. A client that was accepted over the
+     * limit takes the place of one that is idle, or waits until others have left, as long as the next client finds a
+     * reserved place, or some may soon be closed as they have sent no request.
+     *
+     * @param untilUs until when it may wait, microseconds
+     */
+    boolean awaitPlace(ClientConnection connection, String callId, long untilUs) throws InterruptedIOException {
+        if (!connection.isOverLimit() || awaitPlace(untilUs)) {
+            return true;
+        }
+        long omitted = refusalLog.tryAcquire();
+        if (omitted >= 0) {
+            LOG.log(Level.WARNING, "limit of client connections reached; request {0} refused{1}",
+                    new Object[] {callId, omitted > 0 ? "; " + omitted + " such lines left out" : ""});
+        }
+        return false;
+    }
+
+    private synchronized boolean hasOrMakesPlace() {
+        int ending = shortenLingers();
+        return connections.size() - ending <= connectionLimit || ending == 0 && closeOne(true);
+    }
+
+    private synchronized boolean awaitPlace(long untilUs) throws InterruptedIOException {
+        while (!hasOrMakesPlace()) {
+            boolean mayWait = hasReservedPlace() || connections.stream().anyMatch(ClientConnection::isUnproven);
+            if (!mayWait || deadlines.now() >= untilUs) {
+                return false;
+            }
+            MonitorWaits.atMost(this, RETRY_PAUSE_MS);
+        }
+        return true;
+    }
+
     private synchronized boolean isFull() {
         return connections.size() >= connectionLimit;
     }
@@ -297,11 +360,7 @@
         if (!isFull()) {
             return;
         }
-        boolean anyEnding = false;
-        for (ClientConnection connection : connections) {
-            anyEnding |= connection.shortenLinger(SHORT_LINGER_US);
-        }
-        if (!anyEnding) {
+        if (shortenLingers() == 0) {
             closeOne(isClientWaiting);
         }
         if (isClientWaiting) {
@@ -309,23 +368,31 @@
         }
     }
 
+    /** Shortens the closes that have begun; returns how many connections are about to end. */
+    private synchronized int shortenLingers() {
+        int ending = 0;
+        for (ClientConnection connection : connections) {
+            ending += connection.shortenLinger(SHORT_LINGER_US) ? 1 : 0;
+        }
+        return ending;
+    }
+
     /**
      * Closes the oldest unproven connection, else the oldest idle one. Only one at a time: closing all idle connections
      * also closed new ones whose first request was on its way. Unproven connections are closed first; in a flood of
      * them nothing else is closed while they are too young, as the flood would otherwise push out the clients' idle
      * connections. But every client is unproven at first, and a few of them must not hold up the others. While no
-     * client waits, unproven connections stay, as their first request may be on its way.
+     * client waits, unproven connections stay, as their first request may be on its way. Returns whether one was closed,
+     * or would be if a client waited.
      */
-    private void closeOne(boolean isClientWaiting) {
+    private boolean closeOne(boolean isClientWaiting) {
         boolean isFlood = connections.stream().filter(ClientConnection::isUnproven).count()
                 >= connectionLimit * FLOOD_SHARE;
         boolean closesUnproven = isClientWaiting
                 ? connections.stream().anyMatch(c -> c.closeIfUnproven(isFlood))
                 : connections.stream().anyMatch(c -> c.isClosableUnproven(isFlood));
-        if (!closesUnproven && !isFlood) {
-            connections.stream().filter(c -> isClientWaiting || !c.isUnproven())
-                    .anyMatch(c -> c.closeIfIdle(SHORT_LINGER_US));
-        }
+        return closesUnproven || !isFlood && connections.stream().filter(c -> !c.isUnproven())
+                .anyMatch(c -> c.closeIfIdle(SHORT_LINGER_US));
     }
 
     synchronized void connectionEnded(ClientConnection connection) {
