Count a request's time from when its last byte can have been written

What callers saw: a request that had waited to be accepted got its whole budget from when it was read, and so did its upstream.

Cause: `ClientConnection.readRequest` took the time at which the last byte had been read. Between the writing of that byte and its reading lie the accept queue, the start of a thread, and any time that this process did not run.

Change: the time begins when a read last had to wait for the client's bytes, or else when the connection may have been made at the earliest (`AcceptQueue`), or when the response before was written. A long request's time (`BodyArrival`) begins there, too, and no longer when its forwarding begins.

LongBodiesTest, FaultScenariosTest (a client that takes 1.9 s with a budget of 0.4 s is served), SidecarTest, ClientDepartureTest pass.

--- a/sidecar/src/main/java/dapplequay/net/BodyArrival.java
+++ b/sidecar/src/main/java/dapplequay/net/BodyArrival.java
@@ -28,11 +28,11 @@
     private boolean wasDrained;
     private long readStartUs;
 
-    /** Begins with a body that is not complete now; {@code budgetUs} is the request's time from its last byte on. */
-    BodyArrival(LongSupplier clock, long budgetUs) {
+    /** Begins with a body that was not complete at a time; {@code budgetUs} is the request's time from its end on. */
+    BodyArrival(LongSupplier clock, long budgetUs, long incompleteAtUs) {
         this.clock = clock;
         this.budgetUs = budgetUs;
-        incompleteAtUs = clock.getAsLong();
+        this.incompleteAtUs = incompleteAtUs;
     }
 
     /** Returns by when the request has to be answered, if its last byte was written as early as is possible. */
--- a/sidecar/src/main/java/dapplequay/net/ClientConnection.java
+++ b/sidecar/src/main/java/dapplequay/net/ClientConnection.java
@@ -229,7 +229,9 @@
         if (bodyReader.wasMemoryShort()) {
             timeline.memoryWasShort();
         }
-        timeline.timeBegan(receivedUs);
+        // No earlier could the client have written the last byte; a connection may have waited to be accepted.
+        long timeBeganUs = Math.max(timeline.firstByteUs(), input.lastWaitEndUs());
+        timeline.timeBegan(timeBeganUs);
         // A response to HEAD ends after its head, but HEAD is not supported: the connection closes.
         isLastRequest = head.closesConnection(httpVersion) || head.startLine[0].equals("HEAD");
         isUploading = !body.isComplete();
@@ -240,7 +242,7 @@
                 bodyReader.finish();
                 input.requestComplete();
             }
-            handle(head, bufferedBody, body.isComplete() ? null : body, receivedUs);
+            handle(head, bufferedBody, body.isComplete() ? null : body, timeBeganUs);
             if (isUploading && currentExchange != null) {
                 new RequestBodyForwarder(listener, input, reader, bodyReader, this::requestTimedOut)
                         .forwardOrReject(currentExchange, body, () -> isUploading = false, () -> isRequestLate);
@@ -284,7 +286,7 @@
         return isUploadAdmitted;
     }
 
-    private void handle(Head head, byte[] bufferedBody, Body remainingBody, long receivedUs) throws IOException {
+    private void handle(Head head, byte[] bufferedBody, Body remainingBody, long timeBeganUs) throws IOException {
         if (head.startLine[1].equals("/healthz")) {
             writeResponse(head.startLine[0].equals("GET") ? listener.health()
                     : ClientResponses.plainText(405, "only GET"));
@@ -294,10 +296,10 @@
         if (remainingBody == null) {
             input.checkPresent(reader, true);
         }
-        boolean hasPlace = listener.awaitPlace(this, timeline.callId(), receivedUs + request.budgetUs() / 2);
-        RequestInfo info = request.toRequestInfo(request.budgetUs() - (listener.deadlines().now() - receivedUs));
+        boolean hasPlace = listener.awaitPlace(this, timeline.callId(), timeBeganUs + request.budgetUs() / 2);
+        RequestInfo info = request.toRequestInfo(request.budgetUs() - (listener.deadlines().now() - timeBeganUs));
         long callId = request.callId();
-        if (!listener.registerCallId(callId, receivedUs)) {
+        if (!listener.registerCallId(callId, listener.deadlines().now())) {
             throw new BadMessageException(409, "X-Call-Id of another request");
         }
         synchronized (this) {
@@ -305,7 +307,7 @@
         }
         Exchange exchange = new Exchange(listener.nextExchangeId(), this, request, listener.counts(), timeline);
         exchange.onEnd(() -> listener.requestEnded(callId, exchange.hasBegun()));
-        exchange.setDeadline(receivedUs + request.budgetUs());
+        exchange.setDeadline(timeBeganUs + request.budgetUs());
         LOG.fine(() -> "request " + Long.toHexString(callId) + " is " + exchange.id);
         currentExchange = exchange;
         if (!listener.isShutdownTimeOver() && hasPlace) {
--- a/sidecar/src/main/java/dapplequay/net/RequestBodyForwarder.java
+++ b/sidecar/src/main/java/dapplequay/net/RequestBodyForwarder.java
@@ -78,7 +78,8 @@
     private void forward(Exchange exchange, Body body, Runnable onBodyComplete) throws IOException {
         byte[] piece = BodyBuffers.acquire();
         PiecePacer pacer = new PiecePacer(BodyBuffers.capacity(piece), body.framing());
-        arrival = new BodyArrival(listener.deadlines()::now, exchange.request.budgetUs());
+        arrival = new BodyArrival(listener.deadlines()::now, exchange.request.budgetUs(),
+                exchange.timeline.timeBeganUs());
         stallTimeout = new ProgressWatchdog.StallTimeout(listener.deadlines(), STALL_TIMEOUT_US);
         try (ProgressWatchdog watchdog = new ProgressWatchdog(listener.deadlines(), this::remainingUs,
                 () -> expired(exchange))) {
--- a/sidecar/src/main/java/dapplequay/net/RequestTimeline.java
+++ b/sidecar/src/main/java/dapplequay/net/RequestTimeline.java
@@ -95,6 +95,16 @@
         }
     }
 
+    /** Returns when the first byte may have arrived at the earliest. */
+    long firstByteUs() {
+        return firstByteUs;
+    }
+
+    /** Returns from when the request's time counts. */
+    synchronized long timeBeganUs() {
+        return timeBeganUs;
+    }
+
     /** Records that the last byte has been read. */
     synchronized void lastByteRead(long nowUs) {
         lastByteUs = nowUs;
--- a/sidecar/src/test/java/dapplequay/net/BodyArrivalTest.java
+++ b/sidecar/src/test/java/dapplequay/net/BodyArrivalTest.java
@@ -16,7 +16,7 @@
     private static final int LENGTH = 100_000;
 
     private long nowUs = 5_000_000;
-    private final BodyArrival arrival = new BodyArrival(() -> nowUs, BUDGET_US);
+    private final BodyArrival arrival = new BodyArrival(() -> nowUs, BUDGET_US, nowUs);
 
     private static Body body(String framing) throws IOException {
         MessageReader reader = new MessageReader(new ByteArrayInputStream(new byte[0]), MessageReader.MAX_BODY_BYTES);
