A small memory limit leaves each process 32 connections, not four

Cause: `Options.maxConnections` takes 75 MB for each process and 0.11 MB for each connection, and gave what fell below that four connections, two for clients. Four are 0.44 MB: that bound saved nothing and served nobody.

Change: memory leaves each process at least 32 connections (3.5 MB), descriptors as before at least four in all.

Evidence: LateAtClientLimitTest#longAnswersAreServedSideBySide..., 2 of 12 served before, 12 of 12 now.

--- a/sidecar/src/main/java/dapplequay/net/Sidecar.java
+++ b/sidecar/src/main/java/dapplequay/net/Sidecar.java
@@ -50,6 +50,8 @@
     private static final double MEMORY_PER_CONNECTION_MB = 0.11;
     /** Lower bound of the limits of connections and of streamed requests. */
     private static final int MIN_LIMIT = 4;
+    /** Connections that each process may have however little memory there is; fewer could not serve. */
+    private static final int MIN_CONNECTIONS_BY_MEMORY = 32;
     private static final int UPLOADS_PER_CORE = 64;
     private static final long TICK_US = 10_000;
     /**
@@ -110,7 +112,8 @@
          */
         int maxConnections() {
             int processCount = inheritsListener ? 2 : 1;
-            double byMemory = (memoryMb - processCount * BASE_MEMORY_MB) / MEMORY_PER_CONNECTION_MB;
+            double byMemory = Math.max(processCount * MIN_CONNECTIONS_BY_MEMORY,
+                    (memoryMb - processCount * BASE_MEMORY_MB) / MEMORY_PER_CONNECTION_MB);
             int reservedDescriptors = RESERVED_DESCRIPTORS + (management == null ? 0
                     : ManagementServer.MAX_DESCRIPTORS);
             return (int) Math.max(MIN_LIMIT,
