Build the text of a late response only when it is written

Cause: each request's timeline matched its head against four patterns and built a line for each attempt, and an idle connection kept the last head. Change: the timeline keeps the head and the attempts, and an idle connection no timeline; text is built for the line alone. Result: RequestTimelineTest, SidecarTest, BrokenAnswersTest pass; the line is the same.

--- a/sidecar/src/main/java/dapplequay/net/ClientConnection.java
+++ b/sidecar/src/main/java/dapplequay/net/ClientConnection.java
@@ -51,7 +51,8 @@
     private final LingeringClose lingeringClose;
     private final RequestBodyReader bodyReader;
     private final long acceptedUs;
-    private final boolean isOverLimit;
+    /** True if the connection was accepted at the limit of connections. */
+    final boolean isOverLimit;
     /** From when on the next request's first byte may have arrived, microseconds. */
     private volatile long readableSinceUs;
     private volatile RequestTimeline timeline;
@@ -132,6 +133,7 @@
             input.checkPresent(reader, true);
         }
         currentExchange = null;         // an idle connection keeps no body
+        timeline = null;
         bodyReader.release();
         if (!reader.hasBufferedBytes()) {
             input.releaseKept();
@@ -139,11 +141,6 @@
         return isOpen();
     }
 
-    /** True if the connection was accepted at the limit of connections. */
-    boolean isOverLimit() {
-        return isOverLimit;
-    }
-
     private synchronized boolean isOpen() {
         return state != State.CLOSED;
     }
@@ -296,7 +293,7 @@
         if (remainingBody == null) {
             input.checkPresent(reader, true);
         }
-        boolean hasPlace = listener.awaitPlace(this, timeline.callId(), timeBeganUs + request.budgetUs() / 2);
+        boolean hasPlace = listener.awaitPlace(this, timeline, timeBeganUs + request.budgetUs() / 2);
         RequestInfo info = request.toRequestInfo(request.budgetUs() - (listener.deadlines().now() - timeBeganUs));
         long callId = request.callId();
         if (!listener.registerCallId(callId, listener.deadlines().now())) {
--- a/sidecar/src/main/java/dapplequay/net/ClientListener.java
+++ b/sidecar/src/main/java/dapplequay/net/ClientListener.java
@@ -323,14 +323,15 @@
      *
      * @param untilUs until when it may wait, microseconds
      */
-    boolean awaitPlace(ClientConnection connection, String callId, long untilUs) throws InterruptedIOException {
-        if (!connection.isOverLimit() || awaitPlace(untilUs)) {
+    boolean awaitPlace(ClientConnection connection, RequestTimeline timeline, long untilUs)
+            throws InterruptedIOException {
+        if (!connection.isOverLimit || awaitPlace(untilUs)) {
             return true;
         }
         long omitted = refusalLog.tryAcquire();
         if (omitted >= 0) {
             LOG.log(Level.WARNING, "limit of client connections reached; request {0} refused{1}",
-                    new Object[] {callId, omitted > 0 ? "; " + omitted + " such lines left out" : ""});
+                    new Object[] {timeline.callId(), omitted > 0 ? "; " + omitted + " such lines left out" : ""});
         }
         return false;
     }
@@ -382,8 +383,8 @@
      * also closed new ones whose first request was on its way. Unproven connections are closed first; in a flood of
      * them nothing else is closed while they are too young, as the flood would otherwise push out the clients' idle
      * connections. But every client is unproven at first, and a few of them must not hold up the others. While no
-     * client waits, unproven connections stay, as their first request may be on its way. Returns whether one was closed,
-     * or would be if a client waited.
+     * client waits, unproven connections stay, as their first request may be on its way. Returns whether one was
+     * closed, or would be if a client waited.
      */
     private boolean closeOne(boolean isClientWaiting) {
         boolean isFlood = connections.stream().filter(ClientConnection::isUnproven).count()
--- a/sidecar/src/main/java/dapplequay/net/RequestTimeline.java
+++ b/sidecar/src/main/java/dapplequay/net/RequestTimeline.java
@@ -42,17 +42,18 @@
         }
     }
 
+    /** An attempt at this upstream, and how it ended. */
+    private record EndedAttempt(Attempt.Times times, String host, AttemptEnd end) { }
+
     private final long firstByteUs;
     private final long acceptedUs;
     private final LongSupplier clientWaitUs;
     private final long clientWaitBeforeUs;
     private final Map<Wait, Long> waitedUs = new EnumMap<>(Wait.class);
-    private final List<String> attempts = new ArrayList<>(2);
-    private String callId = UNKNOWN;
-    private String className = UNKNOWN;
-    private String bodyForm = UNKNOWN;
+    private final List<EndedAttempt> attempts = new ArrayList<>(2);
+    private Head head;
+    private Body body;
     private boolean isMemoryShort;
-    private long budgetUs = Long.MAX_VALUE;
     private long headUs;
     private long lastByteUs;
     private long timeBeganUs;
@@ -73,28 +74,38 @@
     }
 
     /** Records the head, which is read completely at {@code nowUs}; the request need not be valid. */
-    synchronized void headRead(Head head, Body body, long nowUs) {
+    synchronized void headRead(Head newHead, Body newBody, long nowUs) {
+        head = newHead;
+        body = newBody;
         headUs = nowUs;
-        String id = fieldOrNull(head, "X-Call-Id");
-        callId = id != null && id.matches("[0-9a-fA-F]{1,16}") ? id : UNKNOWN;
-        String target = head.startLine[1].replaceFirst("^/", "").split("[/?]", 2)[0];
-        className = target.substring(0, Math.min(MAX_CLASS_NAME_LENGTH, target.length()));
-        bodyForm = body.length() < 0 ? "chunked" : "length " + body.length();
-        String budget = fieldOrNull(head, "X-Budget-Ms");
-        if (budget != null && budget.matches("[0-9]{1,9}")) {
-            budgetUs = TimeUnit.MILLISECONDS.toMicros(Long.parseLong(budget));
-        }
     }
 
-    /** Returns a field's value, or null if there is none or if it is there twice. */
-    private static String fieldOrNull(Head head, String name) {
+    /** Returns a field's value; empty if there is no head yet, or if the field is not there just once. */
+    private String field(String name) {
         try {
-            return head.get(name);
+            return head == null || head.get(name) == null ? "" : head.get(name);
         } catch (BadMessageException e) {
-            return null;
+            return "";
+        }
+    }
+
+    private long budgetUs() {
+        try {
+            return TimeUnit.MILLISECONDS.toMicros(Integer.parseUnsignedInt(field("X-Budget-Ms")));
+        } catch (NumberFormatException e) {
+            return Long.MAX_VALUE;
         }
     }
 
+    private String className() {
+        String[] path = head == null ? new String[0] : head.startLine[1].split("[/?]", 3);
+        return path.length < 2 ? UNKNOWN : path[1].substring(0, Math.min(MAX_CLASS_NAME_LENGTH, path[1].length()));
+    }
+
+    private String bodyForm() {
+        return body == null ? UNKNOWN : body.length() < 0 ? "chunked" : "length " + body.length();
+    }
+
     /** Returns when the first byte may have arrived at the earliest. */
     long firstByteUs() {
         return firstByteUs;
@@ -134,19 +145,26 @@
         if (times.writtenUs() >= 0) {
             add(Wait.SERVER, times.endedUs() - times.writtenUs());
         }
-        attempts.add(host + ' ' + offsetMs(times.decidedUs()) + (times.begunUs() < 0 ? " never sent" : " begun "
-                + offsetMs(times.begunUs())) + (times.writtenUs() < 0 ? "" : " written " + offsetMs(times.writtenUs()))
-                + " ended " + offsetMs(times.endedUs()) + ' ' + end);
+        attempts.add(new EndedAttempt(times, host, end));
+    }
+
+    private String describe(EndedAttempt attempt) {
+        Attempt.Times times = attempt.times();
+        return attempt.host() + ' ' + offsetMs(times.decidedUs())
+                + (times.begunUs() < 0 ? " never sent" : " begun " + offsetMs(times.begunUs()))
+                + (times.writtenUs() < 0 ? "" : " written " + offsetMs(times.writtenUs()))
+                + " ended " + offsetMs(times.endedUs()) + ' ' + attempt.end();
     }
 
     /** Returns the request's id as its client wrote it, or "-" if it has none that is valid. */
     synchronized String callId() {
-        return callId;
+        String id = field("X-Call-Id");
+        return id.matches("[0-9a-fA-F]{1,16}") ? id : UNKNOWN;
     }
 
     /** Returns whether a response that begins now does so after the first byte and the client's budget. */
     synchronized boolean isLateAt(long nowUs) {
-        return nowUs - firstByteUs > budgetUs;
+        return nowUs - firstByteUs > budgetUs();
     }
 
     /** Returns what a response that begins now has waited for longest. */
@@ -180,10 +198,11 @@
         for (Wait wait : Wait.values()) {
             waits.add(wait.label() + ' ' + waitUs(wait, nowUs) / 1_000);
         }
-        return "request " + callId + " of class " + className + ", body " + bodyForm + ", status " + status + " after "
-                + offsetMs(nowUs) + " ms of " + budgetUs / 1_000 + ", cause " + cause(nowUs).label()
+        return "request " + callId() + " of class " + className() + ", body " + bodyForm() + ", status " + status
+                + " after " + offsetMs(nowUs) + " ms of " + budgetUs() / 1_000 + ", cause " + cause(nowUs).label()
                 + "; ms after its first byte: accepted " + offsetMs(acceptedUs) + ", head " + offsetMs(headUs)
                 + ", last byte " + offsetMs(lastByteUs) + ", time began " + offsetMs(timeBeganUs) + "; waited for "
-                + waits + "; memory " + (isMemoryShort ? "short" : "ample") + "; attempts " + attempts;
+                + waits + "; memory " + (isMemoryShort ? "short" : "ample") + "; attempts "
+                + attempts.stream().map(this::describe).toList();
     }
 }
