No more connections than the accept queue holds count as having waited in it

Cause: where connections come faster than one a millisecond, no accept call waits, and all later ones would have counted as waiting since accepting was last held up. Change: after 1,024, the length of the queue, they don't. Result: AcceptQueueTest; found in reading.

--- a/sidecar/src/main/java/dapplequay/net/AcceptQueue.java
+++ b/sidecar/src/main/java/dapplequay/net/AcceptQueue.java
@@ -8,15 +8,19 @@
 final class AcceptQueue {
     /** A call that took this long had to wait for a connection, so that the queue was empty. */
     private static final long MIN_WAIT_US = 1_000;
+    /** More connections than the system queues. */
+    private static final int MAX_QUEUED = 1_024;
     private static final long NOT_HELD_UP = -1;
 
     private long heldUpSinceUs = NOT_HELD_UP;
+    private int acceptedSince;
 
     /** Called while no connection is accepted. */
     void heldUp(boolean isEmpty, long nowUs) {
         if (isEmpty || heldUpSinceUs == NOT_HELD_UP) {
             heldUpSinceUs = nowUs;
         }
+        acceptedSince = 0;
     }
 
     /** Returns for how long the connection at the front may have waited. */
@@ -26,7 +30,8 @@
 
     /** Returns when a connection may have arrived at the earliest that a call of {@code tookUs} has accepted. */
     long accepted(long tookUs, long nowUs) {
-        if (tookUs >= MIN_WAIT_US) {
+        acceptedSince++;
+        if (tookUs >= MIN_WAIT_US || acceptedSince > MAX_QUEUED) {
             heldUpSinceUs = NOT_HELD_UP;
         }
         return nowUs - longestWaitUs(nowUs);
--- a/sidecar/src/test/java/dapplequay/net/AcceptQueueTest.java
+++ b/sidecar/src/test/java/dapplequay/net/AcceptQueueTest.java
@@ -25,6 +25,15 @@
         assertThat(queue.accepted(0, START_US + 400)).isEqualTo(START_US);
     }
 
+    @Test
+    void moreConnectionsThanTheQueueHoldsHaveNotAllWaited() {
+        queue.heldUp(false, START_US);
+        for (int i = 0; i < 1_024; i++) {
+            assertThat(queue.accepted(0, START_US + 300)).isEqualTo(START_US);
+        }
+        assertThat(queue.accepted(0, START_US + 300)).isEqualTo(START_US + 300);
+    }
+
     @Test
     void anEmptyQueueEndsTheWait() {
         queue.heldUp(false, START_US);
