Take the limits of clients out of the listener; waits for a place end at shutdown

`ClientPlaces` has the connections, their limits, the reserve, and who is closed to make room; `ClientListener` had grown over 500 lines and accepts only. Found on the way, in reading: a request that waits for a place would not have been answered at the end of a shutdown (its wait ends there now, with a refusal), and a client that had been accepted over the limit would have had to wait for a place at each later request (it keeps the one that it got).

--- a/sidecar/src/main/java/dapplequay/net/ClientConnection.java
+++ b/sidecar/src/main/java/dapplequay/net/ClientConnection.java
@@ -51,8 +51,6 @@
     private final LingeringClose lingeringClose;
     private final RequestBodyReader bodyReader;
     private final long acceptedUs;
-    /** True if the connection was accepted at the limit of connections. */
-    final boolean isOverLimit;
     /** From when on the next request's first byte may have arrived, microseconds. */
     private volatile long readableSinceUs;
     private volatile RequestTimeline timeline;
@@ -68,12 +66,8 @@
     private MessageReader reader;
     private volatile Exchange currentExchange;
 
-    /**
-     * {@code arrivedUs}: when the connection may have been made at the earliest, microseconds; {@code isOverLimit}: it
-     * was accepted at the limit of connections.
-     */
-    ClientConnection(ClientListener listener, Socket socket, long arrivedUs, boolean isOverLimit) {
-        this.isOverLimit = isOverLimit;
+    /** {@code arrivedUs}: when the connection may have been made at the earliest, microseconds. */
+    ClientConnection(ClientListener listener, Socket socket, long arrivedUs) {
         this.listener = listener;
         this.socket = socket;
         lingeringClose = new LingeringClose(socket, listener.deadlines());
@@ -96,7 +90,7 @@
         synchronized (this) {
             listener.deadlines().cancel(idleDeadline);
         }
-        listener.connectionEnded(this);
+        listener.places().remove(this);
     }
 
     @Override
@@ -163,8 +157,8 @@
             return false;
         }
         state = State.READING;
-        timeline = new RequestTimeline(Math.max(readableSinceUs, input.lastWaitEndUs()),
-                acceptedUs, input::waitedUs);
+        long firstByteUs = Math.max(readableSinceUs, input.lastWaitEndUs());
+        timeline = new RequestTimeline(firstByteUs, acceptedUs, input::waitedUs);
         listener.deadlines().cancel(idleDeadline);
         currentExchange = null;
         return true;
@@ -293,7 +287,7 @@
         if (remainingBody == null) {
             input.checkPresent(reader, true);
         }
-        boolean hasPlace = listener.awaitPlace(this, timeline, timeBeganUs + request.budgetUs() / 2);
+        boolean hasPlace = listener.places().awaitPlace(this, timeline, timeBeganUs + request.budgetUs() / 2);
         RequestInfo info = request.toRequestInfo(request.budgetUs() - (listener.deadlines().now() - timeBeganUs));
         long callId = request.callId();
         if (!listener.registerCallId(callId, listener.deadlines().now())) {
@@ -319,7 +313,7 @@
     /** True if the connection closes after the current response, as after one that precedes the request's end. */
     private boolean isLastResponse() {
         return isLastRequest || isUploading || input.hasDiscardedBytes() || listener.isEmptying()
-                || listener.isCrowded();
+                || listener.places().isCrowded();
     }
 
     private String connectionField(boolean last) {
