Take the reserve off the limit of clients where the limits are divided

Cause: the listener took the reserve for clients over the limit off the number that it was given, so that a limit of 12 was one of 11. Change: `Sidecar` passes the limit without the reserve; `ClientPlaces` adds its places to the limit.

--- a/sidecar/src/main/java/dapplequay/net/ClientPlaces.java
+++ b/sidecar/src/main/java/dapplequay/net/ClientPlaces.java
@@ -29,7 +29,7 @@
     private static final int MIN_CONNECTIONS = 4;
     /** After this time without a shortage of threads, the connection limit is restored, in microseconds. */
     private static final long LIMIT_RECOVERY_US = 60_000_000;
-    /** The share of the connections that is reserved for clients over the limit, and the least and most of these. */
+    /** How many may be over the limit: a share of it, and the least and most. */
     private static final double RESERVE_SHARE = 0.125;
     private static final int MIN_RESERVE = 4;
     private static final int MAX_RESERVE = 8;
@@ -52,21 +52,29 @@
 
     /**
      * @param clock          in microseconds
-     * @param maxConnections the most connections, of which some are reserved for clients over the limit
+     * @param maxConnections the limit of connections, without the places reserved for clients over it
      * @param crowdThreshold the number of clients from which on they are crowded
      */
     ClientPlaces(LongSupplier clock, int maxConnections, int crowdThreshold, ThreadReserve threads) {
         this.clock = clock;
-        int spared = (int) Math.min(MAX_RESERVE, maxConnections * RESERVE_SHARE);
-        reservedPlaces = Math.max(MIN_RESERVE, spared);
-        this.maxConnections = maxConnections - spared;
+        reservedPlaces = Math.max(MIN_RESERVE, reserveOf(maxConnections));
+        this.maxConnections = maxConnections;
         refusalLog = new LogLimiter(clock, REFUSAL_LOG_INTERVAL_US, REFUSAL_LOG_BURST);
         this.threads = threads;
-        connectionLimit = this.maxConnections;
+        connectionLimit = maxConnections;
         threads.onShortage(this::lowerLimit);
         this.crowdThreshold = crowdThreshold;
     }
 
+    /** Returns the limit if there may be so many connections together with those over it. */
+    static int limitWithin(int allConnections) {
+        return allConnections - reserveOf(allConnections);
+    }
+
+    private static int reserveOf(int connections) {
+        return (int) Math.min(MAX_RESERVE, connections * RESERVE_SHARE);
+    }
+
     /**
      * True if clients hold nearly as many descriptors as they may. Each response then ends its connection, as clients
      * that send one request and keep the connection would leave no descriptor for the next request.
--- a/sidecar/src/main/java/dapplequay/net/Sidecar.java
+++ b/sidecar/src/main/java/dapplequay/net/Sidecar.java
@@ -252,8 +252,8 @@
                 return;
             }
             clientListener = new ClientListener(opener.open(), () -> setup, facade, dispatcher, deadlines, counts,
-                    lifecycle, bodyThrottle, options.maxClients(), options.crowdThreshold(), options.maxUploads(),
-                    threads);
+                    lifecycle, bodyThrottle, ClientPlaces.limitWithin(options.maxClients()), options.crowdThreshold(),
+                    options.maxUploads(), threads);
             if (options.inheritsListener()) {
                 clientListener.shareCallIds(SharedCallIds.open(sharedFolder(), clientListener.address().getPort()));
             }
