--- a/review/rig-2/src/rig2/Discovery.java
+++ b/review/rig-2/src/rig2/Discovery.java
@@ -19,7 +19,6 @@
     private final ServerSocket listener;
     private final Map<String, Entry> entries = new LinkedHashMap<>();
     private long revision;
-    private boolean silent;
 
     Discovery(Record record, List<Upstream> servers) throws IOException {
         this.record = record;
@@ -38,12 +37,6 @@
         notifyAll();
     }
 
-    /** From now on no call is answered; false: calls are answered again. */
-    synchronized void setSilent(boolean isSilent) {
-        silent = isSilent;
-        notifyAll();
-    }
-
     private void acceptAll() throws IOException {
         while (!listener.isClosed()) {
             Socket connection = listener.accept();
@@ -67,8 +60,8 @@
     private synchronized String list(String target) throws InterruptedException {
         long after = parameter(target, "after");
         long untilMs = System.currentTimeMillis() + Math.max(0, parameter(target, "wait_ms"));
-        while (silent || after >= 0 && revision <= after && System.currentTimeMillis() < untilMs) {
-            wait(silent ? 1_000 : Math.max(1, untilMs - System.currentTimeMillis()));
+        while (after >= 0 && revision <= after && System.currentTimeMillis() < untilMs) {
+            wait(Math.max(1, untilMs - System.currentTimeMillis()));
         }
         List<String> targets = new ArrayList<>();
         for (Entry entry : entries.values()) {
--- a/review/rig-2/src/rig2/SidecarProcess.java
+++ b/review/rig-2/src/rig2/SidecarProcess.java
@@ -17,25 +17,22 @@
     private static final long READY_WITHIN_MS = 20_000;
 
     final int port;
-    final int managementPort;
     private final Process process;
     private final Record record;
 
-    private SidecarProcess(Process process, int port, int managementPort, Record record) {
+    private SidecarProcess(Process process, int port, Record record) {
         this.process = process;
         this.port = port;
-        this.managementPort = managementPort;
         this.record = record;
     }
 
     /**
      * Starts a sidecar with a configuration, and waits until it takes clients. {@code discovery} is the address in
-     * EDGE_DISCOVERY; null: that is not set.
+     * EDGE_DISCOVERY, as in the configuration.
      */
     static SidecarProcess start(Path root, Path folder, String name, String configuration, String discovery,
             Record record) throws Exception {
         int port = freePort();
-        int managementPort = freePort();
         Path config = folder.resolve(name + ".json");
         Files.writeString(config, configuration);
         Path temporary = Files.createDirectories(folder.resolve(name + "-tmp"));
@@ -44,14 +41,11 @@
         builder.environment().put("EDGE_NAME", name);
         builder.environment().put("EDGE_CONFIG", config.toString());
         builder.environment().put("EDGE_LISTEN", "127.0.0.1:" + port);
-        builder.environment().put("EDGE_MANAGEMENT", "127.0.0.1:" + managementPort);
-        if (discovery != null) {
-            builder.environment().put("EDGE_DISCOVERY", discovery);
-        }
+        builder.environment().put("EDGE_DISCOVERY", discovery);
         builder.environment().put("TMPDIR", temporary.toString());
         File log = folder.resolve(name + ".log").toFile();
         builder.redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.appendTo(log));
-        SidecarProcess sidecar = new SidecarProcess(builder.start(), port, managementPort, record);
+        SidecarProcess sidecar = new SidecarProcess(builder.start(), port, record);
         Runtime.getRuntime().addShutdownHook(new Thread(sidecar.process::destroyForcibly));
         sidecar.awaitReady(log);
         return sidecar;
@@ -106,12 +100,6 @@
         return process.isAlive();
     }
 
-    /** Sends a signal that has no method here, such as HUP, STOP or CONT. */
-    void signal(String name) throws Exception {
-        record.line("sends SIG%s", name);
-        new ProcessBuilder("kill", "-" + name, String.valueOf(process.pid())).start().waitFor();
-    }
-
     /** Waits for the exit; false if the process still runs. */
     boolean awaitExit(long ms) throws InterruptedException {
         boolean ended = process.waitFor(ms, TimeUnit.MILLISECONDS);
