Readers at 16 kB/s keep their long bodies, too; a body's rest is judged by what has arrived

The wait for a host that gives nothing stays at 10 s. BodyArrival prolongs a long request's time only while more than sockets hold has not arrived here at all: bytes in the receive buffer count as arrived, whatever its size, so that a request whose last byte may have been written is still answered in time where its host hangs.

--- a/sidecar/src/main/java/dapplequay/net/BodyArrival.java
+++ b/sidecar/src/main/java/dapplequay/net/BodyArrival.java
@@ -1,6 +1,7 @@
 package dapplequay.net;
 
 import dapplequay.http.Body;
+import java.util.function.IntSupplier;
 import java.util.function.LongSupplier;
 
 /**
@@ -23,44 +24,56 @@
 
     private final LongSupplier clock;
     private final long budgetUs;
+    private final IntSupplier unreadBytes;
     private volatile long incompleteAtUs;
-    /** More is missing than sockets hold, so that the body is incomplete until more of it is read. */
-    private volatile boolean isFarFromComplete;
+    /** How much was known to follow when the body was last looked at, bytes. */
+    private volatile long remainingBytes;
     private boolean windowMayBeClosed;
     private boolean wasDrained;
     private long readStartUs;
 
-    /** Begins with a body that was not complete at a time; {@code budgetUs} is the request's time from its end on. */
-    BodyArrival(LongSupplier clock, long budgetUs, long incompleteAtUs) {
+    /**
+     * Begins with a body that was not complete at a time.
+     *
+     * @param budgetUs    the request's time from its end on
+     * @param unreadBytes returns how many bytes lie in the socket's receive buffer; called by any thread
+     */
+    BodyArrival(LongSupplier clock, long budgetUs, long incompleteAtUs, IntSupplier unreadBytes) {
+        this.unreadBytes = unreadBytes;
         this.clock = clock;
         this.budgetUs = budgetUs;
         this.incompleteAtUs = incompleteAtUs;
     }
 
-    /** Returns by when the request has to be answered, if its last byte was written as early as is possible. */
+    /**
+     * Returns by when the request has to be answered, if its last byte was written as early as is possible. While
+     * nothing is read, as the upstream takes nothing, the body stays incomplete if more has not even arrived than
+     * sockets hold.
+     */
     long dueUs() {
-        return (isFarFromComplete ? clock.getAsLong() : incompleteAtUs) + budgetUs;
+        boolean isIncomplete = remainingBytes - unreadBytes.getAsInt() > MAX_SOCKET_BYTES;
+        return (isIncomplete ? clock.getAsLong() : incompleteAtUs) + budgetUs;
     }
 
     /**
      * Records what is known of the body while none of it is read.
      *
-     * @param unreadBytes     bytes in the socket's receive buffer
+     * @param unread          bytes in the socket's receive buffer
      * @param isBufferDrained whether all that was read of the socket has been taken by the body
      */
-    void observe(Body body, int unreadBytes, boolean isBufferDrained) {
-        windowMayBeClosed = unreadBytes >= OPEN_WINDOW_BYTES || windowMayBeClosed && unreadBytes > 0;
+    void observe(Body body, int unread, boolean isBufferDrained) {
+        windowMayBeClosed = unread >= OPEN_WINDOW_BYTES || windowMayBeClosed && unread > 0;
         boolean isVisible = !windowMayBeClosed && isBufferDrained;
-        boolean mayBeComplete = body.length() < 0 ? unreadBytes > 0 : unreadBytes >= body.knownRemaining();
-        isFarFromComplete = body.knownRemaining() > MAX_SOCKET_BYTES;
-        if (isVisible && !mayBeComplete || isFarFromComplete) {
+        boolean mayBeComplete = body.length() < 0 ? unread > 0 : unread >= body.knownRemaining();
+        remainingBytes = body.knownRemaining();
+        if (isVisible && !mayBeComplete || remainingBytes > MAX_SOCKET_BYTES) {
             incompleteAtUs = clock.getAsLong();
         }
     }
 
     /** Called before a read of the body, with the bytes in the socket's receive buffer. */
-    void readBegins(int unreadBytes) {
-        wasDrained = unreadBytes == 0;
+    void readBegins(int unread) {
+        wasDrained = unread == 0;
         readStartUs = clock.getAsLong();
     }
 
--- a/sidecar/src/main/java/dapplequay/net/RequestBodyForwarder.java
+++ b/sidecar/src/main/java/dapplequay/net/RequestBodyForwarder.java
@@ -13,8 +13,11 @@
  * reads no faster than the upstream accepts the body.
  */
 final class RequestBodyForwarder {
-    /** A streamed body that does not progress for this long is aborted; peers may take seconds for one piece. */
-    private static final long STALL_TIMEOUT_US = 10_000_000;
+    /**
+     * A streamed body that does not progress for this long is aborted: a peer takes seconds for one piece, and its
+     * progress may only show after several.
+     */
+    static final long STALL_TIMEOUT_US = 20_000_000;
     /** Interval of the checks whether the request's time is over, if it seems to be while the client is waited for. */
     private static final long DUE_CHECK_US = 50_000;
 
@@ -79,7 +82,7 @@
         byte[] piece = BodyBuffers.acquire();
         PiecePacer pacer = new PiecePacer(BodyBuffers.capacity(piece), body.framing());
         arrival = new BodyArrival(listener.deadlines()::now, exchange.request.budgetUs(),
-                exchange.timeline.timeBeganUs());
+                exchange.timeline.timeBeganUs(), this::unreadBytes);
         stallTimeout = new ProgressWatchdog.StallTimeout(listener.deadlines(), STALL_TIMEOUT_US);
         try (ProgressWatchdog watchdog = new ProgressWatchdog(listener.deadlines(), this::remainingUs,
                 () -> expired(exchange))) {
@@ -121,6 +124,14 @@
         }
     }
 
+    private int unreadBytes() {
+        try {
+            return input.available();
+        } catch (IOException e) {
+            return Integer.MAX_VALUE;       // the client may have written all
+        }
+    }
+
     private int readPiece(Body body, byte[] piece) throws IOException {
         int unreadBytes = input.available();
         arrival.observe(body, unreadBytes, !reader.hasBufferedBytes());
--- a/sidecar/src/main/java/dapplequay/net/ResponseRelay.java
+++ b/sidecar/src/main/java/dapplequay/net/ResponseRelay.java
@@ -25,10 +25,8 @@
     private static final long SHORT_RESPONSE_GRACE_US = 300_000;
     /** A response of unknown length that has come at this pace so far may be a long one, in bytes a second. */
     private static final long LONG_RESPONSE_BYTES_PER_S = 16_000;
-    /**
-     * Time without any progress after which a transfer is aborted; peers may take seconds for a piece of a long body.
-     */
-    private static final long STALL_TIMEOUT_US = 10_000_000;
+    /** Time without anything from the host after which a transfer is aborted; a host may take seconds for a piece. */
+    private static final long HOST_TIMEOUT_US = 10_000_000;
 
     private final Socket client;
     private final ClientInput clientInput;
@@ -49,7 +47,7 @@
         this.clientClose = clientClose;
         this.deadlines = deadlines;
         this.pauseMs = pauseMs;
-        stallTimeout = new ProgressWatchdog.StallTimeout(deadlines, STALL_TIMEOUT_US);
+        stallTimeout = new ProgressWatchdog.StallTimeout(deadlines, RequestBodyForwarder.STALL_TIMEOUT_US);
     }
 
     /**
@@ -119,7 +117,7 @@
                 if (!clientInput.isClientPresent()) {
                     throw new EOFException("client closed the connection");
                 }
-                if (isOverdue(body, deadlineUs) || deadlines.now() - readStartUs >= STALL_TIMEOUT_US) {
+                if (isOverdue(body, deadlineUs) || deadlines.now() - readStartUs >= HOST_TIMEOUT_US) {
                     throw new IOException("host stalled within the response");
                 }
                 stallTimeout.progressed();          // a stalled host is handled here; the watchdog is for the client
