Complete long answers in progress at SIGTERM; all else ends when it did

A client that was still sending a long request never saw its 504, as the exit reset the connection.

Cause: the exit took the earliest SIGKILL for the end of all work. ClientListener.awaitEmpty closed every connection, and the process ended. Evidence: the log says "ended" at that moment; the server wrote every 50 ms until then.

Change: all steps stand as before and at the same times. Only connections with a long transfer are left then, and the process exits when these have ended: a relayed answer, or the rest of a long request that was answered early, whose client may go on sending at 48 kB/s. Each ends by itself once a peer stops. A connection to an upstream is not kept any more by then. An answer without a length resets its connection also if the process is killed: the system's close would look like its end.

Why it works: what may be lost at a SIGKILL is answered before the earliest one, as before; what may only gain by more time has it.

The Connection field and the interim response are built in ClientResponses now.

--- a/sidecar/src/main/java/dapplequay/cli/Main.java
+++ b/sidecar/src/main/java/dapplequay/cli/Main.java
@@ -113,6 +113,8 @@
             Runtime.getRuntime().addShutdownHook(new Thread(() -> {
                 exit.run();
                 Logging.awaitWritten(LOG_WRITE_TIMEOUT_MS);
+                awaitLongTransfers(sidecar);
+                Logging.awaitWritten(LOG_WRITE_TIMEOUT_MS);
             }, "ending"));
             Reload reload = new Reload(file, environment, sidecar, fields);
             MissedHangup missedHangup = new MissedHangup(watchedFile, () -> System.nanoTime() / 1_000_000,
@@ -133,6 +135,14 @@
             return 0;
         }
 
+        private static void awaitLongTransfers(Sidecar sidecar) {
+            try {
+                sidecar.awaitLongTransfers();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }
+
         private static void watch(boolean isIgnored, WatchedFile watchedFile, Reload reload,
                                   MissedHangup missedHangup) {
             if (isIgnored) {
--- a/sidecar/src/main/java/dapplequay/net/ClientConnection.java
+++ b/sidecar/src/main/java/dapplequay/net/ClientConnection.java
@@ -11,7 +11,6 @@
 import java.io.IOException;
 import java.io.InterruptedIOException;
 import java.net.Socket;
-import java.nio.charset.StandardCharsets;
 import java.util.logging.Level;
 import java.util.logging.Logger;
 
@@ -29,8 +28,6 @@
     private static final long PARTIAL_REQUEST_MIN_AGE_US = 500_000;
     /** A connection younger than this is not closed for a drain: its first request is on its way. */
     private static final long FIRST_REQUEST_WAIT_US = 100_000;
-    /** Input discarded after an early response: a client may read it only after it has sent its whole request. */
-    private static final int UPLOAD_DISCARD_BYTES = 2 * MessageReader.MAX_BODY_BYTES;
     private static final long UPLOAD_LINGER_US = 5_000_000;
     /** Time for writing a response: a client that does not read must not block the writing thread. */
     private static final long WRITE_TIMEOUT_US = 10_000_000;
@@ -40,8 +37,6 @@
     private static final long HEAD_TIMEOUT_US = 2_300_000;
     /** Interval of the checks for a client that leaves while its response is due, in milliseconds. */
     private static final long PRESENCE_CHECK_MS = 25;
-    private static final byte[] CONTINUE_RESPONSE =
-            "HTTP/1.1 100 Continue\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1);
 
     /** READING: part of a request has arrived; BUSY: the request is complete and its response is due. */
     private enum State { IDLE, READING, BUSY, CLOSED }
@@ -61,6 +56,8 @@
     private volatile boolean isLastRequest;
     private volatile boolean isUploading;
     private volatile boolean isUploadAdmitted;
+    /** A long response has begun, the last one on this connection. */
+    private volatile boolean isRelaying;
     private volatile String httpVersion = "HTTP/1.1";
     private volatile ClientInput input;
     private MessageReader reader;
@@ -102,7 +99,7 @@
             while (awaitPreviousResponse() && reader.awaitRequest() && startReading()) {
                 readRequest();
             }
-            lingeringClose.discardInput(isUploading ? UPLOAD_DISCARD_BYTES : 0);
+            lingeringClose.discardInput(isUploading);
         } catch (IOException e) {
             LOG.log(Level.FINE, "client connection ended: {0}", e.toString());
         } finally {
@@ -195,7 +192,7 @@
             body = reader.requestBody(head);
             timeline.headRead(head, body, listener.deadlines().now());
             if (head.hasToken("Expect", "100-continue") && !httpVersion.equals("HTTP/1.0") && !body.isFullyBuffered()) {
-                socket.getOutputStream().write(CONTINUE_RESPONSE);
+                socket.getOutputStream().write(ClientResponses.continueSending());
             }
             bufferedBody = bodyReader.readReplayable(body);
         } catch (BadMessageException e) {
@@ -223,7 +220,7 @@
         // No earlier could the client have written the last byte; a connection may have waited to be accepted.
         long timeBeganUs = Math.max(timeline.firstByteUs(), input.lastWaitEndUs());
         timeline.timeBegan(timeBeganUs);
-        // A response to HEAD ends after its head, but HEAD is not supported: the connection closes.
+        // HEAD is not supported, and its response would end after the head: the connection closes.
         isLastRequest = head.closesConnection(httpVersion) || head.startLine[0].equals("HEAD");
         isUploading = !body.isComplete();
         boolean isCountedUpload = isUploading;
@@ -316,10 +313,6 @@
                 || listener.places().isCrowded();
     }
 
-    private String connectionField(boolean last) {
-        return last ? "Connection: close\r\n" : httpVersion.equals("HTTP/1.0") ? "Connection: keep-alive\r\n" : "";
-    }
-
     /** Writes the response to the current request. Only the thread that claimed the exchange may call this. */
     void writeResponse(ClientResponses.Response response) {
         boolean last = isLastResponse();
@@ -327,7 +320,7 @@
         try {
             input.beginResponse();
             listener.lateResponses().responseBegins(timeline, response.status());
-            socket.getOutputStream().write(response.toBytes(connectionField(last)));
+            socket.getOutputStream().write(response.toBytes(ClientResponses.connectionField(last, httpVersion)));
             if (last) {
                 lingeringClose.begin(isUploading ? UPLOAD_LINGER_US : LINGER_US);
             }
@@ -365,7 +358,7 @@
             listener.lateResponses().responseBegins(timeline, Integer.parseInt(upstreamHead.startLine[1]));
             isComplete = new ResponseRelay(socket, input, lingeringClose, listener.deadlines(), listener::streamPauseMs)
                     .relay(() -> ClientResponses.streamStart(upstreamHead, body, start.bytes(), httpVersion,
-                            connectionField(true)),
+                            ClientResponses.connectionField(true, httpVersion)),
                             start, body, ClientResponses.isChunked(body, httpVersion), dueUs);
         } catch (IOException e) {
             LOG.log(Level.FINE, "response could not be written: {0}", e.toString());
@@ -437,6 +430,21 @@
         return state == State.CLOSED && !lingeringClose.isClosed();
     }
 
+    /** Called when a long response is about to be relayed. */
+    void relayBegins() {
+        isRelaying = true;
+    }
+
+    /** True while a long response is relayed, or while the rest of a long request is read that was answered early. */
+    synchronized boolean hasLongTransfer() {
+        return isRelaying ? state == State.BUSY : isUploading;
+    }
+
+    /** True until the connection of a long transfer is closed, which lets the client receive the last bytes. */
+    boolean awaitsEndOfTransfer() {
+        return (isRelaying || isUploading) && !lingeringClose.isClosed();
+    }
+
     /** True if there is a request to which no thread has taken on the response. */
     boolean hasUnansweredRequest() {
         Exchange exchange = currentExchange;
--- a/sidecar/src/main/java/dapplequay/net/ClientListener.java
+++ b/sidecar/src/main/java/dapplequay/net/ClientListener.java
@@ -282,9 +282,10 @@
     /**
      * Waits until there are no connections and, from {@code newClientsUntilUs} on, no new ones arrive, or until {@code
      * answerUntilUs}. Requests that are unanswered then fail, and the failures have until {@code closeAtUs} to reach
-     * the clients. A listening socket of this process alone stays open meanwhile, as the clients that the system has
-     * accepted have to be answered. It is closed once all of these are accepted here, however late the accepting thread
-     * is, and at {@code closeAtUs} in any case.
+     * the clients. All connections but those with a long transfer are closed then; see {@link #awaitLongTransfers}. A
+     * listening socket of this process alone stays open meanwhile, as the clients that the system has accepted have to
+     * be answered. It is closed once all of these are accepted here, however late the accepting thread is, and at
+     * {@code closeAtUs} in any case.
      */
     void awaitEmpty(long newClientsUntilUs, long answerUntilUs, long closeAtUs) throws InterruptedException {
         if (!places.awaitNone(newClientsUntilUs, answerUntilUs) || !acceptQueued(answerUntilUs)
@@ -302,7 +303,15 @@
         }
         listeningSocket.stopAccepting();
         // The exit would close them, too, but only after waiting for threads that block in reads.
-        places.all().forEach(ClientConnection::close);
+        places.all().stream().filter(connection -> !connection.hasLongTransfer()).forEach(ClientConnection::close);
+    }
+
+    /**
+     * Waits until the long transfers have ended that {@link #awaitEmpty} has left, however long they take: each ends by
+     * itself if a peer stops.
+     */
+    void awaitLongTransfers() throws InterruptedException {
+        places.awaitEndOfTransfers();
     }
 
     /**
--- a/sidecar/src/main/java/dapplequay/net/ClientPlaces.java
+++ b/sidecar/src/main/java/dapplequay/net/ClientPlaces.java
@@ -220,6 +220,18 @@
         isWaitingOver = true;
     }
 
+    /** Returns how many connections have a long transfer that has not ended. */
+    synchronized long transferCount() {
+        return connections.stream().filter(ClientConnection::awaitsEndOfTransfer).count();
+    }
+
+    /** Waits until no connection has a long transfer. */
+    synchronized void awaitEndOfTransfers() throws InterruptedException {
+        while (transferCount() > 0) {
+            wait(WAIT_MS);
+        }
+    }
+
     /** Waits until there are none and the first time has come; false if the second comes before, microseconds. */
     synchronized boolean awaitNone(long newClientsUntilUs, long untilUs) throws InterruptedException {
         while (clock.getAsLong() < newClientsUntilUs || !connections.isEmpty()) {
--- a/sidecar/src/main/java/dapplequay/net/ClientResponses.java
+++ b/sidecar/src/main/java/dapplequay/net/ClientResponses.java
@@ -20,6 +20,16 @@
 
     private ClientResponses() { }
 
+    /** Returns the Connection field with its line end, or an empty string; {@code last}: the connection is closed. */
+    static String connectionField(boolean last, String httpVersion) {
+        return last ? "Connection: close\r\n" : httpVersion.equals("HTTP/1.0") ? "Connection: keep-alive\r\n" : "";
+    }
+
+    /** Returns the interim response that asks a client for the body of its request. */
+    static byte[] continueSending() {
+        return "HTTP/1.1 100 Continue\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1);
+    }
+
     /** A response: its head up to but without Content-Length and the final empty line, and its body. */
     record Response(StringBuilder head, byte[] body) {
         int status() {
--- a/sidecar/src/main/java/dapplequay/net/Exchange.java
+++ b/sidecar/src/main/java/dapplequay/net/Exchange.java
@@ -84,6 +84,15 @@
         return first;
     }
 
+    /** As {@link #claim}, for a long response, which the client's connection counts as a transfer from then on. */
+    synchronized boolean claimForRelay() {
+        boolean first = claim();
+        if (first) {
+            client.relayBegins();
+        }
+        return first;
+    }
+
     synchronized boolean isClaimed() {
         return claimed;
     }
--- a/sidecar/src/main/java/dapplequay/net/LingeringClose.java
+++ b/sidecar/src/main/java/dapplequay/net/LingeringClose.java
@@ -1,5 +1,6 @@
 package dapplequay.net;
 
+import dapplequay.http.MessageReader;
 import dapplequay.http.Sockets;
 import dapplequay.time.DeadlineQueue;
 import java.io.IOException;
@@ -18,12 +19,21 @@
     private static final Logger LOG = Logger.getLogger(LingeringClose.class.getName());
     /** How much input is still read; a client that sends without end is not waited for. */
     private static final int MAX_DISCARDED_BYTES = 256 * 1024;
+    /** The same after an early response: a client may read it only after it has sent its whole request. */
+    private static final int UPLOAD_DISCARDED_BYTES = 2 * MessageReader.MAX_BODY_BYTES;
+    /** The least pace at which a client may go on sending such a request, in bytes a second. */
+    private static final long MIN_UPLOAD_BYTES_PER_S = 48_000;
+    /** The time to close is extended in steps, in microseconds: the input comes in thousands of pieces. */
+    private static final long EXTENSION_STEP_US = 500_000;
     private static final int BUFFER_BYTES = 4 * 1024;
 
     private final Socket socket;
     private final DeadlineQueue deadlines;
     private DeadlineQueue.Deadline deadline;
     private long deadlineUs = Long.MAX_VALUE;
+    private long firstLingerUs;
+    private long extensionUs;
+    private boolean isShortened;
     private boolean isClosed;
     private boolean resetOnClose;
 
@@ -49,20 +59,32 @@
             close();
             return;
         }
+        isShortened = deadline != null;
+        firstLingerUs = lingerUs;
+        closeAt(newDeadlineUs);
+    }
+
+    private void closeAt(long newDeadlineUs) {
         deadlines.cancel(deadline);
         deadlineUs = newDeadlineUs;
-        deadline = deadlines.schedule(lingerUs, this::close);
+        deadline = deadlines.schedule(newDeadlineUs - deadlines.now(), this::close);
+    }
+
+    /**
+     * Gives a client that goes on sending a long request the time that these bytes take at the minimum pace; from now
+     * on no more than it had at first.
+     */
+    private synchronized void extendFor(int bytes) {
+        extensionUs += Math.max(0, bytes) * 1_000_000L / MIN_UPLOAD_BYTES_PER_S;
+        if (extensionUs < EXTENSION_STEP_US || deadline == null || isShortened || isClosed) {
+            return;
+        }
+        closeAt(Math.max(deadlineUs, Math.min(deadlineUs + extensionUs, deadlines.now() + firstLingerUs)));
+        extensionUs = 0;
     }
 
     /** Closes the socket at once; with a reset if {@link #setResetOnClose} asked for one. */
     synchronized void close() {
-        try {
-            if (resetOnClose && !isClosed) {
-                socket.setSoLinger(true, 0);
-            }
-        } catch (IOException e) {
-            LOG.log(Level.FINE, "connection could not be set to reset: {0}", e.toString());
-        }
         isClosed = true;
         deadlines.cancel(deadline);
         Sockets.closeQuietly(socket);
@@ -70,10 +92,19 @@
 
     /**
      * Sets whether closing resets the connection, as needed while a response is sent whose end is the end of the
-     * connection: the client would take an orderly close for that end.
+     * connection: the client would take an orderly close for that end. The system closes it in the same way if the
+     * process is killed.
      */
     synchronized void setResetOnClose(boolean reset) {
-        resetOnClose = reset;
+        if (reset == resetOnClose || isClosed) {
+            return;
+        }
+        try {
+            socket.setSoLinger(reset, 0);
+            resetOnClose = reset;
+        } catch (IOException e) {
+            LOG.log(Level.FINE, "connection could not be set to reset: {0}", e.toString());
+        }
     }
 
     synchronized boolean isClosed() {
@@ -84,7 +115,7 @@
     void discardInputInBackground(Runnable onEnd) {
         Thread thread = new Thread(() -> {
             try {
-                discardInput(0);
+                discardInput(false);
             } catch (IOException e) {
                 LOG.log(Level.FINE, "client connection ended: {0}", e.toString());
             } finally {
@@ -99,16 +130,20 @@
     }
 
     /**
-     * Reads and discards input until the client closes, the time is over or the limit of bytes is reached; {@code
-     * extraBytes} raises the limit.
+     * Reads and discards input until the client closes, the time is over or the limit of bytes is reached. Both are
+     * higher {@code afterUpload}, an early response to a long request.
      */
-    void discardInput(int extraBytes) throws IOException {
+    void discardInput(boolean afterUpload) throws IOException {
         socket.setSoTimeout(0);
         InputStream in = socket.getInputStream();
         byte[] buffer = new byte[BUFFER_BYTES];
+        int maxBytes = MAX_DISCARDED_BYTES + (afterUpload ? UPLOAD_DISCARDED_BYTES : 0);
         int read = 0;
-        for (int total = 0; read >= 0 && total < MAX_DISCARDED_BYTES + extraBytes; total += read) {
+        for (int total = 0; read >= 0 && total < maxBytes; total += read) {
             read = in.read(buffer);
+            if (afterUpload) {
+                extendFor(read);
+            }
         }
     }
 }
--- a/sidecar/src/main/java/dapplequay/net/RequestDispatcher.java
+++ b/sidecar/src/main/java/dapplequay/net/RequestDispatcher.java
@@ -95,7 +95,7 @@
         activeAttempts.remove(exchange.id, attempt);
         RequestBodyState bodyState = exchange.detach(attempt);
         recordEnd(attempt, AttemptEnd.SERVED);
-        boolean claimed = exchange.claim();
+        boolean claimed = exchange.claimForRelay();
         runGuarded(exchange, () -> facade.reportAttempt(exchange.id, attempt.decision.attempt(),
                 attempt.decision.host(), AttemptEnd.SERVED,
                 attempt.durationUs(AttemptEnd.SERVED, upstreamPool.now()), true, load, bodyState));
--- a/sidecar/src/main/java/dapplequay/net/Sidecar.java
+++ b/sidecar/src/main/java/dapplequay/net/Sidecar.java
@@ -410,7 +410,10 @@
         return ShutdownSchedule.of(setup.shortestAimUs(), setup.longestDeadlineUs());
     }
 
-    /** Shuts down in order and returns once no request is in progress. A second call uses the times of the first. */
+    /**
+     * Shuts down in order and returns once no request is in progress, except for long transfers; see {@link
+     * #awaitLongTransfers}. A second call uses the times of the first.
+     */
     public void end() throws InterruptedException {
         end(shutdownSchedule());
     }
@@ -440,4 +443,21 @@
         }
         LOG.info("ended");
     }
+
+    /**
+     * Waits until the long responses and requests have ended that were in progress at the end of {@link #end}: the
+     * platform may leave them the time to complete. They need none of what was closed there.
+     */
+    public void awaitLongTransfers() throws InterruptedException {
+        ClientListener listener;
+        synchronized (openingLock) {
+            listener = clientListener;
+        }
+        if (listener != null && listener.places().transferCount() > 0) {
+            LOG.log(Level.INFO, "long transfers in progress: {0}; the process exits after them",
+                    listener.places().transferCount());
+            listener.awaitLongTransfers();
+            LOG.info("long transfers have ended");
+        }
+    }
 }
--- a/sidecar/src/main/java/dapplequay/net/UpstreamPool.java
+++ b/sidecar/src/main/java/dapplequay/net/UpstreamPool.java
@@ -417,7 +417,7 @@
         synchronized (this) {
             // If the list has changed, the next attempt goes to another process. Checked under the lock: changes reach
             // the endpoints before the idle connections to retired endpoints are closed.
-            kept = connection.endpoint.equals(endpoints.endpointOf(host));
+            kept = !isClosing && connection.endpoint.equals(endpoints.endpointOf(host));
             if (kept) {
                 addIdle(connection, now());
             }
--- a/sidecar/src/test/java/dapplequay/net/ClientRig.java
+++ b/sidecar/src/test/java/dapplequay/net/ClientRig.java
@@ -291,6 +291,11 @@
         clientListener.awaitEmpty(0, 0, deadlines.now() + marginUs);
     }
 
+    /** Returns once the long transfers have ended that a shutdown's end has left. */
+    void awaitLongTransfers() throws InterruptedException {
+        clientListener.awaitLongTransfers();
+    }
+
     Host.Client client() throws IOException {
         Host.Client client = new Host.Client(clientListener.address());
         client.socket.setSendBufferSize(SOCKET_BUFFER_BYTES);
--- a/sidecar/src/test/java/dapplequay/net/LingeringCloseTest.java
+++ b/sidecar/src/test/java/dapplequay/net/LingeringCloseTest.java
@@ -6,6 +6,7 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.CountDownLatch;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -120,6 +121,29 @@
         assertThat(client.atEnd()).isTrue();
     }
 
+    /** It was reset 5 s after the response, and a client that reads only after it has sent all never saw that. */
+    @Test
+    void clientMaySendTheRestOfALongRequestAfterItsEarlyResponse() throws Exception {
+        CountDownLatch begun = new CountDownLatch(1);
+        StreamingHost host = open(new StreamingHost((head, reader, socket) -> {
+            begun.countDown();
+            reader.readRequestBody(head);
+        }, new ConcurrentLinkedQueue<>()));
+        ClientRig rig = open(new ClientRig(new ClientRig.Hooks(), 100, host.port()));
+        Host.Client client = rig.client();
+        client.send(ClientRig.pay("long", 15_000, 0).replace("Content-Length: 0", "Content-Length: 4000000"));
+        client.send("x".repeat(100_000));
+        begun.await();
+        rig.failHeldRequests(0);
+        assertThat(client.answer().status()).isIn(503, 504);
+        rig.speedUpClock(10);
+        for (int i = 0; i < 20; i++) {
+            Thread.sleep(100);
+            client.send("x".repeat(64_000));
+        }
+        assertThat(rig.accepted().isClosedInTime()).as("closed once the client has stopped").isTrue();
+    }
+
     /** At the connection limit it was closed before idle connections, in the middle of its first request. */
     @Test
     void clientWithinItsFirstRequestIsNotClosedToMakeRoom() throws Exception {
