An answer is known to be long by the size of a chunk, too, and is not timed by its pace

Cause: ResponseRelay.isOverdue knew a long answer by its Content-Length alone. Alike, a request in chunks counted as possibly complete once any byte of it lay unread, whatever its chunk still lacked.

Change: Body.knownLength is what was read and what is known to follow, and decides for either framing. BodyArrival takes a body for incomplete while less lies unread than its length or its chunk still lacks.

Why it works: a chunk has to come whole before a body in chunks can end, so its header is as good as a length.

--- a/sidecar/src/main/java/dapplequay/http/Body.java
+++ b/sidecar/src/main/java/dapplequay/http/Body.java
@@ -58,6 +58,11 @@
         return remaining;
     }
 
+    /** Returns how long the body is at least: what was read of it, and what is known to follow. */
+    public long knownLength() {
+        return bytesRead + remaining;
+    }
+
     /** True if the whole body has been read. */
     public boolean isComplete() {
         return isComplete;
--- a/sidecar/src/main/java/dapplequay/net/BodyArrival.java
+++ b/sidecar/src/main/java/dapplequay/net/BodyArrival.java
@@ -64,7 +64,7 @@
     void observe(Body body, int unread, boolean isBufferDrained) {
         windowMayBeClosed = unread >= OPEN_WINDOW_BYTES || windowMayBeClosed && unread > 0;
         boolean isVisible = !windowMayBeClosed && isBufferDrained;
-        boolean mayBeComplete = body.length() < 0 ? unread > 0 : unread >= body.knownRemaining();
+        boolean mayBeComplete = unread >= body.knownRemaining() && (body.length() >= 0 || unread > 0);
         remainingBytes = body.knownRemaining();
         if (isVisible && !mayBeComplete || remainingBytes > MAX_SOCKET_BYTES) {
             incompleteAtUs = clock.getAsLong();
--- a/sidecar/src/main/java/dapplequay/net/ResponseRelay.java
+++ b/sidecar/src/main/java/dapplequay/net/ResponseRelay.java
@@ -127,18 +127,18 @@
 
     /**
      * Returns whether the response ends because its time is over. Of a body over 64 KiB only the first byte is timed;
-     * any other has to be complete in time, whether or not its host still writes. Where the length is not known,
-     * its pace so far tells which of the two it may be. A slow client is no cause.
+     * any other has to be complete in time, whether or not its host still writes. Where neither a length nor the size
+     * of a chunk tells, its pace so far shows which of the two it may be. A slow client is no cause.
      */
     private boolean isOverdue(Body body, long deadlineUs) {
         long nowUs = deadlines.now() - clientWriteUs;
         if (nowUs < deadlineUs + SHORT_RESPONSE_GRACE_US) {
             return false;
         }
-        if (body.length() >= 0) {
-            return body.length() <= MessageReader.SHORT_BODY_BYTES || relayedBytes == 0;
+        if (body.knownLength() > MessageReader.SHORT_BODY_BYTES) {
+            return relayedBytes == 0;
         }
         boolean hasLongPace = relayedBytes * 1_000_000 >= LONG_RESPONSE_BYTES_PER_S * (nowUs - startUs);
-        return relayedBytes <= MessageReader.SHORT_BODY_BYTES && !hasLongPace;
+        return body.length() >= 0 || !hasLongPace;
     }
 }
--- a/sidecar/src/test/java/dapplequay/net/BodyArrivalTest.java
+++ b/sidecar/src/test/java/dapplequay/net/BodyArrivalTest.java
@@ -71,6 +71,24 @@
         assertTimeBeginsAt(nowUs);
     }
 
+    /** What the size of a chunk tells was not used. */
+    @Test
+    void aBodyInChunksIsNotCompleteWhileLessThanTheRestOfItsChunkHasArrived() throws IOException {
+        byte[] begun = (Integer.toHexString(LENGTH) + "\r\nbegun").getBytes(StandardCharsets.ISO_8859_1);
+        MessageReader reader = new MessageReader(new ByteArrayInputStream(begun), MessageReader.MAX_BODY_BYTES);
+        Body chunked = reader.requestBody(Head.parseRequest("POST /x HTTP/1.1\r\nTransfer-Encoding: chunked"
+                .getBytes(StandardCharsets.ISO_8859_1)));
+        assertThat(chunked.read(new byte[5], 0, 5)).isEqualTo(5);
+        long begunUs = nowUs;
+        nowUs += 300_000;
+        arrival.observe(chunked, LENGTH - 5, true);
+        assertTimeBeginsAt(begunUs);
+        arrival.observe(chunked, 0, true);
+        nowUs += 300_000;
+        arrival.observe(chunked, BodyArrival.OPEN_WINDOW_BYTES - 1, true);
+        assertTimeBeginsAt(nowUs);
+    }
+
     @Test
     void aBodyIsNotCompleteWhileMoreIsMissingThanSocketsHold() throws IOException {
         nowUs += 300_000;
--- a/sidecar/src/test/java/dapplequay/net/ResponseRelayTest.java
+++ b/sidecar/src/test/java/dapplequay/net/ResponseRelayTest.java
@@ -32,6 +32,7 @@
     /** Real time for several checks, for tests that show that these end nothing. */
     private static final long SEVERAL_CHECKS_MS = 6 * ResponseRelay.CHECK_INTERVAL_MS;
     private static final int LENGTH = 100_000;
+    private static final String CHUNKED = "Transfer-Encoding: chunked\r\n\r\n";
     /** Less than a long body, and in the time of these tests as fast as one comes at least. */
     private static final int PACED_BYTES = 40_000;
 
@@ -66,7 +67,10 @@
             case "end" -> start + "\r\nhello";
             case "much" -> begun("chunked") + chunk("x".repeat(70_000));
             case "paced" -> begun("chunked") + chunk("x".repeat(PACED_BYTES));
-            default -> start + "Transfer-Encoding: chunked\r\n\r\n" + chunk("hello");
+            case "long chunk" -> start + CHUNKED + Integer.toHexString(LENGTH) + ";size=known\r\nhello";
+            case "short chunk" -> start + CHUNKED + Integer.toHexString(MessageReader.SHORT_BODY_BYTES) + "\r\nhello";
+            case "second chunk" -> begun("chunked") + Integer.toHexString(LENGTH) + "\r\n";
+            default -> start + CHUNKED + chunk("hello");
         };
     }
 
@@ -139,7 +143,7 @@
     }
 
     @ParameterizedTest
-    @CsvSource({"chunked,1.1", "chunked,1.0", "end,1.1", "end,1.0", "head,1.1"})
+    @CsvSource({"chunked,1.1", "chunked,1.0", "end,1.1", "end,1.0", "head,1.1", "short chunk,1.1"})
     void responseOfAStalledHostEndsInTimeAndIsSeenAsTruncated(String framing, String version) throws Exception {
         Host host = host(begun(framing), null);
         Body body = request(host, version, framing.equals("head") ? 0 : 5);
@@ -183,12 +187,19 @@
         rig.awaitLongTransfers();
     }
 
-    /** Only the first bytes of a long response are timed, and one that may be long by its pace may continue. */
+    /**
+     * Only the first bytes of a long response are timed, and one that may be long by its pace may continue. One that
+     * was long by the size of a chunk was ended.
+     */
     @ParameterizedTest
-    @CsvSource({"length,99995", "much,5", "paced,5"})
+    @CsvSource({"length,99995", "much,5", "paced,5", "long chunk,99995", "second chunk,100000"})
     void responseThatMayStillCompleteContinuesAfterTheDeadline(String framing, int left) throws Exception {
         String rest = "x".repeat(left);
-        Host host = host(begun(framing), framing.equals("length") ? rest : chunk(rest) + "0\r\n\r\n");
+        Host host = host(begun(framing), switch (framing) {
+            case "length" -> rest;
+            case "long chunk", "second chunk" -> rest + "\r\n0\r\n\r\n";
+            default -> chunk(rest) + "0\r\n\r\n";
+        });
         int begunBytes = framing.equals("much") ? 70_005 : framing.equals("paced") ? PACED_BYTES + 5 : 5;
         Body body = request(host, "1.1", begunBytes);
         rig.stopClock(BUDGET_MS * 1_000 + 100_000);
