--- a/sidecar/src/main/java/dapplequay/net/ClientPlaces.java
+++ b/sidecar/src/main/java/dapplequay/net/ClientPlaces.java
@@ -136,7 +136,7 @@
         long omitted = refusalLog.tryAcquire();
         if (omitted >= 0) {
             LOG.log(Level.WARNING, "limit of client connections reached; request {0} refused{1}",
-                    new Object[] {timeline.callId(), omitted > 0 ? "; " + omitted + " such lines left out" : ""});
+                    new Object[] {timeline.callId(), LogLimiter.omittedNote(omitted)});
         }
         return false;
     }
--- a/sidecar/src/main/java/dapplequay/net/LateResponseLog.java
+++ b/sidecar/src/main/java/dapplequay/net/LateResponseLog.java
@@ -31,8 +31,7 @@
         counts.count(timeline.cause(nowUs).label());
         long omitted = limiter.tryAcquire();
         if (omitted >= 0) {
-            LOG.warning("late response: " + timeline.describe(status, nowUs)
-                    + (omitted > 0 ? "; " + omitted + " such lines left out" : ""));
+            LOG.warning("late response: " + timeline.describe(status, nowUs) + LogLimiter.omittedNote(omitted));
         }
     }
 }
--- a/sidecar/src/main/java/dapplequay/net/LogLimiter.java
+++ b/sidecar/src/main/java/dapplequay/net/LogLimiter.java
@@ -23,6 +23,11 @@
         this.burst = burst;
     }
 
+    /** Returns what a line says at its end of the lines that were left out before it; empty for none. */
+    static String omittedNote(long omitted) {
+        return omitted > 0 ? "; " + omitted + " such lines left out" : "";
+    }
+
     /** Returns how many lines were left out before this one, which may be written; -1 if it is to be left out, too. */
     synchronized long tryAcquire() {
         long nowUs = clock.getAsLong();
--- a/sidecar/src/main/java/dapplequay/net/ProgressWatchdog.java
+++ b/sidecar/src/main/java/dapplequay/net/ProgressWatchdog.java
@@ -50,6 +50,8 @@
      * long pause is given twice as long the next time. One thread reports progress; any may call {@link #getAsLong}.
      */
     static final class StallTimeout implements LongSupplier {
+        /** The first wait: a peer takes seconds for one piece, and its progress may only show after several. */
+        private static final long PEER_TIMEOUT_US = 20_000_000;
         private static final long PAUSE_FACTOR = 2;
         /** The longest wait, as a multiple of the first one. */
         private static final long MAX_GROWTH = 3;
@@ -59,6 +61,11 @@
         private volatile long timeoutUs;
         private volatile long lastProgressUs;
 
+        /** Limits a transfer to a peer of which it is not known how slowly it reads. */
+        StallTimeout(DeadlineQueue deadlines) {
+            this(deadlines, PEER_TIMEOUT_US);
+        }
+
         /** {@code timeoutUs} is the longest time without progress at first, microseconds. */
         StallTimeout(DeadlineQueue deadlines, long timeoutUs) {
             this.deadlines = deadlines;
--- a/sidecar/src/main/java/dapplequay/net/RequestBodyForwarder.java
+++ b/sidecar/src/main/java/dapplequay/net/RequestBodyForwarder.java
@@ -13,11 +13,6 @@
  * reads no faster than the upstream accepts the body.
  */
 final class RequestBodyForwarder {
-    /**
-     * A streamed body that does not progress for this long is aborted: a peer takes seconds for one piece, and its
-     * progress may only show after several.
-     */
-    static final long STALL_TIMEOUT_US = 20_000_000;
     /** Interval of the checks whether the request's time is over, if it seems to be while the client is waited for. */
     private static final long DUE_CHECK_US = 50_000;
 
@@ -83,7 +78,7 @@
         PiecePacer pacer = new PiecePacer(BodyBuffers.capacity(piece), body.framing());
         arrival = new BodyArrival(listener.deadlines()::now, exchange.request.budgetUs(),
                 exchange.timeline.timeBeganUs(), this::unreadBytes);
-        stallTimeout = new ProgressWatchdog.StallTimeout(listener.deadlines(), STALL_TIMEOUT_US);
+        stallTimeout = new ProgressWatchdog.StallTimeout(listener.deadlines());
         try (ProgressWatchdog watchdog = new ProgressWatchdog(listener.deadlines(), this::remainingUs,
                 () -> expired(exchange))) {
             Attempt attempt = null;
--- a/sidecar/src/main/java/dapplequay/net/ResponseRelay.java
+++ b/sidecar/src/main/java/dapplequay/net/ResponseRelay.java
@@ -47,7 +47,7 @@
         this.clientClose = clientClose;
         this.deadlines = deadlines;
         this.pauseMs = pauseMs;
-        stallTimeout = new ProgressWatchdog.StallTimeout(deadlines, RequestBodyForwarder.STALL_TIMEOUT_US);
+        stallTimeout = new ProgressWatchdog.StallTimeout(deadlines);
     }
 
     /**
