Leave the send buffer as it is for long bodies of up to 2 MB

Cause: with the send buffer limited, the sender of any long body waits for a slow reader, and its connection is held, where the system's buffer took the whole of a shorter one at once.

Change: the buffer is limited only for bodies of over 2 MB, or of unknown length. What fits into it is not cut off: a third of 2 MB takes a reader at 64 kB/s 10 s, and the wait is 20 s.

Result: SlowPeersTest, ResponseRelayTest and SourceLimitsTest pass.

--- a/sidecar/src/main/java/dapplequay/net/ResponseRelay.java
+++ b/sidecar/src/main/java/dapplequay/net/ResponseRelay.java
@@ -66,7 +66,7 @@
         relayedBytes = start.bytes().length;
         byte[] piece = null;
         try (ProgressWatchdog watchdog = new ProgressWatchdog(deadlines, stallTimeout, clientClose::close)) {
-            SlowPeerWriter.limitSendBuffer(client);
+            SlowPeerWriter.limitSendBuffer(client, body);
             writeStart(message, start);
             piece = BodyBuffers.acquire();
             PiecePacer pacer = new PiecePacer(BodyBuffers.capacity(piece), body.framing());
--- a/sidecar/src/main/java/dapplequay/net/SlowPeerWriter.java
+++ b/sidecar/src/main/java/dapplequay/net/SlowPeerWriter.java
@@ -1,5 +1,6 @@
 package dapplequay.net;
 
+import dapplequay.http.Body;
 import java.io.IOException;
 import java.net.Socket;
 
@@ -12,13 +13,20 @@
 final class SlowPeerWriter {
     /** Size of the send buffer; the system doubles it, for its own overhead. */
     private static final int SEND_BUFFER_BYTES = 128 * 1024;
+    /**
+     * A body of at most this length is left to the system's buffer, so that its sender is free early: even a third of
+     * it is soon read.
+     */
+    private static final int MAX_BUFFERED_BYTES = 2 << 20;
     private static final int PART_BYTES = 32 * 1024;
 
     private SlowPeerWriter() { }
 
-    /** Limits the socket's send buffer; called before the first piece of a long body. */
-    static void limitSendBuffer(Socket socket) throws IOException {
-        socket.setSendBufferSize(SEND_BUFFER_BYTES);
+    /** Limits the send buffer of a socket that a long body is about to be written to, if the body exceeds it by far. */
+    static void limitSendBuffer(Socket socket, Body body) throws IOException {
+        if (body.length() < 0 || body.length() > MAX_BUFFERED_BYTES) {
+            socket.setSendBufferSize(SEND_BUFFER_BYTES);
+        }
     }
 
     /** Writes {@code length} bytes from {@code offset} on, and reports progress after each part. */
--- a/sidecar/src/main/java/dapplequay/net/UpstreamConnection.java
+++ b/sidecar/src/main/java/dapplequay/net/UpstreamConnection.java
@@ -131,7 +131,7 @@
         current.begins(checkedUs);
         try {
             if (request.isStreamed()) {
-                SlowPeerWriter.limitSendBuffer(socket);
+                SlowPeerWriter.limitSendBuffer(socket, request.remainingBody());
             }
             socket.getOutputStream().write(message);
             LOG.fine(() -> "wrote " + current.exchange.id + " to " + endpoint.address() + ", "
